--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 GENERATOR ?= Ninja
-CCACHE := $(shell command -v ccache 2>/dev/null)
+CCACHE = $(shell command -v ccache 2>/dev/null)
 LAUNCHER = $(if $(CCACHE),-DCMAKE_CXX_COMPILER_LAUNCHER=$(CCACHE))
 
 .PHONY: all setup build test demo bench soak sanitize format format-check lint proto install clean
--- a/core/time.h
+++ b/core/time.h
@@ -12,7 +12,7 @@
 /// Microseconds.
 using Duration = std::chrono::microseconds;
 
-/// Tag clock of `Time`. It has no now(); platform/clock.h reads the real one.
+/// Tag clock of `Time`. It has no now(); drivers/clock.h reads the real one.
 struct MonotonicClock {
   using rep = std::int64_t;
   using period = std::micro;
--- a/platform/clock.h
+++ b/drivers/clock.h
@@ -1,6 +1,6 @@
 // The process's real clock. Only tasks read it; they pass the value on.
-#ifndef PLATFORM_CLOCK_H_
-#define PLATFORM_CLOCK_H_
+#ifndef DRIVERS_CLOCK_H_
+#define DRIVERS_CLOCK_H_
 
 #include <chrono>
 
@@ -15,4 +15,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_CLOCK_H_
+#endif  // DRIVERS_CLOCK_H_
--- a/platform/close_watcher.cc
+++ b/drivers/close_watcher.cc
@@ -1,4 +1,4 @@
-#include "platform/close_watcher.h"
+#include "drivers/close_watcher.h"
 
 #include <glib-unix.h>
 #include <sys/epoll.h>
--- a/platform/close_watcher.h
+++ b/drivers/close_watcher.h
@@ -1,8 +1,8 @@
 // Notices that the far end of a connection has closed it while the HTTP server
 // isn't reading from it. One epoll descriptor serves all connections, so that
 // GLib's poll set doesn't grow with open streams.
-#ifndef PLATFORM_CLOSE_WATCHER_H_
-#define PLATFORM_CLOSE_WATCHER_H_
+#ifndef DRIVERS_CLOSE_WATCHER_H_
+#define DRIVERS_CLOSE_WATCHER_H_
 
 #include <glib.h>
 
@@ -10,7 +10,7 @@
 #include <functional>
 #include <unordered_map>
 
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
 
@@ -37,4 +37,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_CLOSE_WATCHER_H_
+#endif  // DRIVERS_CLOSE_WATCHER_H_
--- a/platform/gobject_ptr.h
+++ b/drivers/gobject_ptr.h
@@ -1,6 +1,6 @@
 // Ownership of GLib objects by unique_ptr.
-#ifndef PLATFORM_GOBJECT_PTR_H_
-#define PLATFORM_GOBJECT_PTR_H_
+#ifndef DRIVERS_GOBJECT_PTR_H_
+#define DRIVERS_GOBJECT_PTR_H_
 
 #include <glib-object.h>
 #include <glib.h>
@@ -44,4 +44,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_GOBJECT_PTR_H_
+#endif  // DRIVERS_GOBJECT_PTR_H_
--- a/platform/http_client.cc
+++ b/drivers/http_client.cc
@@ -1,4 +1,4 @@
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 
 #include <array>
 
--- a/platform/http_client.h
+++ b/drivers/http_client.h
@@ -1,7 +1,7 @@
 // HTTP calls of one task to endpoints, on libsoup. The answer's body arrives in
 // pieces as the network delivers them.
-#ifndef PLATFORM_HTTP_CLIENT_H_
-#define PLATFORM_HTTP_CLIENT_H_
+#ifndef DRIVERS_HTTP_CLIENT_H_
+#define DRIVERS_HTTP_CLIENT_H_
 
 #include <libsoup/soup.h>
 
@@ -14,7 +14,7 @@
 #include <utility>
 #include <vector>
 
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
 
@@ -76,4 +76,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_HTTP_CLIENT_H_
+#endif  // DRIVERS_HTTP_CLIENT_H_
--- a/platform/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,4 +1,4 @@
-#include "platform/http_server.h"
+#include "drivers/http_server.h"
 
 #include <gio/gio.h>
 #include <netinet/in.h>
--- a/platform/http_server.h
+++ b/drivers/http_server.h
@@ -1,7 +1,7 @@
 // HTTP listener of one task, on libsoup. A request reaches the handler whole;
 // the answer may come later, whole or streamed.
-#ifndef PLATFORM_HTTP_SERVER_H_
-#define PLATFORM_HTTP_SERVER_H_
+#ifndef DRIVERS_HTTP_SERVER_H_
+#define DRIVERS_HTTP_SERVER_H_
 
 #include <libsoup/soup.h>
 
@@ -13,8 +13,8 @@
 #include <utility>
 #include <vector>
 
-#include "platform/close_watcher.h"
-#include "platform/gobject_ptr.h"
+#include "drivers/close_watcher.h"
+#include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
 
@@ -126,4 +126,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_HTTP_SERVER_H_
+#endif  // DRIVERS_HTTP_SERVER_H_
--- a/platform/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -1,4 +1,4 @@
-#include "platform/peer_transport.h"
+#include "drivers/peer_transport.h"
 
 #include <fmt/format.h>
 
@@ -7,7 +7,7 @@
 #include <vector>
 #include <zmq.hpp>
 
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
 namespace {
--- a/platform/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -1,8 +1,8 @@
 // Messages between instances over ZeroMQ: one ROUTER socket that receives, one
 // DEALER socket for each peer that sends. With keys set, CURVE encrypts and
 // only the listed public keys may connect.
-#ifndef PLATFORM_PEER_TRANSPORT_H_
-#define PLATFORM_PEER_TRANSPORT_H_
+#ifndef DRIVERS_PEER_TRANSPORT_H_
+#define DRIVERS_PEER_TRANSPORT_H_
 
 #include <glib.h>
 
@@ -74,4 +74,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_PEER_TRANSPORT_H_
+#endif  // DRIVERS_PEER_TRANSPORT_H_
--- a/platform/task.cc
+++ b/drivers/task.cc
@@ -1,4 +1,4 @@
-#include "platform/task.h"
+#include "drivers/task.h"
 
 #include <pthread.h>
 
--- a/platform/task.h
+++ b/drivers/task.h
@@ -1,7 +1,7 @@
 // A thread with a GLib main loop of its own. A task owns its sockets and its
 // state; other tasks reach it only through its mailbox.
-#ifndef PLATFORM_TASK_H_
-#define PLATFORM_TASK_H_
+#ifndef DRIVERS_TASK_H_
+#define DRIVERS_TASK_H_
 
 #include <glib.h>
 
@@ -13,7 +13,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
 
@@ -102,4 +102,4 @@
 
 }  // namespace cassiausher
 
-#endif  // PLATFORM_TASK_H_
+#endif  // DRIVERS_TASK_H_
--- a/main/active_request.cc
+++ b/main/active_request.cc
@@ -4,10 +4,10 @@
 
 #include <utility>
 
+#include "drivers/clock.h"
 #include "main/call_sink.h"
 #include "main/cancel_queue.h"
 #include "main/error_body.h"
-#include "platform/clock.h"
 
 namespace cassiausher {
 namespace {
--- a/main/active_request.h
+++ b/main/active_request.h
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include "core/time.h"
+#include "drivers/http_server.h"
 #include "main/serving_context.h"
-#include "platform/http_server.h"
 #include "servers/serving/request_flow.h"
 
 namespace cassiausher {
--- a/main/admin_task.h
+++ b/main/admin_task.h
@@ -9,11 +9,11 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "drivers/http_server.h"
+#include "drivers/task.h"
 #include "main/error_body.h"
 #include "main/messages.h"
 #include "main/token_table.h"
-#include "platform/http_server.h"
-#include "platform/task.h"
 
 namespace cassiausher {
 
--- a/main/call_sink.h
+++ b/main/call_sink.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-#include "platform/http_client.h"
+#include "drivers/http_client.h"
 #include "servers/serving/endpoint_driver.h"
 #include "servers/serving/request_flow.h"
 
--- a/main/cancel_queue.cc
+++ b/main/cancel_queue.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/clock.h"
+#include "drivers/clock.h"
 
 namespace cassiausher {
 namespace {
--- a/main/configuration_service.cc
+++ b/main/configuration_service.cc
@@ -5,8 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 #include "main/error_body.h"
-#include "platform/clock.h"
 #include "servers/configuration/configuration_messages.h"
 #include "servers/language/statement.h"
 #include "servers/ledger/ledger_messages.h"
--- a/main/control_task.cc
+++ b/main/control_task.cc
@@ -8,9 +8,9 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 #include "main/error_body.h"
 #include "main/request_id.h"
-#include "platform/clock.h"
 #include "servers/language/statement.h"
 
 namespace cassiausher {
--- a/main/error_body.h
+++ b/main/error_body.h
@@ -6,7 +6,7 @@
 #include <string_view>
 
 #include "core/time.h"
-#include "platform/http_server.h"
+#include "drivers/http_server.h"
 
 namespace cassiausher {
 
--- a/main/pool_service.cc
+++ b/main/pool_service.cc
@@ -8,9 +8,9 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 #include "main/request_id.h"
 #include "main/wire.h"
-#include "platform/clock.h"
 
 namespace cassiausher {
 namespace {
--- a/main/serving_context.h
+++ b/main/serving_context.h
@@ -6,8 +6,8 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "drivers/http_client.h"
 #include "main/messages.h"
-#include "platform/http_client.h"
 #include "servers/serving/endpoint_driver.h"
 
 namespace cassiausher {
--- a/main/serving_task.cc
+++ b/main/serving_task.cc
@@ -8,8 +8,8 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 #include "main/request_id.h"
-#include "platform/clock.h"
 
 namespace cassiausher {
 namespace {
--- a/main/serving_task.h
+++ b/main/serving_task.h
@@ -11,6 +11,9 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "drivers/http_client.h"
+#include "drivers/http_server.h"
+#include "drivers/task.h"
 #include "main/active_request.h"
 #include "main/cancel_queue.h"
 #include "main/error_body.h"
@@ -18,9 +21,6 @@
 #include "main/serving_context.h"
 #include "main/sessions_call.h"
 #include "main/token_table.h"
-#include "platform/http_client.h"
-#include "platform/http_server.h"
-#include "platform/task.h"
 #include "servers/serving/endpoint_driver.h"
 
 namespace cassiausher {
--- a/main/sessions_call.h
+++ b/main/sessions_call.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <string_view>
 
+#include "drivers/http_client.h"
 #include "main/serving_context.h"
-#include "platform/http_client.h"
 
 namespace cassiausher {
 
--- a/main/storage_task.cc
+++ b/main/storage_task.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "core/log.h"
-#include "platform/clock.h"
+#include "drivers/clock.h"
 
 namespace cassiausher {
 namespace {
--- a/main/storage_task.h
+++ b/main/storage_task.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "core/metrics.h"
-#include "platform/task.h"
+#include "drivers/task.h"
 #include "servers/consensus/log_storage.h"
 #include "servers/consensus/raft.h"
 
--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -23,7 +23,7 @@
 
 
 def sources():
-    for folder in ("core", "servers", "modules", "platform", "main"):
+    for folder in ("core", "servers", "modules", "drivers", "platform", "main"):
         for pattern in ("*.cc", "*.h"):
             yield from (ROOT / folder).rglob(pattern)
 
--- a/scripts/sources.sh
+++ b/scripts/sources.sh
@@ -3,4 +3,4 @@
 # left out.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-find core servers modules platform main tools tests -name '*.cc' -o -name '*.h' | sort
+find core servers modules drivers platform main tools tests -name '*.cc' -o -name '*.h' | sort
--- a/tests/platform/http_test.cc
+++ b/tests/drivers/http_test.cc
@@ -4,8 +4,8 @@
 
 #include <string>
 
-#include "platform/http_client.h"
-#include "platform/http_server.h"
+#include "drivers/http_client.h"
+#include "drivers/http_server.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
--- a/tests/platform/peer_transport_test.cc
+++ b/tests/drivers/peer_transport_test.cc
@@ -1,6 +1,6 @@
 // Guards messages between instances: a peer with a wrong key is kept out, and a
 // peer that is away holds up nobody.
-#include "platform/peer_transport.h"
+#include "drivers/peer_transport.h"
 
 #include <CppUTest/TestHarness.h>
 #include <zmq.h>
--- a/tests/tools/ctl_test.cc
+++ b/tests/tools/ctl_test.cc
@@ -8,7 +8,7 @@
 #include <string>
 #include <thread>
 
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 #include "tools/ctl/command.h"
 
 // CppUTest last: its macros clash with the standard library's headers.
--- a/tools/ctl/admin_client.h
+++ b/tools/ctl/admin_client.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <variant>
 
-#include "platform/gobject_ptr.h"
+#include "drivers/gobject_ptr.h"
 
 typedef struct _SoupSession SoupSession;
 
