--- a/core/log.cc
+++ b/core/log.cc
@@ -1,10 +1,16 @@
 #include "core/log.h"
 
+#include <fcntl.h>
 #include <fmt/chrono.h>
+#include <unistd.h>
 
 #include <array>
+#include <atomic>
 #include <chrono>
 #include <cstdio>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace cassiausher {
@@ -38,8 +44,111 @@
   line.push_back('"');
 }
 
+std::int64_t MillisecondsSinceEpoch() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+// Lines of one event within the current second.
+class EventBudget {
+ public:
+  // Whether a line may be written; fills in how many were left out before it.
+  bool Take(std::int64_t second, std::uint64_t* left_out) {
+    if (second != second_) {
+      second_ = second;
+      lines_ = 0;
+    }
+    ++lines_;
+    if (lines_ > kLinesPerSecond && written_in_ == second) {
+      ++left_out_;
+      return false;
+    }
+    // Beyond the burst one line a second goes on.
+    if (lines_ >= kLinesPerSecond) written_in_ = second;
+    *left_out = std::exchange(left_out_, 0);
+    return true;
+  }
+
+ private:
+  static constexpr int kLinesPerSecond = 100;
+  std::int64_t second_ = 0;
+  std::int64_t written_in_ = 0;
+  int lines_ = 0;
+  std::uint64_t left_out_ = 0;
+};
+
+// Writes to standard output without waiting for its reader.
+class JsonSink {
+ public:
+  static JsonSink& Instance() {
+    static JsonSink& sink = *new JsonSink;
+    return sink;
+  }
+
+  void Write(LogLevel level, std::string_view event,
+             const std::vector<LogField>& fields) {
+    const std::lock_guard lock(mutex_);
+    const std::int64_t now_ms = MillisecondsSinceEpoch();
+    std::uint64_t left_out = 0;
+    auto found = budgets_.find(event);
+    if (found == budgets_.end()) {
+      found = budgets_.emplace(std::string(event), EventBudget()).first;
+    }
+    if (!found->second.Take(now_ms / 1000, &left_out)) {
+      left_out_.fetch_add(1, std::memory_order_relaxed);
+      return;
+    }
+    nlohmann::ordered_json line;
+    line["time_ms"] = now_ms;
+    line["level"] = kLevelNames[static_cast<std::size_t>(level)];
+    line["instance"] = InstanceName();
+    line["event"] = event;
+    for (const LogField& field : fields) line[field.key] = field.value;
+    if (left_out > 0) line["left_out"] = left_out;
+    Send(line.dump(-1, ' ', false,
+                   nlohmann::ordered_json::error_handler_t::replace) +
+         "\n");
+  }
+
+  std::uint64_t left_out() const {
+    return left_out_.load(std::memory_order_relaxed);
+  }
+
+ private:
+  // Lines that wait for a slow reader.
+  static constexpr std::size_t kMostPendingBytes = 256 << 10;
+
+  JsonSink() {
+    const int flags = fcntl(STDOUT_FILENO, F_GETFL);
+    fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  }
+
+  void Send(const std::string& line) {
+    if (pending_.size() + line.size() > kMostPendingBytes) {
+      left_out_.fetch_add(1, std::memory_order_relaxed);
+    } else {
+      pending_ += line;
+    }
+    const ssize_t written =
+        write(STDOUT_FILENO, pending_.data(), pending_.size());
+    if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
+  }
+
+  std::mutex mutex_;
+  std::map<std::string, EventBudget, std::less<>> budgets_;
+  std::string pending_;
+  std::atomic<std::uint64_t> left_out_{0};
+};
+
+LogFormat log_format = LogFormat::kKeyValue;
+
 }  // namespace
 
+void SetLogFormat(LogFormat format) { log_format = format; }
+
+std::uint64_t LogLinesLeftOut() { return JsonSink::Instance().left_out(); }
+
 void ConfigureLog(LogLevel lowest, std::string instance) {
   lowest_level = lowest;
   InstanceName() = std::move(instance);
@@ -57,6 +166,10 @@
 void Log(LogLevel level, std::string_view event,
          const std::vector<LogField>& fields) {
   if (level < lowest_level) return;
+  if (log_format == LogFormat::kJson) {
+    JsonSink::Instance().Write(level, event, fields);
+    return;
+  }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   fmt::memory_buffer line;
--- a/core/log.h
+++ b/core/log.h
@@ -1,10 +1,12 @@
-// Structured log lines on standard error: time, level, instance, event and
-// key=value pairs. Counters report rates; a line reports a change of state.
+// Structured log lines: time, level, instance, event and fields. Either
+// key=value pairs on standard error, or JSON objects on standard output with a
+// bound on each event's rate.
 #ifndef CORE_LOG_H_
 #define CORE_LOG_H_
 
 #include <fmt/format.h>
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +29,21 @@
 /// before the tasks start.
 void ConfigureLog(LogLevel lowest, std::string instance);
 
+enum class LogFormat {
+  kKeyValue,  ///< Standard error, unbounded.
+  /// Standard output, one object a line. Never blocks: lines that the reader
+  /// doesn't take are left out, and so are lines of an event beyond the first
+  /// hundred in a second, but for one. The next line of the event tells how
+  /// many in `left_out`.
+  kJson,
+};
+
+/// Chooses the format. Call before the tasks start.
+void SetLogFormat(LogFormat format);
+
+/// Lines left out so far; only LogFormat::kJson leaves lines out.
+std::uint64_t LogLinesLeftOut();
+
 /// Returns false if `name` is no level.
 bool ParseLogLevel(std::string_view name, LogLevel* level);
 
--- a/drivers/clock.h
+++ b/drivers/clock.h
@@ -2,6 +2,8 @@
 #ifndef DRIVERS_CLOCK_H_
 #define DRIVERS_CLOCK_H_
 
+#include <time.h>
+
 #include <chrono>
 
 #include "core/time.h"
@@ -13,6 +15,16 @@
       std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+/// Like MonotonicNow(), but counts the time for which the machine was
+/// suspended, so that beliefs age while it stands still.
+inline Time BootTimeNow() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Time(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(now.tv_sec) +
+      std::chrono::nanoseconds(now.tv_nsec)));
+}
+
 }  // namespace cassiausher
 
 #endif  // DRIVERS_CLOCK_H_
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -98,12 +98,13 @@
   }
   SoupMessageHeaders* headers = soup_message_get_request_headers(message);
   for (const auto& [name, value] : call.headers) {
-    soup_message_headers_replace(headers, name.c_str(), value.c_str());
+    soup_message_headers_append(headers, name.c_str(), value.c_str());
   }
-  if (call.method != "GET") {
+  if (call.method != "GET" || !call.body.empty()) {
     const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
-    soup_message_set_request_body_from_bytes(message, call.content_type.c_str(),
-                                             body.get());
+    const char* type =
+        call.content_type.empty() ? nullptr : call.content_type.c_str();
+    soup_message_set_request_body_from_bytes(message, type, body.get());
   }
   // From here on the far end may have seen the call.
   g_signal_connect_swapped(message, "starting",
@@ -125,6 +126,11 @@
   g_cancellable_cancel(pending->cancellable.get());
 }
 
+bool HttpClient::WasSent(CallId id) const {
+  const auto found = pending_.find(id);
+  return found != pending_.end() && found->second->sent;
+}
+
 void HttpClient::Done(Pending* pending, std::string_view error) {
   HttpCallSink* sink = pending->sink;
   const bool sent = pending->sent;
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -22,6 +22,7 @@
   std::string method = "POST";
   std::string url;
   std::vector<std::pair<std::string, std::string>> headers;
+  /// Empty: the header is among `headers`, or there is none.
   std::string content_type = "application/json";
   std::string body;
   /// Never sent on a connection that was used before, so that a silent one
@@ -56,6 +57,8 @@
   CallId Start(const HttpCall& call, HttpCallSink* sink);
   /// Drops the call and its connection; the sink hears no more.
   void Cancel(CallId id);
+  /// Whether the far end may have seen anything of the call.
+  bool WasSent(CallId id) const;
 
  private:
   struct Pending;
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -172,9 +172,19 @@
   SetHeaders(headers);
   soup_server_message_set_status(message_.get(), static_cast<guint>(status),
                                  nullptr);
-  soup_server_message_set_response(message_.get(),
-                                   std::string(content_type).c_str(),
-                                   SOUP_MEMORY_COPY, body.data(), body.size());
+  // Without a type it is among the headers. libsoup wants a type for a body.
+  if (content_type.empty()) {
+    soup_message_body_append(
+        soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
+        body.data(), body.size());
+    soup_message_headers_set_content_length(
+        soup_server_message_get_response_headers(message_.get()),
+        static_cast<goffset>(body.size()));
+  } else {
+    soup_server_message_set_response(
+        message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
+        body.data(), body.size());
+  }
   Finish();
   soup_server_message_unpause(message_.get());
 }
@@ -187,9 +197,11 @@
   SoupMessageHeaders* target =
       soup_server_message_get_response_headers(message_.get());
   soup_message_headers_set_encoding(target, SOUP_ENCODING_CHUNKED);
-  soup_message_headers_replace(target, "Content-Type",
-                               std::string(content_type).c_str());
-  soup_message_headers_replace(target, "Cache-Control", "no-cache");
+  if (!content_type.empty()) {
+    soup_message_headers_replace(target, "Content-Type",
+                                 std::string(content_type).c_str());
+    soup_message_headers_replace(target, "Cache-Control", "no-cache");
+  }
   soup_message_body_set_accumulate(
       soup_server_message_get_response_body(message_.get()), FALSE);
   soup_server_message_set_status(message_.get(), static_cast<guint>(status),
@@ -219,6 +231,15 @@
   soup_server_message_unpause(message_.get());
 }
 
+void HttpExchange::Abort() {
+  if (finished_) return;
+  GSocket* socket = soup_server_message_get_socket(message_.get());
+  Finish();
+  if (socket != nullptr) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
+  // libsoup meets the closed socket and drops the connection.
+  soup_server_message_unpause(message_.get());
+}
+
 HttpServer::HttpServer(HttpServerOptions options, Handler handler,
                        LimitHandler limit_handler)
     : options_(std::move(options)),
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -49,6 +49,9 @@
                    const HttpHeaders& headers = {});
   void Write(std::string_view bytes);
   void EndStream();
+  /// Closes the connection at once, so that a stream that was begun doesn't
+  /// look complete.
+  void Abort();
 
   /// True once the answer is whole or the caller is gone.
   bool finished() const { return finished_; }
--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -12,10 +12,6 @@
 namespace cassiausher {
 namespace {
 
-// A connection without an answer to a heartbeat for this long is replaced: the
-// path may have lost track of it while new connections work.
-constexpr int kHeartbeatMs = 500;
-constexpr int kHeartbeatTimeoutMs = 1500;
 constexpr int kReconnectMs = 50;
 constexpr int kReconnectMaxMs = 1000;
 constexpr int kQueueMessages = 20000;
@@ -75,10 +71,11 @@
   return GSourcePtr(source);
 }
 
-void SetCommonOptions(zmq::socket_t& socket) {
+void SetCommonOptions(const PeerTransportOptions& options,
+                      zmq::socket_t& socket) {
   socket.set(zmq::sockopt::linger, 0);
-  socket.set(zmq::sockopt::heartbeat_ivl, kHeartbeatMs);
-  socket.set(zmq::sockopt::heartbeat_timeout, kHeartbeatTimeoutMs);
+  socket.set(zmq::sockopt::heartbeat_ivl, options.heartbeat_ms);
+  socket.set(zmq::sockopt::heartbeat_timeout, options.heartbeat_timeout_ms);
   socket.set(zmq::sockopt::sndhwm, kQueueMessages);
   socket.set(zmq::sockopt::rcvhwm, kQueueMessages);
 }
@@ -130,7 +127,7 @@
     }
     sockets_->inbox =
         zmq::socket_t(sockets_->context, zmq::socket_type::router);
-    SetCommonOptions(sockets_->inbox);
+    SetCommonOptions(options_, sockets_->inbox);
     sockets_->inbox.set(zmq::sockopt::maxmsgsize, options_.max_message_bytes);
     if (encrypted) {
       sockets_->inbox.set(zmq::sockopt::curve_server, true);
@@ -163,7 +160,7 @@
       .address = address,
       .public_key = public_key,
       .socket = zmq::socket_t(sockets_->context, zmq::socket_type::dealer)};
-  SetCommonOptions(entry.socket);
+  SetCommonOptions(options_, entry.socket);
   // A message for a peer that isn't connected is dropped, not kept: by the
   // time the peer is back it would be stale.
   entry.socket.set(zmq::sockopt::immediate, true);
@@ -182,6 +179,13 @@
   return sockets_->peers.contains(peer);
 }
 
+void PeerTransport::RemovePeer(const InstanceId& peer) {
+  const auto found = sockets_->peers.find(peer);
+  if (found == sockets_->peers.end()) return;
+  allowed_keys_.erase(found->second.public_key);
+  sockets_->peers.erase(found);
+}
+
 bool PeerTransport::Send(const InstanceId& peer, std::string_view message) {
   const auto found = sockets_->peers.find(peer);
   if (found == sockets_->peers.end()) {
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -30,6 +30,10 @@
   CurveKeys keys;
   /// Longest message accepted from a peer.
   std::int64_t max_message_bytes = 16 << 20;
+  /// A connection without an answer to a heartbeat within the timeout is
+  /// replaced: the path may have lost track of it while new connections work.
+  int heartbeat_ms = 500;
+  int heartbeat_timeout_ms = 1500;
 };
 
 /// Belongs to the task whose context it is given.
@@ -50,6 +54,7 @@
   void SetPeer(const InstanceId& peer, const std::string& address,
                const std::string& public_key);
   bool HasPeer(const InstanceId& peer) const;
+  void RemovePeer(const InstanceId& peer);
 
   /// Never blocks. Returns false when the peer is unknown, not connected or
   /// its queue is full; the message is dropped and counted.
--- a/drivers/task.cc
+++ b/drivers/task.cc
@@ -52,6 +52,11 @@
 }
 
 GSourcePtr Task::AddTimer(Duration period, std::function<void()> callback) {
+  return cassiausher::AddTimer(context_, period, std::move(callback));
+}
+
+GSourcePtr AddTimer(GMainContext* context, Duration period,
+                    std::function<void()> callback) {
   const auto period_ms = static_cast<guint>(
       std::chrono::duration_cast<std::chrono::milliseconds>(period).count());
   GSource* source = g_timeout_source_new(period_ms);
@@ -63,7 +68,7 @@
       },
       new std::function<void()>(std::move(callback)),
       [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
-  g_source_attach(source, context_);
+  g_source_attach(source, context);
   return GSourcePtr(source);
 }
 
--- a/drivers/task.h
+++ b/drivers/task.h
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include <functional>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -17,6 +18,10 @@
 
 namespace cassiausher {
 
+/// Calls `callback` in `context` each `period` until the source is destroyed.
+GSourcePtr AddTimer(GMainContext* context, Duration period,
+                    std::function<void()> callback);
+
 class Task {
  public:
   explicit Task(std::string name);
@@ -57,47 +62,65 @@
 class Mailbox {
  public:
   Mailbox(GMainContext* context, std::function<void(Message&)> handler)
-      : context_(context), handler_(std::move(handler)) {}
+      : context_(context),
+        queue_(std::make_shared<Queue>(std::move(handler))) {}
+  /// On the task's thread. What was posted and not handled is dropped.
+  ~Mailbox() { queue_->handler = nullptr; }
+  Mailbox(const Mailbox&) = delete;
+  Mailbox& operator=(const Mailbox&) = delete;
 
   void Post(Message message) {
     bool was_empty = false;
     {
-      const std::lock_guard lock(mutex_);
-      was_empty = queue_.empty();
-      queue_.push_back(std::move(message));
+      const std::lock_guard lock(queue_->mutex);
+      was_empty = queue_->messages.empty();
+      queue_->messages.push_back(std::move(message));
     }
     // One wake-up drains all that has been posted since.
     if (was_empty) ScheduleDrain();
   }
 
  private:
+  // Shared with the wake-up, which may come after the mailbox is gone.
+  struct Queue {
+    explicit Queue(std::function<void(Message&)> handle)
+        : handler(std::move(handle)) {}
+
+    std::function<void(Message&)> handler;
+    std::mutex mutex;
+    std::vector<Message> messages;
+  };
+
   void ScheduleDrain() {
     GSource* source = g_idle_source_new();
     g_source_set_priority(source, G_PRIORITY_DEFAULT);
     g_source_set_callback(
         source,
-        [](gpointer self) -> gboolean {
-          static_cast<Mailbox*>(self)->Drain();
+        [](gpointer data) -> gboolean {
+          Drain(**static_cast<std::shared_ptr<Queue>*>(data));
           return G_SOURCE_REMOVE;
         },
-        this, nullptr);
+        new std::shared_ptr<Queue>(queue_),
+        [](gpointer data) {
+          delete static_cast<std::shared_ptr<Queue>*>(data);
+        });
     g_source_attach(source, context_);
     g_source_unref(source);
   }
 
-  void Drain() {
+  static void Drain(Queue& queue) {
     std::vector<Message> batch;
     {
-      const std::lock_guard lock(mutex_);
-      batch.swap(queue_);
+      const std::lock_guard lock(queue.mutex);
+      batch.swap(queue.messages);
+    }
+    for (Message& message : batch) {
+      if (queue.handler) queue.handler(message);
     }
-    for (Message& message : batch) handler_(message);
   }
 
   GMainContext* context_;
-  std::function<void(Message&)> handler_;
-  std::mutex mutex_;
-  std::vector<Message> queue_;
+  std::shared_ptr<Queue> queue_;
 };
 
 }  // namespace cassiausher
--- /dev/null
+++ b/main/configuration_log.cc
@@ -0,0 +1,257 @@
+#include "main/configuration_log.h"
+
+#include <filesystem>
+#include <set>
+#include <utility>
+
+#include "core/log.h"
+#include "drivers/clock.h"
+
+namespace cassiausher {
+namespace {
+
+// Bounds the log on disk, whose entries are whole documents.
+constexpr int kEntriesPerSnapshot = 32;
+constexpr std::size_t kMaxEntryBytes = std::size_t{8} << 20;
+constexpr Duration kHeartbeat = Milliseconds(200);
+constexpr Duration kElectionTimeoutMin = Milliseconds(900);
+constexpr Duration kElectionTimeoutMax = Milliseconds(1700);
+
+std::string LogFolder(const NodeSettings& settings) {
+  return settings.data_folder + "/log";
+}
+
+}  // namespace
+
+ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
+                                   Metrics& metrics, GMainContext* context,
+                                   ConfigurationLogDelegate& delegate)
+    : settings_(settings),
+      metrics_(metrics),
+      context_(context),
+      delegate_(delegate) {}
+
+ConfigurationLog::~ConfigurationLog() = default;
+
+std::string ConfigurationLog::Start() {
+  return StartReplica(settings_.first_start);
+}
+
+std::string ConfigurationLog::StartReplica(bool may_found) {
+  std::error_code error;
+  std::filesystem::create_directories(LogFolder(settings_), error);
+  RaftOptions options;
+  options.self = InstanceId(settings_.ip);
+  options.new_storage = NewStorageNumber();
+  options.seed = NewStorageNumber();
+  options.may_found = may_found;
+  options.heartbeat = kHeartbeat;
+  options.election_timeout_min = kElectionTimeoutMin;
+  options.election_timeout_max = kElectionTimeoutMax;
+  options.max_entry_bytes = kMaxEntryBytes;
+  options.kept_after_compaction = kEntriesPerSnapshot;
+  for (const SocketAddress& seed : settings_.seeds) {
+    options.founders.insert(InstanceId(seed.ip));
+  }
+  host_ = std::make_unique<RaftHost>(context_, metrics_, *this,
+                                     [] { return BootTimeNow(); });
+  return host_->Start(options,
+                      LogStorages().Create("file_log", LogFolder(settings_)));
+}
+
+void ConfigurationLog::OnRaft(const std::string& bytes) {
+  proto::RaftMessage message;
+  if (!message.ParseFromString(bytes)) {
+    Log(LogLevel::kWarning, "raft_message_malformed");
+    return;
+  }
+  host_->Step(message);
+}
+
+void ConfigurationLog::Tick(Time now) {
+  if (std::exchange(reset_due_, false)) {
+    Log(LogLevel::kWarning, "replica_reset",
+        {{"reason", "replaced by another replica"}});
+    host_.reset();
+    std::error_code error;
+    std::filesystem::remove_all(LogFolder(settings_), error);
+    const std::string fault = StartReplica(false);
+    if (!fault.empty()) {
+      Log(LogLevel::kError, "replica_start_failed", {{"error", fault}});
+    }
+  }
+  host_->Tick();
+  if (leading()) AdvanceVoters(now);
+}
+
+void ConfigurationLog::TransferLeadership(Time now) {
+  host_->raft().TransferLeadership(std::nullopt, now);
+  host_->Drain();
+}
+
+bool ConfigurationLog::leading() const {
+  return host_->raft().role() == RaftRole::kLeader;
+}
+
+InstanceId ConfigurationLog::leader() const {
+  return host_->raft().leader().instance;
+}
+
+void ConfigurationLog::Submit(const InstanceId& origin,
+                              std::uint64_t submission,
+                              const VersionedDocument& document, Time now) {
+  if (document.version <= register_.current().version) {
+    delegate_.OnSubmitted(origin, submission);
+    return;
+  }
+  for (auto& [index, proposal] : proposals_) {
+    if (proposal.document != document) continue;
+    proposal.waiters.push_back({origin, submission});
+    return;
+  }
+  const ProposeResult result = host_->raft().Propose(Encode(document), now);
+  if (!result.accepted()) {
+    Log(LogLevel::kWarning, "proposal_refused",
+        {{"version", document.version.value()},
+         {"reason", static_cast<int>(result.refusal)}});
+    return;
+  }
+  proposals_[result.index] = {result.term, document, {{origin, submission}}};
+  host_->Drain();
+}
+
+void ConfigurationLog::ReadCurrent(const InstanceId& origin, std::uint64_t read,
+                                   Time now) {
+  reads_[next_read_] = {origin, read};
+  host_->raft().Read(next_read_++, now);
+  host_->Drain();
+}
+
+void ConfigurationLog::SendRaft(const proto::RaftMessage& message) {
+  proto::NodeMessage envelope;
+  envelope.set_raft(message.SerializeAsString());
+  delegate_.SendToNode(InstanceId(message.to().instance()), envelope);
+}
+
+void ConfigurationLog::OnInstall(const Snapshot& snapshot) {
+  VersionedDocument document;
+  if (snapshot.data.empty()) return;
+  if (!Decode(snapshot.data, &document)) {
+    Log(LogLevel::kError, "snapshot_malformed", {{"index", snapshot.index}});
+    return;
+  }
+  Apply(std::move(document));
+}
+
+void ConfigurationLog::OnCommitted(const LogEntry& entry) {
+  ++entries_since_compaction_;
+  VersionedDocument document;
+  const bool has_document = entry.kind == EntryKind::kData;
+  if (has_document && !Decode(entry.data, &document)) {
+    Log(LogLevel::kError, "log_entry_malformed", {{"index", entry.index}});
+  } else if (has_document) {
+    Apply(std::move(document));
+  }
+  const auto found = proposals_.find(entry.index);
+  if (found != proposals_.end()) {
+    const Proposal proposal = std::move(found->second);
+    proposals_.erase(found);
+    // Another term's entry took the place of the proposal; its origin sends it
+    // again.
+    if (proposal.term != entry.term) return;
+    for (const Waiter& waiter : proposal.waiters) {
+      delegate_.OnSubmitted(waiter.origin, waiter.id);
+    }
+  }
+  Compact();
+}
+
+void ConfigurationLog::Apply(VersionedDocument document) {
+  const Revision version = document.version;
+  if (!register_.Apply(std::move(document))) return;
+  Log(LogLevel::kInfo, "configuration_committed",
+      {{"version", version.value()}});
+  delegate_.OnConfiguration(register_.current());
+}
+
+void ConfigurationLog::Compact() {
+  if (entries_since_compaction_ < kEntriesPerSnapshot) return;
+  entries_since_compaction_ = 0;
+  host_->raft().Compact(host_->raft().applied_index(),
+                        Encode(register_.current()));
+}
+
+void ConfigurationLog::OnRead(const ReadResult& read) {
+  const auto found = reads_.find(read.id);
+  if (found == reads_.end()) return;
+  const Waiter waiter = found->second;
+  reads_.erase(found);
+  delegate_.OnCurrentRead(waiter.origin, waiter.id, read.served);
+}
+
+void ConfigurationLog::OnRoleChanged() {
+  const Raft& raft = host_->raft();
+  Log(LogLevel::kInfo, "consensus_role",
+      {{"role", leading() ? "leader" : "follower"},
+       {"term", raft.term()},
+       {"leader", raft.leader().instance.value()}});
+  if (leading()) return;
+  // The origins send again, to the next leader.
+  proposals_.clear();
+}
+
+void ConfigurationLog::AdvanceVoters(Time now) {
+  Raft& raft = host_->raft();
+  if (!raft.configuration_committed()) return;
+  VoterView view{.configuration = raft.configuration(),
+                 .silence = raft.Silence()};
+  for (const auto& [replica, heard_at] : raft.unconfigured()) {
+    view.unconfigured[replica] = now - heard_at;
+  }
+  const VoterStep step = PlanVoters({}, view);
+  if (std::holds_alternative<NoStep>(step)) return;
+  ProposeResult result;
+  ReplicaId subject;
+  if (const auto* add = std::get_if<AddLearnerStep>(&step)) {
+    subject = add->learner;
+    result = raft.AddLearner(subject, now);
+  } else if (const auto* promote = std::get_if<PromoteStep>(&step)) {
+    subject = promote->learner;
+    result = raft.Promote(subject, now);
+  } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
+    subject = replace->replacement;
+    result = raft.ReplaceVoter(replace->lost, subject, now);
+  } else {
+    subject = std::get<RemoveLearnerStep>(step).learner;
+    result = raft.Remove(subject, now);
+  }
+  if (result.accepted()) {
+    Log(LogLevel::kInfo, "voters_changed",
+        {{"subject", ToString(subject)},
+         {"step", step.index()},
+         {"voters", view.configuration.voters.size()}});
+  }
+  host_->Drain();
+}
+
+std::unique_ptr<proto::Members> ConfigurationLog::Members() const {
+  const Raft& raft = host_->raft();
+  if (!leading() || !raft.configuration_committed()) return nullptr;
+  auto members = std::make_unique<proto::Members>();
+  *members->mutable_configuration() = ToProto(raft.configuration());
+  members->set_commit(raft.commit_index());
+  return members;
+}
+
+void ConfigurationLog::OnMembers(const proto::Members& members) {
+  const Raft& raft = host_->raft();
+  const auto configuration = FromProto(members.configuration());
+  if (!configuration.has_value()) return;
+  const bool own_group = raft.configuration().group == configuration->group;
+  if (!own_group || members.commit() < raft.commit_index()) return;
+  if (configuration->IsMember(raft.replica())) return;
+  // A voter that is being removed is told by the log before this.
+  reset_due_ = true;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/configuration_log.h
@@ -0,0 +1,108 @@
+// The replicated configuration of the control instances: the consensus core,
+// the register that it drives, and the group of voters that looks after
+// itself.
+#ifndef MAIN_CONFIGURATION_LOG_H_
+#define MAIN_CONFIGURATION_LOG_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "main/node_settings.h"
+#include "main/raft_host.h"
+#include "proto/gen/node.pb.h"
+#include "servers/control/configuration_register.h"
+#include "servers/control/voter_planner.h"
+
+namespace cassiausher {
+
+/// Called on the log's task.
+class ConfigurationLogDelegate {
+ public:
+  virtual ~ConfigurationLogDelegate() = default;
+  virtual void SendToNode(const InstanceId& to,
+                          const proto::NodeMessage& message) = 0;
+  /// A newer configuration is committed.
+  virtual void OnConfiguration(const VersionedDocument& document) = 0;
+  /// A submission is committed, or a higher version is.
+  virtual void OnSubmitted(const InstanceId& origin,
+                           std::uint64_t submission) = 0;
+  /// `served`: current() holds what was in force when the read began.
+  virtual void OnCurrentRead(const InstanceId& origin, std::uint64_t read,
+                             bool served) = 0;
+};
+
+class ConfigurationLog : public RaftHostDelegate {
+ public:
+  ConfigurationLog(const NodeSettings& settings, Metrics& metrics,
+                   GMainContext* context, ConfigurationLogDelegate& delegate);
+  ~ConfigurationLog() override;
+
+  /// Returns an error text, empty on success.
+  std::string Start();
+  void OnRaft(const std::string& bytes);
+  void Tick(Time now);
+  void TransferLeadership(Time now);
+
+  bool leading() const;
+  /// Empty if unknown.
+  InstanceId leader() const;
+  const VersionedDocument& current() const { return register_.current(); }
+
+  /// Leader only. Answered by OnSubmitted(); not at all if leadership is lost.
+  void Submit(const InstanceId& origin, std::uint64_t submission,
+              const VersionedDocument& document, Time now);
+  /// Leader only. Answered by OnCurrentRead().
+  void ReadCurrent(const InstanceId& origin, std::uint64_t read, Time now);
+
+  /// What the leader tells the others of the group; null elsewhere.
+  std::unique_ptr<proto::Members> Members() const;
+  /// A replica that was replaced while it was away starts anew with an empty
+  /// log, as a spare.
+  void OnMembers(const proto::Members& members);
+
+ private:
+  struct Waiter {
+    InstanceId origin;
+    std::uint64_t id = 0;
+  };
+  struct Proposal {
+    Term term = 0;
+    VersionedDocument document;
+    std::vector<Waiter> waiters;
+  };
+
+  // RaftHostDelegate.
+  void SendRaft(const proto::RaftMessage& message) override;
+  void OnInstall(const Snapshot& snapshot) override;
+  void OnCommitted(const LogEntry& entry) override;
+  void OnRead(const ReadResult& read) override;
+  void OnRoleChanged() override;
+
+  std::string StartReplica(bool may_found);
+  void Apply(VersionedDocument document);
+  void AdvanceVoters(Time now);
+  void Compact();
+
+  const NodeSettings& settings_;
+  Metrics& metrics_;
+  GMainContext* context_;
+  ConfigurationLogDelegate& delegate_;
+  std::unique_ptr<RaftHost> host_;
+  ConfigurationRegister register_;
+  /// By the index of their entry.
+  std::map<LogIndex, Proposal> proposals_;
+  std::map<std::uint64_t, Waiter> reads_;
+  std::uint64_t next_read_ = 1;
+  int entries_since_compaction_ = 0;
+  /// The replica is to be replaced by one with an empty log.
+  bool reset_due_ = false;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_CONFIGURATION_LOG_H_
--- /dev/null
+++ b/main/control_node.cc
@@ -0,0 +1,493 @@
+#include "main/control_node.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "core/log.h"
+#include "drivers/clock.h"
+#include "drivers/task.h"
+#include "platform/runner_calls.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Duration kTickPeriod = Milliseconds(100);
+constexpr Duration kSyncPeriod = Milliseconds(600);
+// Callers try another instance after a second.
+constexpr Duration kCallTimeout = Milliseconds(900);
+constexpr Duration kResendPeriod = Milliseconds(300);
+// An entry instance that hasn't followed for this long gets no updates.
+constexpr Duration kFollowerLifetime = Seconds(6);
+// A control instance is told to others only while it is heard from itself, so
+// that one that is gone isn't passed around for ever.
+constexpr Duration kToldLifetime = Seconds(10);
+constexpr Duration kControlLifetime = Seconds(30);
+// Heartbeats heard since the last sync, with a margin for late ticks.
+constexpr Duration kSyncOverlap = Milliseconds(300);
+
+constexpr const char* kJson = "application/json";
+
+std::string ErrorBody(std::string_view code, std::string_view message) {
+  const nlohmann::json body = {
+      {"error", {{"code", code}, {"message", message}}}};
+  return body.dump();
+}
+
+proto::VersionedDocument ToProto(const VersionedDocument& document) {
+  proto::VersionedDocument message;
+  message.set_version(document.version.value());
+  message.set_document(document.document);
+  return message;
+}
+
+VersionedDocument FromProto(const proto::VersionedDocument& message) {
+  return {Revision(message.version()), message.document()};
+}
+
+}  // namespace
+
+ControlNode::ControlNode(NodeSettings settings, const ConfigurationCodec& codec,
+                         Metrics& metrics, GMainContext* context)
+    : settings_(std::move(settings)),
+      codec_(codec),
+      metrics_(metrics),
+      context_(context),
+      incarnation_(static_cast<std::uint64_t>(g_get_real_time())),
+      heartbeats_(metrics.counter("heartbeats_total")),
+      refused_heartbeats_(metrics.counter("heartbeats_refused_total")),
+      changes_(metrics.counter("configuration_submissions_total")),
+      refused_changes_(metrics.counter("configuration_refusals_total")),
+      link_(settings_, incarnation_, metrics,
+            [this](const InstanceId& from, const proto::NodeMessage& message) {
+              OnMessage(from, message);
+            }),
+      log_(settings_, metrics, context, *this),
+      registry_({}) {}
+
+ControlNode::~ControlNode() = default;
+
+std::string ControlNode::Start() {
+  Reload(settings_);
+  if (auto error = link_.Listen(context_); !error.empty()) return error;
+  if (auto error = log_.Start(); !error.empty()) return error;
+  server_ = std::make_unique<HttpServer>(
+      HttpServerOptions{.address = settings_.control->ip,
+                        .port = settings_.control->port},
+      [this](HttpExchangePtr exchange) { OnCall(std::move(exchange)); },
+      [](int, std::string_view message) {
+        return ErrorBody("limit", message);
+      });
+  if (auto error = server_->Listen(context_); !error.empty()) return error;
+  timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
+  return {};
+}
+
+void ControlNode::Reload(const NodeSettings& settings) {
+  settings_.seeds = settings.seeds;
+  const Time now = BootTimeNow();
+  for (const SocketAddress& seed : settings_.seeds) {
+    if (seed.ip == settings_.ip) continue;
+    controls_.try_emplace(InstanceId(seed.ip), Control{.learned_at = now});
+  }
+}
+
+void ControlNode::Shutdown() {
+  if (log_.leading()) log_.TransferLeadership(BootTimeNow());
+  for (auto& [id, call] : calls_) {
+    call.exchange->Respond(503, kJson, ErrorBody("stopping", "instance stops"));
+  }
+  calls_.clear();
+  server_->StopListening();
+}
+
+// --- Calls from outside ----------------------------------------------------
+
+void ControlNode::OnCall(HttpExchangePtr exchange) {
+  const ControlCall call =
+      ReadControlCall(exchange->method(), exchange->path());
+  switch (call.kind) {
+    case ControlCallKind::kHeartbeat:
+      return OnHeartbeat(call.endpoint, *exchange);
+    case ControlCallKind::kDeparture:
+      return OnDeparture(call.endpoint, *exchange);
+    case ControlCallKind::kPutConfiguration:
+      return OnPut(std::move(exchange));
+    case ControlCallKind::kReadConfiguration:
+      return OnGet(std::move(exchange));
+    case ControlCallKind::kUnknown:
+      exchange->Respond(404, kJson, ErrorBody("path", "no such call"));
+  }
+}
+
+void ControlNode::OnHeartbeat(const EndpointId& id, HttpExchange& exchange) {
+  heartbeats_.Add();
+  Findings findings;
+  const auto record = ReadHeartbeat(id, exchange.body(), &findings);
+  if (!record.has_value()) {
+    refused_heartbeats_.Add();
+    Log(LogLevel::kWarning, "heartbeat_refused",
+        {{"endpoint", id.value()}, {"findings", ToString(findings)}});
+    exchange.Respond(400, kJson, ErrorBody("heartbeat", ToString(findings)));
+    return;
+  }
+  const bool changed = registry_.Hear(*record, BootTimeNow());
+  if (changed) PublishRegistryChange(*registry_.Find(id));
+  exchange.Respond(200, kJson, "{}");
+}
+
+void ControlNode::OnDeparture(const EndpointId& id, HttpExchange& exchange) {
+  if (registry_.Depart(id, BootTimeNow())) {
+    PublishRegistryChange(*registry_.Find(id));
+  }
+  exchange.Respond(200, kJson, "{}");
+}
+
+void ControlNode::PublishRegistryChange(const EndpointRecord& record) {
+  Log(LogLevel::kInfo, "endpoint_changed",
+      {{"endpoint", record.id.value()},
+       {"service", record.service.value()},
+       {"address", record.address},
+       {"state", static_cast<int>(record.state)},
+       {"stage", static_cast<int>(record.stage)},
+       {"born", record.born.value()},
+       {"sequence", record.sequence}});
+  proto::Sync sync;
+  *sync.add_records() = cassiausher::ToProto(record);
+  for (const InstanceId& control : OtherControls()) SendSync(control, sync);
+  UpdateFollowers();
+}
+
+void ControlNode::OnPut(HttpExchangePtr exchange) {
+  changes_.Add();
+  Findings findings;
+  const auto decoded = codec_.Decode(exchange->body(), &findings);
+  if (decoded.has_value()) findings.Append(Validate(*decoded));
+  if (!findings.empty()) {
+    refused_changes_.Add();
+    Log(LogLevel::kWarning, "configuration_refused",
+        {{"findings", ToString(findings)}});
+    exchange->Respond(400, kJson,
+                      ErrorBody("configuration", ToString(findings)));
+    return;
+  }
+  const Time now = BootTimeNow();
+  const std::uint64_t id = next_call_++;
+  PendingCall& call = calls_[id];
+  call = {.exchange = std::move(exchange),
+          .started = now,
+          .document = {decoded->version, ""}};
+  call.document.document = call.exchange->body();
+  if (decoded->version <= log_.current().version) {
+    FinishSubmission(id);
+    return;
+  }
+  Forward(id, call, now);
+}
+
+void ControlNode::OnGet(HttpExchangePtr exchange) {
+  const Time now = BootTimeNow();
+  const std::uint64_t id = next_call_++;
+  PendingCall& call = calls_[id];
+  call = {.exchange = std::move(exchange), .started = now};
+  Forward(id, call, now);
+}
+
+// `call` may be finished by this.
+void ControlNode::Forward(std::uint64_t id, PendingCall& call, Time now) {
+  call.sent_at = now;
+  const InstanceId self(settings_.ip);
+  const bool is_read = call.document.version == Revision(0);
+  if (log_.leading()) {
+    const VersionedDocument document = call.document;
+    if (is_read) {
+      log_.ReadCurrent(self, id, now);
+    } else {
+      log_.Submit(self, id, document, now);
+    }
+    return;
+  }
+  const InstanceId leader = log_.leader();
+  if (leader.empty()) return;
+  proto::NodeMessage message;
+  if (is_read) {
+    message.mutable_read_current()->set_read(id);
+  } else {
+    auto* submit = message.mutable_submit_document();
+    submit->set_submission(id);
+    *submit->mutable_document() = ToProto(call.document);
+  }
+  link_.Send(leader, std::move(message));
+}
+
+void ControlNode::RetryCalls(Time now) {
+  std::vector<std::uint64_t> due;
+  for (const auto& [id, call] : calls_) {
+    const bool late = now - call.started >= kCallTimeout;
+    if (late || now - call.sent_at >= kResendPeriod) due.push_back(id);
+  }
+  for (const std::uint64_t id : due) {
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) continue;
+    PendingCall& call = found->second;
+    if (call.exchange->finished()) {
+      calls_.erase(found);
+    } else if (now - call.started >= kCallTimeout) {
+      Log(LogLevel::kWarning, "control_call_unanswered",
+          {{"version", call.document.version.value()},
+           {"leader", log_.leader().value()}});
+      call.exchange->Respond(503, kJson,
+                             ErrorBody("no_quorum", "no leader answered"));
+      calls_.erase(found);
+    } else {
+      Forward(id, call, now);
+    }
+  }
+}
+
+void ControlNode::FinishSubmission(std::uint64_t id) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  Log(LogLevel::kInfo, "configuration_acknowledged",
+      {{"version", found->second.document.version.value()},
+       {"in_force", log_.current().version.value()}});
+  found->second.exchange->Respond(200, kJson, "{}");
+  calls_.erase(found);
+}
+
+void ControlNode::FinishRead(std::uint64_t id,
+                             const VersionedDocument& document) {
+  const auto found = calls_.find(id);
+  if (found == calls_.end()) return;
+  if (document.version == Revision(0)) {
+    found->second.exchange->Respond(503, kJson,
+                                    ErrorBody("none", "no configuration yet"));
+  } else {
+    found->second.exchange->Respond(200, kJson, document.document);
+  }
+  calls_.erase(found);
+}
+
+// --- The replicated log ----------------------------------------------------
+
+void ControlNode::SendToNode(const InstanceId& to,
+                             const proto::NodeMessage& message) {
+  link_.Send(to, message);
+}
+
+void ControlNode::OnConfiguration(const VersionedDocument&) {
+  UpdateFollowers();
+}
+
+void ControlNode::OnSubmitted(const InstanceId& origin,
+                              std::uint64_t submission) {
+  if (origin.value() == settings_.ip) return FinishSubmission(submission);
+  proto::NodeMessage message;
+  message.mutable_submit_result()->set_submission(submission);
+  message.mutable_submit_result()->set_committed(true);
+  link_.Send(origin, std::move(message));
+}
+
+void ControlNode::OnCurrentRead(const InstanceId& origin, std::uint64_t read,
+                                bool served) {
+  // An unserved read is sent again, to the next leader.
+  if (!served) return;
+  if (origin.value() == settings_.ip) return FinishRead(read, log_.current());
+  proto::NodeMessage message;
+  auto* result = message.mutable_read_result();
+  result->set_read(read);
+  result->set_served(true);
+  *result->mutable_document() = ToProto(log_.current());
+  link_.Send(origin, std::move(message));
+}
+
+// --- Messages between instances --------------------------------------------
+
+void ControlNode::OnMessage(const InstanceId& from,
+                            const proto::NodeMessage& message) {
+  const Time now = BootTimeNow();
+  switch (message.body_case()) {
+    case proto::NodeMessage::kRaft:
+      log_.OnRaft(message.raft());
+      break;
+    case proto::NodeMessage::kFollow:
+      OnFollow(from, message.follow());
+      break;
+    case proto::NodeMessage::kSync: {
+      std::uint64_t& known = control_incarnations_[from];
+      // A control process that started anew knows nothing of before.
+      if (known != message.incarnation()) synced_with_.erase(from);
+      known = message.incarnation();
+      OnSync(from, message.sync());
+      break;
+    }
+    case proto::NodeMessage::kSubmitDocument:
+      if (!log_.leading()) break;
+      log_.Submit(from, message.submit_document().submission(),
+                  FromProto(message.submit_document().document()), now);
+      break;
+    case proto::NodeMessage::kSubmitResult:
+      FinishSubmission(message.submit_result().submission());
+      break;
+    case proto::NodeMessage::kReadCurrent:
+      if (!log_.leading()) break;
+      log_.ReadCurrent(from, message.read_current().read(), now);
+      break;
+    case proto::NodeMessage::kReadResult:
+      OnReadResult(message.read_result());
+      break;
+    default:
+      Log(LogLevel::kWarning, "message_unknown", {{"from", from.value()}});
+  }
+}
+
+void ControlNode::OnReadResult(const proto::ReadResult& result) {
+  if (result.served()) FinishRead(result.read(), FromProto(result.document()));
+}
+
+void ControlNode::OnFollow(const InstanceId& from,
+                           const proto::Follow& follow) {
+  const auto [found, added] = followers_.try_emplace(from);
+  Follower& follower = found->second;
+  if (added) Log(LogLevel::kInfo, "follower_found", {{"from", from.value()}});
+  follower.heard_at = BootTimeNow();
+  follower.configuration = Revision(follow.configuration_version());
+  follower.registry_revision =
+      follow.registry_epoch() == incarnation_ ? follow.registry_revision() : 0;
+  SendUpdate(from, follower);
+}
+
+void ControlNode::SendUpdate(const InstanceId& to, Follower& follower) {
+  proto::NodeMessage message;
+  proto::Update* update = message.mutable_update();
+  update->set_registry_epoch(incarnation_);
+  update->set_registry_revision(registry_.revision());
+  for (const EndpointRecord& record :
+       registry_.ChangedSince(follower.registry_revision)) {
+    *update->add_records() = cassiausher::ToProto(record);
+  }
+  for (const EndpointId& id : registry_.Silent(BootTimeNow())) {
+    update->add_silent_endpoints(id.value());
+  }
+  if (log_.current().version > follower.configuration) {
+    *update->mutable_configuration() = ToProto(log_.current());
+  }
+  update->add_control_instances(settings_.ip);
+  for (const InstanceId& control : HeardControls()) {
+    update->add_control_instances(control.value());
+  }
+  update->set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
+  link_.Send(to, std::move(message));
+}
+
+void ControlNode::UpdateFollowers() {
+  for (auto& [instance, follower] : followers_) SendUpdate(instance, follower);
+}
+
+std::vector<InstanceId> ControlNode::OtherControls() const {
+  std::vector<InstanceId> others;
+  for (const auto& [instance, control] : controls_) others.push_back(instance);
+  return others;
+}
+
+std::vector<InstanceId> ControlNode::HeardControls() const {
+  const Time now = BootTimeNow();
+  std::vector<InstanceId> heard;
+  for (const auto& [instance, control] : controls_) {
+    if (!control.heard_at.has_value()) continue;
+    if (now - *control.heard_at < kToldLifetime) heard.push_back(instance);
+  }
+  return heard;
+}
+
+void ControlNode::LearnControls(
+    const google::protobuf::RepeatedPtrField<std::string>& controls) {
+  const Time now = BootTimeNow();
+  for (const std::string& ip : controls) {
+    if (ip == settings_.ip) continue;
+    if (controls_.try_emplace(InstanceId(ip), Control{.learned_at = now})
+            .second) {
+      Log(LogLevel::kInfo, "control_found", {{"control", ip}});
+    }
+  }
+}
+
+void ControlNode::SendSync(const InstanceId& to, const proto::Sync& sync) {
+  proto::NodeMessage message;
+  *message.mutable_sync() = sync;
+  message.mutable_sync()->set_wants_registry(!synced_with_.contains(to));
+  link_.Send(to, std::move(message));
+}
+
+void ControlNode::OnSync(const InstanceId& from, const proto::Sync& sync) {
+  const Time now = BootTimeNow();
+  Control& control = controls_[from];
+  control.learned_at = now;
+  control.heard_at = now;
+  bool changed = false;
+  for (const proto::EndpointRecord& message : sync.records()) {
+    EndpointRecord record;
+    if (!cassiausher::FromProto(message, &record)) {
+      Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
+      continue;
+    }
+    changed |= registry_.Hear(record, now);
+  }
+  if (changed) UpdateFollowers();
+  LearnControls(sync.control_instances());
+  if (sync.has_members()) log_.OnMembers(sync.members());
+  if (sync.whole_registry()) synced_with_.insert(from);
+  if (!sync.wants_registry()) return;
+  proto::Sync whole;
+  whole.set_whole_registry(true);
+  for (const EndpointRecord& record : registry_.ChangedSince(0)) {
+    *whole.add_records() = cassiausher::ToProto(record);
+  }
+  SendSync(from, whole);
+}
+
+void ControlNode::SyncControls(Time now) {
+  proto::Sync sync;
+  for (const EndpointRecord& record :
+       registry_.HeardSince(last_sync_ - kSyncOverlap)) {
+    *sync.add_records() = cassiausher::ToProto(record);
+  }
+  sync.add_control_instances(settings_.ip);
+  for (const InstanceId& control : HeardControls()) {
+    sync.add_control_instances(control.value());
+  }
+  if (auto members = log_.Members()) {
+    sync.set_allocated_members(members.release());
+  }
+  for (const InstanceId& control : OtherControls()) SendSync(control, sync);
+  last_sync_ = now;
+}
+
+void ControlNode::Tick() {
+  const Time now = BootTimeNow();
+  log_.Tick(now);
+  RetryCalls(now);
+  if (now < next_sync_) return;
+  next_sync_ = now + kSyncPeriod;
+  SyncControls(now);
+  registry_.Expire(now);
+  std::erase_if(followers_, [&](const auto& item) {
+    if (now - item.second.heard_at < kFollowerLifetime) return false;
+    Log(LogLevel::kWarning, "follower_lost", {{"from", item.first.value()}});
+    link_.Forget(item.first);
+    return true;
+  });
+  std::set<InstanceId> seeds;
+  for (const SocketAddress& seed : settings_.seeds) {
+    seeds.insert(InstanceId(seed.ip));
+  }
+  std::erase_if(controls_, [&](const auto& item) {
+    if (now - item.second.learned_at < kControlLifetime) return false;
+    if (seeds.contains(item.first)) return false;
+    Log(LogLevel::kWarning, "control_lost", {{"control", item.first.value()}});
+    link_.Forget(item.first);
+    return true;
+  });
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/control_node.h
@@ -0,0 +1,126 @@
+// A control instance: takes configurations from operators and heartbeats from
+// endpoints, agrees with the other control instances and tells the entry
+// instances.
+#ifndef MAIN_CONTROL_NODE_H_
+#define MAIN_CONTROL_NODE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "drivers/http_server.h"
+#include "main/configuration_log.h"
+#include "main/node_link.h"
+#include "main/node_settings.h"
+#include "servers/control/endpoint_registry.h"
+#include "servers/control/serving_configuration.h"
+
+namespace cassiausher {
+
+/// Runs on one task, whose context it is given.
+class ControlNode : public ConfigurationLogDelegate {
+ public:
+  ControlNode(NodeSettings settings, const ConfigurationCodec& codec,
+              Metrics& metrics, GMainContext* context);
+  ~ControlNode() override;
+
+  /// Returns an error text, empty on success.
+  std::string Start();
+  /// Takes new seeds.
+  void Reload(const NodeSettings& settings);
+  /// Hands leadership over; the process may end shortly after.
+  void Shutdown();
+
+ private:
+  /// An entry instance and what it holds.
+  struct Follower {
+    Time heard_at{};
+    Revision configuration{0};
+    std::uint64_t registry_revision = 0;
+  };
+  /// Another control instance.
+  struct Control {
+    /// When another one or the settings named it, or the time of its last
+    /// message.
+    Time learned_at{};
+    std::optional<Time> heard_at;
+  };
+  /// A call of an operator that waits for the leader.
+  struct PendingCall {
+    HttpExchangePtr exchange;
+    Time started{};
+    Time sent_at{};
+    /// Set for a change, version 0 for a read.
+    VersionedDocument document;
+  };
+
+  // ConfigurationLogDelegate.
+  void SendToNode(const InstanceId& to,
+                  const proto::NodeMessage& message) override;
+  void OnConfiguration(const VersionedDocument& document) override;
+  void OnSubmitted(const InstanceId& origin, std::uint64_t submission) override;
+  void OnCurrentRead(const InstanceId& origin, std::uint64_t read,
+                     bool served) override;
+
+  // Calls from outside.
+  void OnCall(HttpExchangePtr exchange);
+  void OnHeartbeat(const EndpointId& id, HttpExchange& exchange);
+  void OnDeparture(const EndpointId& id, HttpExchange& exchange);
+  void OnPut(HttpExchangePtr exchange);
+  void OnGet(HttpExchangePtr exchange);
+  void Forward(std::uint64_t id, PendingCall& call, Time now);
+  void FinishSubmission(std::uint64_t id);
+  void FinishRead(std::uint64_t id, const VersionedDocument& document);
+
+  // Messages between instances.
+  void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
+  void OnFollow(const InstanceId& from, const proto::Follow& follow);
+  void OnSync(const InstanceId& from, const proto::Sync& sync);
+  void OnReadResult(const proto::ReadResult& result);
+  void LearnControls(const google::protobuf::RepeatedPtrField<std::string>&);
+  std::vector<InstanceId> OtherControls() const;
+  std::vector<InstanceId> HeardControls() const;
+
+  void SendUpdate(const InstanceId& to, Follower& follower);
+  void UpdateFollowers();
+  void SendSync(const InstanceId& to, const proto::Sync& sync);
+  void PublishRegistryChange(const EndpointRecord& record);
+  void Tick();
+  void SyncControls(Time now);
+  void RetryCalls(Time now);
+
+  NodeSettings settings_;
+  const ConfigurationCodec& codec_;
+  Metrics& metrics_;
+  GMainContext* context_;
+  std::uint64_t incarnation_;
+  Counter& heartbeats_;
+  Counter& refused_heartbeats_;
+  Counter& changes_;
+  Counter& refused_changes_;
+  NodeLink link_;
+  ConfigurationLog log_;
+  EndpointRegistry registry_;
+  std::map<InstanceId, Follower> followers_;
+  /// Seeds and whatever was learned since.
+  std::map<InstanceId, Control> controls_;
+  /// Control processes that sent their whole registry.
+  std::set<InstanceId> synced_with_;
+  std::map<InstanceId, std::uint64_t> control_incarnations_;
+  std::map<std::uint64_t, PendingCall> calls_;
+  std::uint64_t next_call_ = 1;
+  Time next_sync_{};
+  Time last_sync_{};
+  std::unique_ptr<HttpServer> server_;
+  GSourcePtr timer_;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_CONTROL_NODE_H_
--- /dev/null
+++ b/main/entry_node.cc
@@ -0,0 +1,291 @@
+#include "main/entry_node.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "core/log.h"
+#include "drivers/clock.h"
+#include "platform/request_headers.h"
+#include "platform/runner_calls.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Duration kTickPeriod = Milliseconds(500);
+constexpr Duration kExpiryPeriod = Seconds(5);
+// A control instance that nobody named or heard of for this long is dropped.
+constexpr Duration kControlLifetime = Seconds(60);
+// Connections to a control instance count as lost after this silence.
+constexpr Duration kControlSilence = Seconds(2);
+// The balancer asks once a second and takes an instance out after two misses;
+// until then new callers still come.
+constexpr Duration kBalancerDelay = Milliseconds(3400);
+// Left for the process to end before it is killed.
+constexpr Duration kExitMargin = Milliseconds(600);
+// Share of the common retry allowance that is used, since the windows of two
+// instances don't start together.
+constexpr double kBudgetMargin = 0.8;
+constexpr std::uint32_t kLeastEntryInstances = 8;
+constexpr int kBudgetWindowSeconds = 10;
+constexpr Duration kRefusalRetryAfter = Milliseconds(300);
+
+constexpr const char* kJson = "application/json";
+
+}  // namespace
+
+EntryNode::EntryNode(NodeSettings settings, const ConfigurationCodec& codec,
+                     Metrics& metrics, GMainContext* context)
+    : settings_(std::move(settings)),
+      codec_(codec),
+      metrics_(metrics),
+      context_(context),
+      link_(settings_, static_cast<std::uint64_t>(g_get_real_time()), metrics,
+            [this](const InstanceId& from, const proto::NodeMessage& message) {
+              OnMessage(from, message);
+            }),
+      pool_({.data_centre = settings_.data_centre}),
+      random_(static_cast<std::uint64_t>(g_get_real_time())),
+      received_(metrics.counter("caller_requests_total")),
+      refused_(metrics.counter("caller_refusals_total")),
+      open_(metrics.gauge("open_requests")) {}
+
+EntryNode::~EntryNode() = default;
+
+std::string EntryNode::Start() {
+  Reload(settings_);
+  if (auto error = link_.Listen(context_); !error.empty()) return error;
+  const auto limit = [](int, std::string_view message) {
+    return std::string(message);
+  };
+  callers_ = std::make_unique<HttpServer>(
+      HttpServerOptions{.address = settings_.callers->ip,
+                        .port = settings_.callers->port},
+      [this](HttpExchangePtr exchange) { OnCaller(std::move(exchange)); },
+      limit);
+  if (auto error = callers_->Listen(context_); !error.empty()) return error;
+  readiness_ = std::make_unique<HttpServer>(
+      HttpServerOptions{.address = settings_.readiness->ip,
+                        .port = settings_.readiness->port},
+      [this](HttpExchangePtr exchange) {
+        const bool known =
+            IsReadinessCall(exchange->method(), exchange->path());
+        const int status = !known ? 404 : Ready() ? 200 : 503;
+        exchange->Respond(status, kJson, "{}");
+      },
+      limit);
+  if (auto error = readiness_->Listen(context_); !error.empty()) return error;
+  timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
+  FollowControls(BootTimeNow());
+  return {};
+}
+
+void EntryNode::Reload(const NodeSettings& settings) {
+  settings_.seeds = settings.seeds;
+  const Time now = BootTimeNow();
+  for (const SocketAddress& seed : settings_.seeds) {
+    controls_[InstanceId(seed.ip)].learned_at = now;
+  }
+}
+
+bool EntryNode::Ready() const {
+  return routes_ != nullptr && pool_.HasEndpoints() && !on_done_;
+}
+
+// --- Callers ---------------------------------------------------------------
+
+void EntryNode::Refuse(HttpExchange& exchange, const RequestId& id,
+                       std::string_view reason) {
+  refused_.Add();
+  Log(LogLevel::kWarning, "request_refused",
+      {{"request", id.value()}, {"reason", reason}});
+  exchange.Respond(503, kJson, R"({"error":{"not_run":true}})",
+                   {RetryAfterHeader(kRefusalRetryAfter)});
+}
+
+void EntryNode::OnCaller(HttpExchangePtr exchange) {
+  received_.Add();
+  const Time now = BootTimeNow();
+  CallerHeaders caller = ReadCallerHeaders(*exchange);
+  if (routes_ == nullptr) {
+    Refuse(*exchange, caller.id, "no configuration yet");
+    return;
+  }
+  const Route* route = routes_->Find(caller.host, exchange->path());
+  if (route == nullptr) {
+    Log(LogLevel::kInfo, "route_unknown",
+        {{"request", caller.id.value()},
+         {"configuration", routes_->version().value()}});
+    exchange->Respond(404, kJson, R"({"error":{"code":"route_unknown"}})");
+    return;
+  }
+  const ServiceId service = PickTarget(*route, random_.Unit()).service;
+  const ServiceSpec& spec = routes_->configuration().services.at(service);
+  const Duration patience =
+      std::min(caller.patience.value_or(route->timeout), route->timeout);
+  RequestFacts facts{.kind = route->kind,
+                     .resumable = route->resumable,
+                     .attempts = route->attempts,
+                     .service = service,
+                     .has_engine = spec.engine.has_value(),
+                     .prompt = caller.prompt,
+                     .arrived = now,
+                     .deadline = now + patience,
+                     .gap_target = route->gap_target};
+  if (spec.engine) facts.handle_lifetime = spec.engine->handle_lifetime;
+  const ForwardingContext context{.client = &client_,
+                                  .pool = &pool_,
+                                  .budget = &BudgetOf(service),
+                                  .metrics = &metrics_,
+                                  .context = context_,
+                                  .closing = &closing_};
+  auto request = std::make_shared<ForwardedRequest>(
+      context, std::move(exchange), std::move(caller), std::move(facts), *route,
+      routes_->version());
+  const std::uint64_t number = next_request_++;
+  requests_[number] = request;
+  open_.Set(static_cast<std::int64_t>(requests_.size()));
+  request->Start([this, number] {
+    requests_.erase(number);
+    open_.Set(static_cast<std::int64_t>(requests_.size()));
+  });
+}
+
+std::uint32_t EntryNode::EntryInstances() const {
+  std::uint32_t most = kLeastEntryInstances;
+  for (const auto& [instance, control] : controls_) {
+    most = std::max(most, control.entry_instances);
+  }
+  return most;
+}
+
+RetryBudget& EntryNode::BudgetOf(const ServiceId& service) {
+  std::unique_ptr<RetryBudget>& budget = budgets_[service];
+  if (!budget) {
+    budget = std::make_unique<RetryBudget>(RetryBudgetOptions{
+        .ratio = settings_.retry_ratio * kBudgetMargin,
+        .floor_per_second = settings_.retry_allowance * kBudgetMargin /
+                            kBudgetWindowSeconds / EntryInstances()});
+  }
+  return *budget;
+}
+
+// --- Control instances -----------------------------------------------------
+
+void EntryNode::OnMessage(const InstanceId& from,
+                          const proto::NodeMessage& message) {
+  if (message.has_update()) {
+    OnUpdate(from, message.update());
+    return;
+  }
+  Log(LogLevel::kWarning, "message_unknown", {{"from", from.value()}});
+}
+
+void EntryNode::OnUpdate(const InstanceId& from, const proto::Update& update) {
+  const Time now = BootTimeNow();
+  Control& control = controls_[from];
+  control.heard_at = now;
+  control.learned_at = now;
+  control.registry_epoch = update.registry_epoch();
+  control.registry_revision = update.registry_revision();
+  control.entry_instances = update.entry_instances();
+  if (!std::exchange(control.connected, true)) {
+    Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
+  }
+  for (const proto::EndpointRecord& message : update.records()) {
+    EndpointRecord record;
+    if (!FromProto(message, &record)) {
+      Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
+      continue;
+    }
+    Log(LogLevel::kInfo, "endpoint_learned",
+        {{"endpoint", record.id.value()},
+         {"state", static_cast<int>(record.state)},
+         {"sequence", record.sequence},
+         {"control", from.value()}});
+    pool_.Merge(record, now);
+  }
+  std::set<EndpointId> silent;
+  for (const std::string& id : update.silent_endpoints()) {
+    silent.insert(EndpointId(id));
+  }
+  pool_.SetSilent(from.value(), std::move(silent), now);
+  for (const std::string& ip : update.control_instances()) {
+    controls_[InstanceId(ip)].learned_at = now;
+  }
+  if (update.has_configuration()) OnConfiguration(update.configuration());
+}
+
+void EntryNode::OnConfiguration(const proto::VersionedDocument& message) {
+  const Revision version(message.version());
+  if (routes_ != nullptr && version <= routes_->version()) return;
+  Findings findings;
+  auto configuration = codec_.Decode(message.document(), &findings);
+  if (!configuration.has_value()) {
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"version", version.value()}, {"findings", ToString(findings)}});
+    return;
+  }
+  routes_ = std::make_shared<const RouteTable>(std::move(*configuration));
+  Log(LogLevel::kInfo, "configuration_applied",
+      {{"version", version.value()},
+       {"routes", routes_->configuration().routes.size()}});
+}
+
+void EntryNode::FollowControls(Time now) {
+  std::erase_if(controls_, [&](const auto& item) {
+    if (now - item.second.learned_at < kControlLifetime) return false;
+    link_.Forget(item.first);
+    return true;
+  });
+  for (auto& [instance, control] : controls_) {
+    if (control.connected && now - control.heard_at >= kControlSilence) {
+      control.connected = false;
+      Log(LogLevel::kWarning, "control_silent",
+          {{"control", instance.value()},
+           {"silent_ms", ToMilliseconds(now - control.heard_at)}});
+    }
+    proto::NodeMessage message;
+    proto::Follow* follow = message.mutable_follow();
+    if (routes_ != nullptr) {
+      follow->set_configuration_version(routes_->version().value());
+    }
+    follow->set_registry_epoch(control.registry_epoch);
+    follow->set_registry_revision(control.registry_revision);
+    link_.Send(instance, std::move(message));
+  }
+}
+
+void EntryNode::Tick() {
+  const Time now = BootTimeNow();
+  for (const SocketAddress& seed : settings_.seeds) {
+    controls_[InstanceId(seed.ip)].learned_at = now;
+  }
+  FollowControls(now);
+  if (on_done_) AdvanceShutdown(now);
+  if (now < next_expiry_) return;
+  next_expiry_ = now + kExpiryPeriod;
+  pool_.Expire(now);
+}
+
+// --- Shutdown --------------------------------------------------------------
+
+void EntryNode::Shutdown(std::function<void()> on_done) {
+  if (on_done_) return;
+  on_done_ = std::move(on_done);
+  closing_ = true;
+  shutdown_started_ = BootTimeNow();
+}
+
+void EntryNode::AdvanceShutdown(Time now) {
+  const Duration passed = now - shutdown_started_;
+  const Duration longest = settings_.shutdown_grace - kExitMargin;
+  if (listening_ && passed >= std::min(kBalancerDelay, longest)) {
+    callers_->StopListening();
+    listening_ = false;
+  }
+  const bool idle = !listening_ && requests_.empty();
+  if (idle || passed >= longest) on_done_();
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/forwarded_request.cc
@@ -0,0 +1,358 @@
+#include "main/forwarded_request.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "drivers/clock.h"
+#include "drivers/task.h"
+
+namespace cassiausher {
+namespace {
+
+// A connection takes a few milliseconds. A lost opening packet would be sent
+// again after a second, later than another endpoint answers.
+constexpr Duration kConnectTimeout = Milliseconds(250);
+// An answer that is relayed as a whole is held in memory until then.
+constexpr std::size_t kMaxWholeBytes = std::size_t{16} << 20;
+
+// Fire and forget: the handle lapses by itself if the call fails.
+class ReleaseSink : public HttpCallSink {
+ public:
+  void OnHeaders(int, SoupMessageHeaders*) override {}
+  void OnBody(std::string_view) override {}
+  void OnDone(std::string_view, bool) override { delete this; }
+};
+
+std::string RefusalBody(std::string_view reason, Duration retry_after) {
+  return fmt::format(
+      R"({{"error":{{"type":"refused","code":"unavailable","message":"{}","not_run":true,"retry_after_ms":{}}}}})",
+      reason, retry_after / Milliseconds(1));
+}
+
+std::string FailureBody(std::string_view reason) {
+  return fmt::format(
+      R"({{"error":{{"type":"failed","code":"outcome_unknown","message":"{}","not_run":false}}}})",
+      reason);
+}
+
+constexpr const char* kJson = "application/json";
+
+}  // namespace
+
+ForwardedRequest::ForwardedRequest(ForwardingContext context,
+                                   HttpExchangePtr exchange,
+                                   CallerHeaders caller, RequestFacts facts,
+                                   const Route& route, Revision configuration)
+    : context_(context),
+      exchange_(std::move(exchange)),
+      caller_(std::move(caller)),
+      facts_(std::move(facts)),
+      route_name_(route.name),
+      is_stream_(route.kind == RouteKind::kStream),
+      configuration_(configuration),
+      forwarder_(facts_, context.pool, context.budget),
+      events_(caller_.last_event_id) {}
+
+ForwardedRequest::~ForwardedRequest() {
+  if (call_.has_value()) context_.client->Cancel(call_id_);
+}
+
+void ForwardedRequest::Start(std::function<void()> on_end) {
+  on_end_ = std::move(on_end);
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  exchange_->WatchClose([weak] {
+    if (const auto self = weak.lock()) self->OnCallerGone();
+  });
+  Take(forwarder_.Start(BootTimeNow()));
+}
+
+void ForwardedRequest::Take(ForwardStep step) {
+  if (const auto* call = std::get_if<StartCall>(&step)) {
+    Issue(*call);
+    return;
+  }
+  if (const auto* refuse = std::get_if<Refuse>(&step)) {
+    HttpHeaders headers = {RetryAfterHeader(refuse->retry_after)};
+    exchange_->Respond(503, kJson,
+                       RefusalBody(refuse->reason, refuse->retry_after),
+                       WithClosing(std::move(headers)));
+    End("refused", 503, refuse->reason);
+    return;
+  }
+  if (const auto* fail = std::get_if<Fail>(&step)) {
+    exchange_->Respond(fail->status, kJson, FailureBody(fail->reason),
+                       WithClosing({}));
+    End("failed", fail->status, fail->reason);
+    return;
+  }
+  exchange_->Abort();
+  End("broken_off", 0, std::get<BreakOff>(step).reason);
+}
+
+void ForwardedRequest::Issue(const StartCall& call) {
+  const Time now = BootTimeNow();
+  call_ = call;
+  call_started_ = now;
+  connect_by_ = now + kConnectTimeout;
+  progress_by_.reset();
+  if (call.answer_timeout > Duration(0)) {
+    progress_by_ = now + call.answer_timeout;
+  }
+  answer_.reset();
+  body_.clear();
+  const bool resumes = call.kind == CallKind::kRun && exchange_->streaming();
+  // Half an event of the run before is not part of the next one.
+  events_ = EventSplitter(events_.last_id());
+  CallPlan plan{.kind = call.kind,
+                .endpoint = call.endpoint,
+                .time_left = facts_.deadline - now,
+                .kv_source = call.kv_source};
+  if (resumes) plan.resume_after = events_.last_id();
+  context_.pool->OnStart(call.endpoint.id, call.work, now);
+  ++calls_;
+  Log(LogLevel::kInfo, "call_started",
+      {{"request", caller_.id.value()},
+       {"call", calls_},
+       {"kind", call.kind == CallKind::kPrefill ? "prefill" : "run"},
+       {"endpoint", call.endpoint.id.value()},
+       {"endpoint_sequence", call.endpoint.sequence},
+       {"resumes", resumes},
+       {"time_left_ms", ToMilliseconds(plan.time_left)}});
+  call_id_ = context_.client->Start(BuildCall(*exchange_, plan), this);
+  ArmTimer();
+}
+
+void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
+  answer_ = ReadAnswer(status, headers, caller_.id);
+  constexpr int kOk = 200;
+  constexpr int kMultipleChoices = 300;
+  constexpr int kServerError = 500;
+  if (answer_->not_executed) {
+    CallFailed(CallFailure::kNotExecuted,
+               fmt::format("status {}, not executed", status));
+    return;
+  }
+  if (call_->kind == CallKind::kPrefill) {
+    if (status != kOk) CallFailed(CallFailure::kBroken, "prefill failed");
+    return;
+  }
+  if (answer_->other_request) {
+    CallFailed(CallFailure::kBroken, "the answer is another request's");
+    return;
+  }
+  const bool success = status >= kOk && status < kMultipleChoices;
+  if (success && !answer_->signed_by_endpoint) {
+    CallFailed(CallFailure::kBroken, "the answer has no signature");
+    return;
+  }
+  const bool failed = status >= kServerError;
+  if (failed && !exchange_->streaming() &&
+      forwarder_.MayRepeatServerError(BootTimeNow())) {
+    CallFailed(CallFailure::kServerError, fmt::format("status {}", status));
+    return;
+  }
+  if (!success && exchange_->streaming()) {
+    CallFailed(CallFailure::kBroken, fmt::format("status {}", status));
+  }
+}
+
+void ForwardedRequest::OnBody(std::string_view bytes) {
+  constexpr int kOk = 200;
+  const bool relays_events = call_->kind == CallKind::kRun && is_stream_ &&
+                             answer_->status == kOk && answer_->event_stream;
+  if (!relays_events) {
+    body_.append(bytes);
+    if (body_.size() > kMaxWholeBytes) {
+      CallFailed(CallFailure::kBroken, "the answer is too long");
+    }
+    return;
+  }
+  const std::string events = events_.Feed(bytes);
+  if (!events.empty()) RelayEvents(events);
+}
+
+void ForwardedRequest::RelayEvents(const std::string& events) {
+  const Time now = BootTimeNow();
+  if (!first_event_at_.has_value()) first_event_at_ = now;
+  if (!exchange_->streaming()) {
+    exchange_->StartStream(answer_->status, "", WithClosing(answer_->headers));
+    forwarder_.OnRelayed();
+  }
+  exchange_->Write(events);
+  if (call_->gap_timeout > Duration(0)) {
+    progress_by_ = now + call_->gap_timeout;
+  } else {
+    progress_by_.reset();
+  }
+}
+
+void ForwardedRequest::OnDone(std::string_view error, bool sent) {
+  if (!error.empty() || !answer_.has_value()) {
+    const CallFailure failure =
+        sent ? CallFailure::kBroken : CallFailure::kNotSent;
+    CallFailed(failure, error);
+    return;
+  }
+  if (call_->kind == CallKind::kPrefill) {
+    OnPrefillAnswer();
+    return;
+  }
+  OnAnswerWhole();
+}
+
+void ForwardedRequest::OnPrefillAnswer() {
+  const auto handle = ReadHandle(body_);
+  if (!handle.has_value()) {
+    CallFailed(CallFailure::kBroken, "no handle in the answer");
+    return;
+  }
+  const std::string address = call_->endpoint.address;
+  DropCall(WorkOutcome::kDone);
+  Take(forwarder_.OnPrefillDone({address, *handle}, BootTimeNow()));
+}
+
+void ForwardedRequest::OnAnswerWhole() {
+  if (!events_.rest().empty()) {
+    CallFailed(CallFailure::kBroken, "the stream ends inside an event");
+    return;
+  }
+  const int status = answer_->status;
+  constexpr int kServerError = 500;
+  const bool server_error = status >= kServerError;
+  DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
+  if (exchange_->streaming()) {
+    exchange_->EndStream();
+  } else {
+    RespondWhole();
+  }
+  End(server_error ? "endpoint_error" : "answered", status, "");
+}
+
+void ForwardedRequest::RespondWhole() {
+  exchange_->Respond(answer_->status, "", body_, WithClosing(answer_->headers));
+}
+
+void ForwardedRequest::CallFailed(CallFailure failure,
+                                  std::string_view reason) {
+  if (!call_.has_value()) return;
+  const std::string text(reason);
+  Log(LogLevel::kWarning, "call_failed",
+      {{"request", caller_.id.value()},
+       {"call", calls_},
+       {"endpoint", call_->endpoint.id.value()},
+       {"failure", static_cast<int>(failure)},
+       {"reason", text},
+       {"after_ms", ToMilliseconds(BootTimeNow() - call_started_)}});
+  switch (failure) {
+    case CallFailure::kNotExecuted:
+      DropCall(WorkOutcome::kRejected);
+      break;
+    case CallFailure::kServerError:
+      DropCall(WorkOutcome::kServerError);
+      break;
+    default:
+      DropCall(WorkOutcome::kBroken);
+  }
+  context_.metrics
+      ->counter(fmt::format("call_failures_total{{failure=\"{}\"}}",
+                            static_cast<int>(failure)))
+      .Add();
+  Take(forwarder_.OnCallFailed(failure, BootTimeNow()));
+}
+
+void ForwardedRequest::DropCall(WorkOutcome outcome) {
+  const Time now = BootTimeNow();
+  const Time done = first_event_at_.value_or(now);
+  context_.client->Cancel(call_id_);
+  context_.pool->OnFinish(call_->endpoint.id, call_->work, outcome,
+                          std::max(Duration(0), done - call_started_), now);
+  call_.reset();
+  progress_by_.reset();
+}
+
+void ForwardedRequest::OnCallerGone() {
+  if (ended_) return;
+  if (call_.has_value()) DropCall(WorkOutcome::kAbandoned);
+  End("caller_gone", 0, "");
+}
+
+void ForwardedRequest::ArmTimer() {
+  const Time now = BootTimeNow();
+  Time next = facts_.deadline;
+  if (call_.has_value() && !context_.client->WasSent(call_id_)) {
+    next = std::min(next, connect_by_);
+  }
+  if (call_.has_value() && progress_by_.has_value()) {
+    next = std::min(next, *progress_by_);
+  }
+  const Duration wait = std::max(Milliseconds(1), next - now);
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  timer_ = AddTimer(context_.context, wait + Milliseconds(1), [weak] {
+    if (const auto self = weak.lock()) self->OnTimer();
+  });
+}
+
+void ForwardedRequest::OnTimer() {
+  if (ended_) return;
+  const Time now = BootTimeNow();
+  if (now >= facts_.deadline) {
+    if (call_.has_value()) {
+      const bool ran = context_.client->WasSent(call_id_);
+      DropCall(ran ? WorkOutcome::kBroken : WorkOutcome::kAbandoned);
+    }
+    Take(forwarder_.OnDeadline());
+    return;
+  }
+  if (!call_.has_value()) return ArmTimer();
+  const bool sent = context_.client->WasSent(call_id_);
+  if (!sent && now >= connect_by_) {
+    CallFailed(CallFailure::kNotSent, "no connection");
+    return;
+  }
+  if (sent && progress_by_.has_value() && now >= *progress_by_) {
+    CallFailed(CallFailure::kBroken, "no progress");
+    return;
+  }
+  ArmTimer();
+}
+
+HttpHeaders ForwardedRequest::WithClosing(HttpHeaders headers) const {
+  if (*context_.closing) headers.emplace_back("Connection", "close");
+  return headers;
+}
+
+void ForwardedRequest::ReleaseHandle() {
+  const auto unused = forwarder_.TakeUnusedHandle();
+  if (!unused.has_value()) return;
+  context_.client->Start(BuildReleaseCall(*unused), new ReleaseSink);
+}
+
+void ForwardedRequest::End(std::string_view outcome, int status,
+                           std::string_view reason) {
+  if (ended_) return;
+  ended_ = true;
+  timer_.reset();
+  if (outcome != "answered") ReleaseHandle();
+  const Duration took = BootTimeNow() - facts_.arrived;
+  Log(LogLevel::kInfo, "request_ended",
+      {{"request", caller_.id.value()},
+       {"route", route_name_},
+       {"configuration", configuration_.value()},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", reason},
+       {"calls", calls_},
+       {"events", events_.events()},
+       {"took_ms", ToMilliseconds(took)}});
+  context_.metrics
+      ->counter(fmt::format("requests_ended_total{{outcome=\"{}\"}}", outcome))
+      .Add();
+  context_.metrics->distribution("request_seconds").Record(took);
+  const auto on_end = std::move(on_end_);
+  if (on_end) on_end();
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/forwarded_request.h
@@ -0,0 +1,95 @@
+// One caller's request at its entry instance: makes the calls that the
+// forwarder decides on and relays the answer.
+#ifndef MAIN_FORWARDED_REQUEST_H_
+#define MAIN_FORWARDED_REQUEST_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "drivers/http_client.h"
+#include "drivers/http_server.h"
+#include "platform/request_headers.h"
+#include "servers/entry/endpoint_pool.h"
+#include "servers/entry/event_splitter.h"
+#include "servers/entry/request_forwarder.h"
+
+namespace cassiausher {
+
+/// What a request needs of its entry instance; outlives the request.
+struct ForwardingContext {
+  HttpClient* client = nullptr;
+  EndpointPool* pool = nullptr;
+  RetryBudget* budget = nullptr;
+  Metrics* metrics = nullptr;
+  GMainContext* context = nullptr;
+  /// Answers end their connection; the instance is about to stop.
+  const bool* closing = nullptr;
+};
+
+/// Logs and counts how requests end; shared by all of an instance.
+class ForwardedRequest : public HttpCallSink,
+                         public std::enable_shared_from_this<ForwardedRequest> {
+ public:
+  ForwardedRequest(ForwardingContext context, HttpExchangePtr exchange,
+                   CallerHeaders caller, RequestFacts facts, const Route& route,
+                   Revision configuration);
+  ~ForwardedRequest() override;
+
+  /// `on_end` is called once, when the caller has its answer or is gone.
+  void Start(std::function<void()> on_end);
+
+  void OnHeaders(int status, SoupMessageHeaders* headers) override;
+  void OnBody(std::string_view bytes) override;
+  void OnDone(std::string_view error, bool sent) override;
+
+ private:
+  void Take(ForwardStep step);
+  void Issue(const StartCall& call);
+  void CallFailed(CallFailure failure, std::string_view reason);
+  void DropCall(WorkOutcome outcome);
+  void OnAnswerWhole();
+  void OnPrefillAnswer();
+  void RelayEvents(const std::string& events);
+  void RespondWhole();
+  void OnCallerGone();
+  void OnTimer();
+  void ArmTimer();
+  void End(std::string_view outcome, int status, std::string_view reason);
+  void ReleaseHandle();
+  HttpHeaders WithClosing(HttpHeaders headers) const;
+
+  ForwardingContext context_;
+  HttpExchangePtr exchange_;
+  CallerHeaders caller_;
+  RequestFacts facts_;
+  std::string route_name_;
+  bool is_stream_ = false;
+  Revision configuration_;
+  RequestForwarder forwarder_;
+  std::function<void()> on_end_;
+
+  /// The call in progress; none between calls.
+  std::optional<StartCall> call_;
+  HttpClient::CallId call_id_ = 0;
+  Time call_started_{};
+  Time connect_by_{};
+  /// The call counts as broken without an event, or an answer, until then.
+  std::optional<Time> progress_by_;
+  std::optional<EndpointAnswer> answer_;
+  std::string body_;
+  EventSplitter events_;
+  int calls_ = 0;
+  std::optional<Time> first_event_at_;
+  bool ended_ = false;
+  GSourcePtr timer_;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_FORWARDED_REQUEST_H_
--- /dev/null
+++ b/main/node_link.cc
@@ -0,0 +1,67 @@
+#include "main/node_link.h"
+
+#include <utility>
+
+#include "core/log.h"
+
+namespace cassiausher {
+namespace {
+
+// Two heartbeats fit into the time after which the platform expects instances
+// to be in contact again.
+constexpr int kHeartbeatMs = 1000;
+constexpr int kHeartbeatTimeoutMs = 1500;
+
+}  // namespace
+
+NodeLink::NodeLink(const NodeSettings& settings, std::uint64_t incarnation,
+                   Metrics& metrics, Handler handler)
+    : settings_(settings),
+      incarnation_(incarnation),
+      malformed_(metrics.counter("node_messages_malformed_total")),
+      stale_(metrics.counter("node_messages_stale_total")),
+      handler_(std::move(handler)),
+      transport_(
+          PeerTransportOptions{
+              .listen = SocketAddress{settings.ip, settings.peer_port}.text(),
+              .heartbeat_ms = kHeartbeatMs,
+              .heartbeat_timeout_ms = kHeartbeatTimeoutMs},
+          metrics, [this](std::string_view bytes) { OnBytes(bytes); }) {}
+
+std::string NodeLink::Listen(GMainContext* context) {
+  return transport_.Listen(context);
+}
+
+void NodeLink::Send(const InstanceId& to, proto::NodeMessage message) {
+  if (!transport_.HasPeer(to)) {
+    const SocketAddress address{to.value(), settings_.peer_port};
+    transport_.SetPeer(to, address.text(), {});
+  }
+  message.set_sender(settings_.ip);
+  message.set_incarnation(incarnation_);
+  transport_.Send(to, message.SerializeAsString());
+}
+
+void NodeLink::Forget(const InstanceId& instance) {
+  transport_.RemovePeer(instance);
+}
+
+void NodeLink::OnBytes(std::string_view bytes) {
+  proto::NodeMessage message;
+  const bool parsed =
+      message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
+  if (!parsed || message.sender().empty()) {
+    malformed_.Add();
+    return;
+  }
+  const InstanceId from(message.sender());
+  std::uint64_t& latest = incarnations_[from];
+  if (message.incarnation() < latest) {
+    stale_.Add();
+    return;
+  }
+  latest = message.incarnation();
+  handler_(from, message);
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/node_link.h
@@ -0,0 +1,53 @@
+// Messages between entry and control instances. An instance is named by its IP
+// number, since nobody keeps a list of names.
+#ifndef MAIN_NODE_LINK_H_
+#define MAIN_NODE_LINK_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "core/ids.h"
+#include "core/metrics.h"
+#include "core/time.h"
+#include "drivers/peer_transport.h"
+#include "main/node_settings.h"
+#include "proto/gen/node.pb.h"
+
+namespace cassiausher {
+
+/// Belongs to one task.
+class NodeLink {
+ public:
+  using Handler = std::function<void(const InstanceId& from,
+                                     const proto::NodeMessage& message)>;
+
+  NodeLink(const NodeSettings& settings, std::uint64_t incarnation,
+           Metrics& metrics, Handler handler);
+
+  /// Returns an error text, empty on success.
+  std::string Listen(GMainContext* context);
+
+  /// Never blocks; the message is dropped if there is no connection. Connects
+  /// on the first use.
+  void Send(const InstanceId& to, proto::NodeMessage message);
+  /// Drops the connection to an instance that is gone.
+  void Forget(const InstanceId& instance);
+
+ private:
+  void OnBytes(std::string_view bytes);
+
+  const NodeSettings& settings_;
+  std::uint64_t incarnation_;
+  Counter& malformed_;
+  Counter& stale_;
+  Handler handler_;
+  /// Latest start of each sender; messages of an earlier one are late.
+  std::map<InstanceId, std::uint64_t> incarnations_;
+  PeerTransport transport_;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_NODE_LINK_H_
--- /dev/null
+++ b/main/node_settings.cc
@@ -0,0 +1,98 @@
+#include "main/node_settings.h"
+
+#include <charconv>
+#include <fstream>
+#include <iterator>
+
+#include "core/json_reader.h"
+
+namespace cassiausher {
+namespace {
+
+bool ParseAddress(const std::string& text, SocketAddress* address) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string::npos || colon == 0) return false;
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  const auto read = std::from_chars(begin, end, address->port);
+  address->ip = text.substr(0, colon);
+  return read.ec == std::errc() && read.ptr == end && address->port != 0;
+}
+
+void ReadAddress(JsonReader& reader, const char* key,
+                 std::optional<SocketAddress>* address) {
+  std::string text;
+  reader.Read(key, &text);
+  if (text.empty()) return;
+  SocketAddress parsed;
+  if (ParseAddress(text, &parsed)) {
+    *address = parsed;
+  } else {
+    reader.Report(key, "must be IP:PORT");
+  }
+}
+
+void ReadSeeds(JsonReader& reader, std::vector<SocketAddress>* seeds) {
+  reader.ReadStrings("seeds", [&](const std::string& text) {
+    SocketAddress parsed;
+    if (ParseAddress(text, &parsed)) {
+      seeds->push_back(parsed);
+    } else {
+      reader.Report("seeds", "each must be IP:PORT");
+    }
+  });
+}
+
+}  // namespace
+
+bool ReadFile(const std::string& file, std::string* text, Findings* findings) {
+  std::ifstream stream(file, std::ios::binary);
+  if (!stream) {
+    findings->Add(file, "can't be read");
+    return false;
+  }
+  text->assign(std::istreambuf_iterator<char>(stream), {});
+  return true;
+}
+
+NodeSettings ReadNodeSettings(const std::string& text, const std::string& file,
+                              Findings* findings) {
+  NodeSettings settings;
+  const nlohmann::json document = ParseJson(text, file, findings);
+  if (!document.is_object()) {
+    if (findings->empty()) findings->Add(file, "must be an object");
+    return settings;
+  }
+  JsonReader reader(document, file, "", findings);
+  for (const char* key :
+       {"instance", "address", "data_centre", "listen", "peer_port", "seeds"}) {
+    reader.Require(key);
+  }
+  reader.Read("instance", &settings.instance);
+  reader.Read("address", &settings.ip);
+  std::string data_centre;
+  reader.Read("data_centre", &data_centre);
+  settings.data_centre = DataCentreId(data_centre);
+  reader.ReadObject("listen", [&](JsonReader& listen) {
+    ReadAddress(listen, "callers", &settings.callers);
+    ReadAddress(listen, "readiness", &settings.readiness);
+    ReadAddress(listen, "control", &settings.control);
+  });
+  std::int64_t port = 0;
+  reader.Read("peer_port", &port, 1, 65535);
+  settings.peer_port = static_cast<std::uint16_t>(port);
+  ReadSeeds(reader, &settings.seeds);
+  reader.Read("first_start", &settings.first_start);
+  reader.Read("data_folder", &settings.data_folder);
+  std::int64_t grace_s = 8;
+  reader.Read("shutdown_grace_s", &grace_s, 1, 3600);
+  settings.shutdown_grace = Seconds(grace_s);
+  reader.ReadObject("retry_budget", [&](JsonReader& budget) {
+    budget.Read("ratio", &settings.retry_ratio, 0, 10);
+    budget.Read("allowance", &settings.retry_allowance, 0, 1e6);
+  });
+  reader.Finish();
+  return settings;
+}
+
+}  // namespace cassiausher
--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -66,6 +66,7 @@
   CheckInvariant(hard_state_.storage != 0, "the storage has a number");
   replica_ = {options_.self, hard_state_.storage};
   hello_targets_ = options_.founders;
+  founding_forbidden_ = !options_.may_found;
   if (stored.snapshot) {
     snapshot_ = std::make_shared<const Snapshot>(*stored.snapshot);
     log_.Reset(snapshot_->index, snapshot_->term);
@@ -103,6 +104,14 @@
   return found == progress_.end() ? 0 : found->second.match;
 }
 
+std::map<ReplicaId, Duration> Raft::Silence() const {
+  std::map<ReplicaId, Duration> silence;
+  for (const auto& [id, progress] : progress_) {
+    silence[id] = now_ - progress.last_answer;
+  }
+  return silence;
+}
+
 void Raft::Tick(Time now) {
   Advance(now);
   if (configurations_.empty()) {
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -32,6 +32,9 @@
   /// founded once all of them answered that they have no configuration, so an
   /// instance with a new disk never founds a second log. The same list on each.
   std::set<InstanceId> founders;
+  /// False if the log was founded before: this storage then only joins, and
+  /// looks for the others at the founders' addresses.
+  bool may_found = true;
 
   Duration heartbeat = Milliseconds(100);
   /// Must be several heartbeats plus the time of a sync.
@@ -206,6 +209,8 @@
   }
   /// Leader only: the highest entry known durable at `member`.
   LogIndex MatchIndex(const ReplicaId& member) const;
+  /// Leader only: time since each other member answered.
+  std::map<ReplicaId, Duration> Silence() const;
 
  private:
   enum class Replication { kProbe, kPipeline, kSnapshot };
--- /dev/null
+++ b/servers/control/endpoint_record.cc
@@ -0,0 +1,53 @@
+#include "servers/control/endpoint_record.h"
+
+#include <algorithm>
+
+namespace cassiausher {
+
+bool Merge(const EndpointRecord& heard, EndpointRecord* known) {
+  if (heard.born < known->born) return false;
+  EndpointRecord merged = *known;
+  if (heard.born > known->born) {
+    merged = heard;
+  } else {
+    if (heard.sequence > known->sequence) merged = heard;
+    merged.state = std::max(heard.state, known->state);
+  }
+  EndpointRecord same_sequence = merged;
+  same_sequence.sequence = known->sequence;
+  const bool changed = same_sequence != *known;
+  *known = std::move(merged);
+  return changed;
+}
+
+proto::EndpointRecord ToProto(const EndpointRecord& record) {
+  proto::EndpointRecord message;
+  message.set_id(record.id.value());
+  message.set_service(record.service.value());
+  message.set_address(record.address);
+  message.set_data_centre(record.data_centre.value());
+  message.set_stage(static_cast<proto::EndpointStage>(record.stage));
+  message.set_state(static_cast<proto::EndpointState>(record.state));
+  message.set_slots(record.slots);
+  message.set_born_ms(record.born.value());
+  message.set_sequence(record.sequence);
+  return message;
+}
+
+bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record) {
+  if (message.id().empty() || message.born_ms() == 0) return false;
+  if (!proto::EndpointStage_IsValid(message.stage())) return false;
+  if (!proto::EndpointState_IsValid(message.state())) return false;
+  *record = {.id = EndpointId(message.id()),
+             .service = ServiceId(message.service()),
+             .address = message.address(),
+             .data_centre = DataCentreId(message.data_centre()),
+             .stage = static_cast<EndpointStage>(message.stage()),
+             .state = static_cast<EndpointState>(message.state()),
+             .slots = static_cast<int>(message.slots()),
+             .born = Incarnation(message.born_ms()),
+             .sequence = message.sequence()};
+  return true;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/control/endpoint_record.h
@@ -0,0 +1,48 @@
+// What an endpoint says of itself, and how two such statements are merged.
+#ifndef SERVERS_CONTROL_ENDPOINT_RECORD_H_
+#define SERVERS_CONTROL_ENDPOINT_RECORD_H_
+
+#include <cstdint>
+#include <string>
+
+#include "core/ids.h"
+#include "core/units.h"
+#include "proto/gen/node.pb.h"
+
+namespace cassiausher {
+
+/// Part of a request that a model runner takes; kNone for plain services.
+enum class EndpointStage { kNone, kPrefill, kDecode };
+
+/// Ordered: an incarnation moves only towards the later states.
+enum class EndpointState { kReady, kDraining, kDeparted };
+
+struct EndpointRecord {
+  EndpointId id;
+  ServiceId service;
+  std::string address;  ///< "IP:PORT".
+  DataCentreId data_centre;
+  EndpointStage stage = EndpointStage::kNone;
+  EndpointState state = EndpointState::kReady;
+  int slots = 1;
+  /// Start of this incarnation, in milliseconds since the epoch.
+  Incarnation born{0};
+  /// Number of the heartbeat within the incarnation.
+  std::uint64_t sequence = 0;
+
+  bool operator==(const EndpointRecord&) const = default;
+};
+
+/// Brings `known` up to `heard`. A later incarnation replaces an earlier one;
+/// within one, the higher sequence number decides the fields and the later
+/// state stays, so that a delayed heartbeat never makes a departing endpoint
+/// ready again. Returns whether anything but the sequence number changed.
+bool Merge(const EndpointRecord& heard, EndpointRecord* known);
+
+proto::EndpointRecord ToProto(const EndpointRecord& record);
+/// False if the message lacks an id, an address or an incarnation.
+bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record);
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_CONTROL_ENDPOINT_RECORD_H_
--- /dev/null
+++ b/servers/control/serving_configuration.cc
@@ -0,0 +1,86 @@
+#include "servers/control/serving_configuration.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace cassiausher {
+namespace {
+
+void ValidateRoute(const Route& route,
+                   const std::map<ServiceId, ServiceSpec>& services,
+                   const std::string& place, Findings* findings) {
+  if (route.timeout <= Duration(0)) {
+    findings->Add(place, "the timeout is 0");
+  }
+  std::int64_t total_weight = 0;
+  for (const RouteTarget& target : route.targets) {
+    total_weight += target.weight;
+    if (target.weight < 0) findings->Add(place, "a weight is negative");
+    if (!services.contains(target.service)) {
+      findings->Add(place, "unknown service " + target.service.value());
+    }
+  }
+  if (total_weight <= 0) findings->Add(place, "the weights add up to 0");
+}
+
+bool BeginsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+}  // namespace
+
+Findings Validate(const ServingConfiguration& configuration) {
+  Findings findings;
+  std::set<std::pair<std::string, std::string>> places;
+  for (std::size_t i = 0; i < configuration.routes.size(); ++i) {
+    const Route& route = configuration.routes[i];
+    const std::string place = "route " + std::to_string(i) + " " + route.name;
+    ValidateRoute(route, configuration.services, place, &findings);
+    if (!places.emplace(route.host, route.path_prefix).second) {
+      findings.Add(place, "another route has the same host and prefix");
+    }
+  }
+  return findings;
+}
+
+RouteTable::RouteTable(ServingConfiguration configuration)
+    : configuration_(std::move(configuration)) {
+  const std::vector<Route>& routes = configuration_.routes;
+  for (std::size_t i = 0; i < routes.size(); ++i) {
+    by_host_[routes[i].host].push_back(i);
+  }
+  for (auto& [host, indices] : by_host_) {
+    std::stable_sort(
+        indices.begin(), indices.end(), [&](std::size_t a, std::size_t b) {
+          return routes[a].path_prefix.size() > routes[b].path_prefix.size();
+        });
+  }
+}
+
+const Route* RouteTable::Find(std::string_view host,
+                              std::string_view path) const {
+  const auto found = by_host_.find(host);
+  if (found == by_host_.end()) return nullptr;
+  for (const std::size_t index : found->second) {
+    const Route& route = configuration_.routes[index];
+    if (BeginsWith(path, route.path_prefix)) return &route;
+  }
+  return nullptr;
+}
+
+const RouteTarget& PickTarget(const Route& route, double draw) {
+  std::int64_t total_weight = 0;
+  for (const RouteTarget& target : route.targets) total_weight += target.weight;
+  double left = draw * static_cast<double>(total_weight);
+  const RouteTarget* last_weighted = &route.targets.front();
+  for (const RouteTarget& target : route.targets) {
+    if (target.weight <= 0) continue;
+    last_weighted = &target;
+    left -= static_cast<double>(target.weight);
+    if (left < 0) return target;
+  }
+  return *last_weighted;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/control/voter_planner.cc
@@ -0,0 +1,76 @@
+#include "servers/control/voter_planner.h"
+
+#include <optional>
+#include <set>
+
+namespace cassiausher {
+namespace {
+
+// Spares that were heard of lately, one for each instance.
+std::set<ReplicaId> FreshSpares(const VoterPlannerOptions& options,
+                                const VoterView& view) {
+  std::set<ReplicaId> spares;
+  for (const auto& [replica, age] : view.unconfigured) {
+    if (age < options.spare_lifetime) spares.insert(replica);
+  }
+  return spares;
+}
+
+std::optional<ReplicaId> LostVoter(const VoterPlannerOptions& options,
+                                   const VoterView& view) {
+  std::optional<ReplicaId> lost;
+  Duration longest = options.replace_after;
+  for (const auto& [replica, silence] : view.silence) {
+    if (!view.configuration.IsVoter(replica) || silence < longest) continue;
+    lost = replica;
+    longest = silence;
+  }
+  return lost;
+}
+
+// A wiped instance takes its own place first, so that the others stay spares.
+ReplicaId BestSpare(const std::set<ReplicaId>& spares, const ReplicaId& lost) {
+  for (const ReplicaId& spare : spares) {
+    if (spare.instance == lost.instance) return spare;
+  }
+  return *spares.begin();
+}
+
+std::optional<ReplicaId> LostLearner(const VoterPlannerOptions& options,
+                                     const VoterView& view) {
+  for (const ReplicaId& learner : view.configuration.learners) {
+    const auto found = view.silence.find(learner);
+    if (found == view.silence.end()) continue;
+    if (found->second >= options.replace_after) return learner;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+VoterStep PlanVoters(const VoterPlannerOptions& options,
+                     const VoterView& view) {
+  if (view.configuration.replacement.has_value()) return NoStep{};
+  const std::set<ReplicaId> spares = FreshSpares(options, view);
+  const std::optional<ReplicaId> lost = LostVoter(options, view);
+  if (lost.has_value()) {
+    if (spares.empty()) return NoStep{};
+    return ReplaceStep{*lost, BestSpare(spares, *lost)};
+  }
+  if (const auto learner = LostLearner(options, view)) {
+    return RemoveLearnerStep{*learner};
+  }
+  const auto& learners = view.configuration.learners;
+  const auto voters = static_cast<int>(view.configuration.voters.size());
+  const bool even = voters % 2 == 0;
+  const bool room = voters + (even ? 1 : 2) <= options.most_voters;
+  const std::size_t wanted = even ? 1 : 2;
+  if (!room) return NoStep{};
+  if (learners.size() >= wanted || (even && !learners.empty())) {
+    return PromoteStep{*learners.begin()};
+  }
+  if (learners.size() + spares.size() < wanted) return NoStep{};
+  return AddLearnerStep{*spares.begin()};
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/entry/endpoint_pool.cc
@@ -0,0 +1,230 @@
+#include "servers/entry/endpoint_pool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <utility>
+
+namespace cassiausher {
+namespace {
+
+// Costs assumed until something is observed. A decode runner reads a prompt at
+// half the speed of a prefill runner.
+constexpr double kPrefillTokenUs = 18;
+constexpr double kDecodeTokenUs = 36;
+constexpr double kPlainRequestUs = 15000;
+// Tokens of reading that a decode takes the time of, as a share of the prompt.
+constexpr std::int64_t kDecodeShare = 8;
+// Weight of the newest observation.
+constexpr double kObservationWeight = 0.3;
+// Added to the score of endpoints that should only be used when no other is
+// left; above any expected time.
+constexpr double kLastResortUs = 1e9;
+
+constexpr CircuitBreakerOptions kBreakerOptions = {
+    // A connection that fails or stays silent is rare on a sound endpoint.
+    .consecutive_failures = 2,
+    .failure_ratio = 0.6,
+    .window_calls = 6,
+    .window = Seconds(3),
+    .backoff_minimum = Milliseconds(400),
+    .backoff_maximum = Milliseconds(1600),
+    .trials = 1,
+    .trial_timeout = Seconds(2),
+};
+
+CircuitBreakerOptions BreakerOptions(std::uint64_t seed) {
+  CircuitBreakerOptions options = kBreakerOptions;
+  options.random_seed = seed;
+  return options;
+}
+
+double DefaultUnitCost(const EndpointRecord& record, const WorkSpec& work) {
+  if (work.prompt.value() == 0) return kPlainRequestUs;
+  return record.stage == EndpointStage::kPrefill ? kPrefillTokenUs
+                                                 : kDecodeTokenUs;
+}
+
+}  // namespace
+
+EndpointPool::Entry::Entry(const EndpointRecord& heard, std::uint64_t seed)
+    : record(heard), breaker(BreakerOptions(seed)) {}
+
+EndpointPool::EndpointPool(EndpointPoolOptions options)
+    : options_(std::move(options)) {}
+
+void EndpointPool::Merge(const EndpointRecord& heard, Time now) {
+  const std::uint64_t seed = std::hash<std::string>{}(heard.id.value());
+  const auto [found, added] =
+      entries_.try_emplace(heard.id, Entry(heard, seed));
+  Entry& entry = found->second;
+  if (added) {
+    entry.changed_at = now;
+    return;
+  }
+  const Incarnation born = entry.record.born;
+  if (!cassiausher::Merge(heard, &entry.record)) return;
+  entry.changed_at = now;
+  // A new incarnation has nothing of what was observed before.
+  if (entry.record.born == born) return;
+  const int in_flight = entry.in_flight;
+  const Tokens tokens = entry.in_flight_tokens;
+  entry = Entry(entry.record, seed);
+  entry.changed_at = now;
+  entry.in_flight = in_flight;
+  entry.in_flight_tokens = tokens;
+}
+
+void EndpointPool::SetSilent(const std::string& control,
+                             std::set<EndpointId> silent, Time now) {
+  silent_[control] = {std::move(silent), now};
+}
+
+void EndpointPool::Expire(Time now) {
+  std::erase_if(entries_, [&](const auto& item) {
+    return item.second.record.state == EndpointState::kDeparted &&
+           item.second.in_flight == 0 &&
+           now - item.second.changed_at >= options_.tombstone_lifetime;
+  });
+  std::erase_if(silent_, [&](const auto& item) {
+    return now - item.second.said_at >= options_.tombstone_lifetime;
+  });
+}
+
+bool EndpointPool::IsSilent(const EndpointId& id, Time now) const {
+  bool said = false;
+  for (const auto& [control, view] : silent_) {
+    if (now - view.said_at >= options_.silence_lifetime) continue;
+    // Some control instance still hears of it.
+    if (!view.endpoints.contains(id)) return false;
+    said = true;
+  }
+  return said;
+}
+
+Tokens EndpointPool::TokensToRead(const WorkSpec& work) {
+  if (!work.prompt_is_read) return work.prompt;
+  return Tokens(work.prompt.value() / kDecodeShare);
+}
+
+double EndpointPool::Memory(const Entry& entry, Time now) const {
+  const double age = ToSeconds(now - entry.observed_at);
+  return std::exp2(-age / ToSeconds(options_.memory_half_life));
+}
+
+double EndpointPool::UnitCost(const Entry& entry, const WorkSpec& work,
+                              Time now) const {
+  const double assumed = DefaultUnitCost(entry.record, work);
+  if (entry.unit_cost_us <= 0) return assumed;
+  const double memory = Memory(entry, now);
+  return memory * entry.unit_cost_us + (1 - memory) * assumed;
+}
+
+Duration EndpointPool::Expected(const Entry& entry, const WorkSpec& work,
+                                Time now) const {
+  const double unit = UnitCost(entry, work, now);
+  if (work.prompt.value() > 0) {
+    const Tokens tokens = entry.in_flight_tokens + TokensToRead(work);
+    return Duration(
+        static_cast<std::int64_t>(unit * static_cast<double>(tokens.value())));
+  }
+  const int slots = std::max(1, entry.record.slots);
+  const double rounds = 1 + static_cast<double>(entry.in_flight) / slots;
+  return Duration(static_cast<std::int64_t>(unit * rounds));
+}
+
+double EndpointPool::Score(const Entry& entry, const WorkSpec& work,
+                           Time now) const {
+  double score = static_cast<double>(Expected(entry, work, now).count());
+  if (entry.record.data_centre != options_.data_centre) {
+    score += static_cast<double>(options_.remote_penalty.count());
+  }
+  score += Memory(entry, now) * entry.failure_share *
+           static_cast<double>(options_.failure_penalty.count());
+  if (IsSilent(entry.record.id, now)) score += kLastResortUs;
+  const CircuitState circuit = entry.breaker.state(now);
+  // A half-open circuit lets one trial through at a time.
+  const bool closed_to_new =
+      circuit == CircuitState::kOpen ||
+      (circuit == CircuitState::kHalfOpen && entry.in_flight > 0);
+  if (closed_to_new) score += kLastResortUs;
+  return score;
+}
+
+std::optional<Placement> EndpointPool::Pick(const WorkSpec& work,
+                                            Time now) const {
+  const Entry* best = nullptr;
+  double best_score = std::numeric_limits<double>::max();
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service != work.service) continue;
+    if (entry.record.stage != work.stage) continue;
+    if (entry.record.state != EndpointState::kReady) continue;
+    if (work.excluded.contains(id)) continue;
+    const double score = Score(entry, work, now);
+    if (score >= best_score) continue;
+    best = &entry;
+    best_score = score;
+  }
+  if (best == nullptr) return std::nullopt;
+  return Placement{best->record, Expected(*best, work, now)};
+}
+
+void EndpointPool::OnStart(const EndpointId& id, const WorkSpec& work,
+                           Time now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  // Counts the trial of a half-open circuit.
+  found->second.breaker.Allow(now);
+  ++found->second.in_flight;
+  found->second.in_flight_tokens += TokensToRead(work);
+}
+
+void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
+                            WorkOutcome outcome, Duration took, Time now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  Entry& entry = found->second;
+  const Tokens queued = entry.in_flight_tokens;
+  --entry.in_flight;
+  entry.in_flight_tokens -= TokensToRead(work);
+  if (outcome == WorkOutcome::kAbandoned) return;
+  const double memory = Memory(entry, now);
+  const bool failed =
+      outcome == WorkOutcome::kServerError || outcome == WorkOutcome::kBroken;
+  entry.failure_share =
+      (1 - kObservationWeight) * memory * entry.failure_share +
+      (failed ? kObservationWeight : 0);
+  if (outcome == WorkOutcome::kBroken) {
+    entry.breaker.OnFailure(now);
+  } else {
+    entry.breaker.OnSuccess(now);
+  }
+  if (outcome == WorkOutcome::kDone && !work.prompt_is_read) {
+    const double units =
+        static_cast<double>(std::max<std::int64_t>(1, queued.value()));
+    const double sample = static_cast<double>(took.count()) / units;
+    const double before = UnitCost(entry, work, now);
+    entry.unit_cost_us =
+        (1 - kObservationWeight) * before + kObservationWeight * sample;
+  }
+  entry.observed_at = now;
+}
+
+std::size_t EndpointPool::ReadyCount(const ServiceId& service) const {
+  std::size_t count = 0;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service == service &&
+        entry.record.state == EndpointState::kReady) {
+      ++count;
+    }
+  }
+  return count;
+}
+
+const EndpointRecord* EndpointPool::Find(const EndpointId& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second.record;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/entry/endpoint_pool.h
@@ -0,0 +1,125 @@
+// The endpoints that one entry instance can send requests to: what the control
+// instances say of them, what this instance sent and how it went.
+#ifndef SERVERS_ENTRY_ENDPOINT_POOL_H_
+#define SERVERS_ENTRY_ENDPOINT_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/units.h"
+#include "servers/control/endpoint_record.h"
+#include "servers/routing/circuit_breaker.h"
+
+namespace cassiausher {
+
+struct EndpointPoolOptions {
+  DataCentreId data_centre;
+  /// Cost of leaving the data centre, as waiting time: the round trip and the
+  /// bytes that the operator pays for.
+  Duration remote_penalty = Milliseconds(8);
+  /// Waiting time that a certain failure is worth.
+  Duration failure_penalty = Milliseconds(400);
+  /// Half-life of what was observed of an endpoint.
+  Duration memory_half_life = Seconds(3);
+  /// A control instance's word on silent endpoints counts this long.
+  Duration silence_lifetime = Seconds(3);
+  /// A departed endpoint is remembered this long, so that a control instance
+  /// that lost its registry can't bring it back.
+  Duration tombstone_lifetime = Seconds(120);
+};
+
+/// Work that is placed on an endpoint.
+struct WorkSpec {
+  ServiceId service;
+  /// Endpoints of another stage are left out.
+  EndpointStage stage = EndpointStage::kNone;
+  /// Prompt of the request; 0 for plain services.
+  Tokens prompt{0};
+  /// The prompt was read elsewhere and its KV cache is fetched.
+  bool prompt_is_read = false;
+  /// Endpoints not to be used.
+  std::set<EndpointId> excluded;
+};
+
+struct Placement {
+  EndpointRecord endpoint;
+  /// Expected time until the work is done, or until its first event.
+  Duration expected{};
+};
+
+enum class WorkOutcome {
+  kDone,
+  kServerError,  ///< The endpoint answered that it failed.
+  kBroken,       ///< No connection, no answer or half of one.
+  kRejected,     ///< The endpoint had no room.
+  kAbandoned,    ///< Given up here, for example since the caller left.
+};
+
+/// Not thread safe. Times of an instance that doesn't see the whole load are
+/// corrected by what it observes.
+class EndpointPool {
+ public:
+  explicit EndpointPool(EndpointPoolOptions options);
+
+  void Merge(const EndpointRecord& heard, Time now);
+  /// Replaces what `control` said of silent endpoints.
+  void SetSilent(const std::string& control, std::set<EndpointId> silent,
+                 Time now);
+  void Expire(Time now);
+
+  /// The endpoint with the least expected time. Endpoints that are silent or
+  /// whose circuit is open come last. Null if there is none.
+  std::optional<Placement> Pick(const WorkSpec& work, Time now) const;
+
+  void OnStart(const EndpointId& id, const WorkSpec& work, Time now);
+  /// `took` is the time to the answer, or to the first event of a stream.
+  void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
+                Duration took, Time now);
+
+  bool HasEndpoints() const { return !entries_.empty(); }
+  std::size_t ReadyCount(const ServiceId& service) const;
+  const EndpointRecord* Find(const EndpointId& id) const;
+
+ private:
+  struct Entry {
+    explicit Entry(const EndpointRecord& heard, std::uint64_t seed);
+
+    EndpointRecord record;
+    Time changed_at{};
+    int in_flight = 0;
+    Tokens in_flight_tokens{0};
+    /// Observed microseconds for each prompt token, or for a request without
+    /// a prompt; 0 until observed.
+    double unit_cost_us = 0;
+    /// Share of failed requests, between 0 and 1.
+    double failure_share = 0;
+    Time observed_at{};
+    CircuitBreaker breaker;
+  };
+
+  static Tokens TokensToRead(const WorkSpec& work);
+  double UnitCost(const Entry& entry, const WorkSpec& work, Time now) const;
+  double Memory(const Entry& entry, Time now) const;
+  Duration Expected(const Entry& entry, const WorkSpec& work, Time now) const;
+  double Score(const Entry& entry, const WorkSpec& work, Time now) const;
+  bool IsSilent(const EndpointId& id, Time now) const;
+
+  struct SilentView {
+    std::set<EndpointId> endpoints;
+    Time said_at{};
+  };
+
+  EndpointPoolOptions options_;
+  std::map<EndpointId, Entry> entries_;
+  std::map<std::string, SilentView> silent_;
+};
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_ENTRY_ENDPOINT_POOL_H_
--- /dev/null
+++ b/servers/entry/request_forwarder.cc
@@ -0,0 +1,166 @@
+#include "servers/entry/request_forwarder.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiausher {
+namespace {
+
+// With less time left no endpoint finishes anything.
+constexpr Duration kLeastUsefulTime = Milliseconds(5);
+// Bounds the calls of a request when no endpoint accepts connections.
+constexpr int kMostCalls = 6;
+// Fetching the KV cache and the second call, in the comparison with reading
+// the prompt at the decode runner.
+constexpr Duration kHandoverTime = Milliseconds(12);
+// A handle is not offered this shortly before it lapses.
+constexpr Duration kHandleMargin = Milliseconds(120);
+// An idempotent call that takes this many times the expected time is repeated
+// elsewhere; a sound endpoint's slowest requests take five times the mean.
+constexpr int kSlowFactor = 6;
+constexpr Duration kShortestAnswerTimeout = Milliseconds(150);
+constexpr Duration kShortestPrefillTimeout = Milliseconds(500);
+constexpr Duration kLongestPrefillTimeout = Milliseconds(2000);
+// A resumable stream without an event for this long goes on elsewhere. Above
+// the pauses of a loaded engine, below what callers bear.
+constexpr Duration kFirstEventTimeout = Milliseconds(3000);
+constexpr int kGapFactor = 4;
+// Short enough that a caller of a lookup can come back within its deadline.
+constexpr Duration kPlainRetryAfter = Milliseconds(150);
+constexpr Duration kModelRetryAfter = Milliseconds(1000);
+
+}  // namespace
+
+bool RequestForwarder::Repeatable() const {
+  return facts_.kind == RouteKind::kIdempotent || facts_.resumable;
+}
+
+bool RequestForwarder::HandleIsFresh(Time now) const {
+  return kv_source_.has_value() &&
+         now - kv_read_at_ + kHandleMargin < facts_.handle_lifetime;
+}
+
+WorkSpec RequestForwarder::Work(EndpointStage stage) const {
+  return {.service = facts_.service,
+          .stage = stage,
+          .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
+          .excluded = tried_};
+}
+
+ForwardStep RequestForwarder::Start(Time now) {
+  budget_->OnRequest(now);
+  return Next(now);
+}
+
+ForwardStep RequestForwarder::OnPrefillDone(KvSource source, Time now) {
+  kv_source_ = std::move(source);
+  kv_read_at_ = now;
+  return Next(now);
+}
+
+ForwardStep RequestForwarder::OnCallFailed(CallFailure failure, Time now) {
+  tried_.insert(current_endpoint_);
+  if (current_ == CallKind::kPrefill) {
+    prefill_failed_ = true;
+    if (failure != CallFailure::kNotSent) ++arrivals_;
+    return Next(now);
+  }
+  if (failure == CallFailure::kNotSent) return Next(now);
+  // Whatever the endpoint did with the handle, it can't be offered again.
+  kv_source_.reset();
+  ++arrivals_;
+  if (failure == CallFailure::kNotExecuted) return Next(now);
+  ++runs_;
+  if (!Repeatable()) return GiveUp("the endpoint broke off");
+  if (runs_ >= facts_.attempts) return GiveUp("no attempt is left");
+  return Next(now);
+}
+
+bool RequestForwarder::MayRepeatServerError(Time now) const {
+  return Repeatable() && runs_ + 1 < facts_.attempts &&
+         budget_->Remaining(now) >= 1 &&
+         pool_->ReadyCount(facts_.service) > 1 &&
+         facts_.deadline - now > kShortestAnswerTimeout;
+}
+
+ForwardStep RequestForwarder::OnDeadline() {
+  if (relayed_) return BreakOff{"deadline"};
+  return Fail{504, "deadline"};
+}
+
+ForwardStep RequestForwarder::GiveUp(std::string_view reason) {
+  if (relayed_) return BreakOff{reason};
+  if (runs_ > 0) return Fail{502, reason};
+  return Refuse{reason,
+                facts_.has_engine ? kModelRetryAfter : kPlainRetryAfter};
+}
+
+ForwardStep RequestForwarder::Next(Time now) {
+  if (facts_.deadline - now < kLeastUsefulTime) return GiveUp("no time left");
+  if (calls_ >= kMostCalls) return GiveUp("no endpoint took the request");
+  if (kv_source_.has_value() && !HandleIsFresh(now)) kv_source_.reset();
+  std::optional<StartCall> call =
+      facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
+  if (!call.has_value()) return GiveUp("no endpoint is known");
+  return Issue(std::move(*call), now);
+}
+
+std::optional<StartCall> RequestForwarder::ChoosePlainCall(Time now) {
+  const WorkSpec work = Work(EndpointStage::kNone);
+  const auto placed = pool_->Pick(work, now);
+  if (!placed.has_value()) return std::nullopt;
+  StartCall call{.endpoint = placed->endpoint, .work = work};
+  if (Repeatable() && runs_ + 1 < facts_.attempts) {
+    call.answer_timeout =
+        std::max(kShortestAnswerTimeout, kSlowFactor * placed->expected);
+  }
+  return call;
+}
+
+std::optional<StartCall> RequestForwarder::ChooseModelCall(Time now) {
+  WorkSpec decode = Work(EndpointStage::kDecode);
+  decode.prompt_is_read = kv_source_.has_value();
+  const auto direct = pool_->Pick(decode, now);
+  if (!kv_source_.has_value() && !prefill_failed_ && runs_ == 0) {
+    const WorkSpec prefill = Work(EndpointStage::kPrefill);
+    const auto split = pool_->Pick(prefill, now);
+    const bool split_is_faster =
+        split.has_value() &&
+        (!direct.has_value() ||
+         split->expected + kHandoverTime <= direct->expected);
+    if (split_is_faster) {
+      return StartCall{.kind = CallKind::kPrefill,
+                       .endpoint = split->endpoint,
+                       .work = prefill,
+                       .answer_timeout = std::clamp(
+                           3 * split->expected + Milliseconds(200),
+                           kShortestPrefillTimeout, kLongestPrefillTimeout)};
+    }
+  }
+  if (!direct.has_value()) return std::nullopt;
+  StartCall call{
+      .endpoint = direct->endpoint, .work = decode, .kv_source = kv_source_};
+  if (Repeatable() && runs_ + 1 < facts_.attempts) {
+    call.answer_timeout = kFirstEventTimeout;
+    call.gap_timeout = kGapFactor * facts_.gap_target;
+  }
+  return call;
+}
+
+ForwardStep RequestForwarder::Issue(StartCall call, Time now) {
+  // The first prefill call and the first run are part of every request.
+  const bool extra = arrivals_ > 0;
+  if (extra && !budget_->TryRetry(now)) {
+    return GiveUp("the retry budget is spent");
+  }
+  ++calls_;
+  current_ = call.kind;
+  current_endpoint_ = call.endpoint.id;
+  return call;
+}
+
+std::optional<KvSource> RequestForwarder::TakeUnusedHandle() {
+  return std::exchange(kv_source_, std::nullopt);
+}
+
+}  // namespace cassiausher
