Share loads between entry instances and wait for KV memory

Cause: a stream holds about 8,000 tokens of KV memory for 3 s, and each entry instance saw only its own.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -31,6 +31,8 @@
   GObjectPtr<GCancellable> cancellable;
   GObjectPtr<GInputStream> stream;
   bool sent = false;
+  /// Answered 421, which libsoup would answer by sending the call again.
+  bool misdirected = false;
   std::array<char, kReadBytes> buffer;
 };
 
@@ -110,6 +112,16 @@
   g_signal_connect_swapped(message, "starting",
                            G_CALLBACK(+[](Pending* p) { p->sent = true; }),
                            pending);
+  g_signal_connect_swapped(message, "got-headers",
+                           G_CALLBACK(+[](Pending* p) {
+                             if (soup_message_get_status(p->message.get()) !=
+                                 SOUP_STATUS_MISDIRECTED_REQUEST) {
+                               return;
+                             }
+                             p->misdirected = true;
+                             g_cancellable_cancel(p->cancellable.get());
+                           }),
+                           pending);
   soup_session_send_async(pending->session->soup.get(), message,
                           G_PRIORITY_DEFAULT, pending->cancellable.get(),
                           &HttpClient::OnSent, pending);
@@ -148,6 +160,16 @@
   GError* error = nullptr;
   pending->stream.reset(
       soup_session_send_finish(SOUP_SESSION(source), result, &error));
+  if (!pending->stream && pending->misdirected) {
+    const GErrorPtr owned(error);
+    if (pending->sink != nullptr) {
+      pending->sink->OnHeaders(
+          SOUP_STATUS_MISDIRECTED_REQUEST,
+          soup_message_get_response_headers(pending->message.get()));
+    }
+    Done(pending, {});
+    return;
+  }
   if (!pending->stream) {
     const GErrorPtr owned(error);
     Done(pending, owned ? owned->message : "the call failed");
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -354,9 +354,27 @@
   follower.configuration = Revision(follow.configuration_version());
   follower.registry_revision =
       follow.registry_epoch() == incarnation_ ? follow.registry_revision() : 0;
+  follower.loads.assign(follow.loads().begin(), follow.loads().end());
   SendUpdate(from, follower);
 }
 
+// The receiver knows its own work better.
+void ControlNode::AddLoads(const InstanceId& to, proto::Update* update) const {
+  std::map<std::string, proto::EndpointLoad> sums;
+  for (const auto& [instance, follower] : followers_) {
+    if (instance == to) continue;
+    for (const proto::EndpointLoad& load : follower.loads) {
+      proto::EndpointLoad& sum = sums[load.endpoint()];
+      sum.set_requests(sum.requests() + load.requests());
+      sum.set_kv_tokens(sum.kv_tokens() + load.kv_tokens());
+    }
+  }
+  for (auto& [endpoint, sum] : sums) {
+    sum.set_endpoint(endpoint);
+    *update->add_loads() = sum;
+  }
+}
+
 void ControlNode::SendUpdate(const InstanceId& to, Follower& follower) {
   proto::NodeMessage message;
   proto::Update* update = message.mutable_update();
@@ -376,6 +394,7 @@
   for (const InstanceId& control : HeardControls()) {
     update->add_control_instances(control.value());
   }
+  AddLoads(to, update);
   update->set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
   link_.Send(to, std::move(message));
 }
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -43,6 +43,8 @@
     Time heard_at{};
     Revision configuration{0};
     std::uint64_t registry_revision = 0;
+    /// Its work in progress.
+    std::vector<proto::EndpointLoad> loads;
   };
   /// Another control instance.
   struct Control {
@@ -88,6 +90,7 @@
   std::vector<InstanceId> HeardControls() const;
 
   void SendUpdate(const InstanceId& to, Follower& follower);
+  void AddLoads(const InstanceId& to, proto::Update* update) const;
   void UpdateFollowers();
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -21,6 +21,8 @@
 // The balancer asks once a second and takes an instance out after two misses;
 // until then new callers still come.
 constexpr Duration kBalancerDelay = Milliseconds(3400);
+// Requests after this time could be cut off by the end of the process.
+constexpr Duration kLastRequests = Milliseconds(2900);
 // Left for the process to end before it is killed.
 constexpr Duration kExitMargin = Milliseconds(600);
 // Share of the common retry allowance that is used, since the windows of two
@@ -99,14 +101,19 @@
   refused_.Add();
   Log(LogLevel::kWarning, "request_refused",
       {{"request", id.value()}, {"reason", reason}});
-  exchange.Respond(503, kJson, R"({"error":{"not_run":true}})",
-                   {RetryAfterHeader(kRefusalRetryAfter)});
+  HttpHeaders headers = {RetryAfterHeader(kRefusalRetryAfter)};
+  if (closing_) headers.emplace_back("Connection", "close");
+  exchange.Respond(503, kJson, R"({"error":{"not_run":true}})", headers);
 }
 
 void EntryNode::OnCaller(HttpExchangePtr exchange) {
   received_.Add();
   const Time now = BootTimeNow();
   CallerHeaders caller = ReadCallerHeaders(*exchange);
+  if (closing_ && now - shutdown_started_ >= kLastRequests) {
+    Refuse(*exchange, caller.id, "the instance stops");
+    return;
+  }
   if (routes_ == nullptr) {
     Refuse(*exchange, caller.id, "no configuration yet");
     return;
@@ -129,10 +136,15 @@
                      .service = service,
                      .has_engine = spec.engine.has_value(),
                      .prompt = caller.prompt,
+                     .output = caller.output,
+                     .latency_target = route->latency_target,
                      .arrived = now,
                      .deadline = now + patience,
                      .gap_target = route->gap_target};
-  if (spec.engine) facts.handle_lifetime = spec.engine->handle_lifetime;
+  if (spec.engine) {
+    facts.handle_lifetime = spec.engine->handle_lifetime;
+    facts.kv_capacity = spec.engine->kv_capacity;
+  }
   const ForwardingContext context{.client = &client_,
                                   .pool = &pool_,
                                   .budget = &BudgetOf(service),
@@ -210,6 +222,12 @@
     silent.insert(EndpointId(id));
   }
   pool_.SetSilent(from.value(), std::move(silent), now);
+  std::map<EndpointId, EndpointLoad> loads;
+  for (const proto::EndpointLoad& item : update.loads()) {
+    loads[EndpointId(item.endpoint())] = {static_cast<int>(item.requests()),
+                                          Tokens(item.kv_tokens())};
+  }
+  pool_.SetOtherLoads(std::move(loads), now);
   for (const std::string& ip : update.control_instances()) {
     controls_[InstanceId(ip)].learned_at = now;
   }
@@ -238,6 +256,7 @@
     link_.Forget(item.first);
     return true;
   });
+  const std::map<EndpointId, EndpointLoad> loads = pool_.OwnLoads();
   for (auto& [instance, control] : controls_) {
     if (control.connected && now - control.heard_at >= kControlSilence) {
       control.connected = false;
@@ -252,6 +271,12 @@
     }
     follow->set_registry_epoch(control.registry_epoch);
     follow->set_registry_revision(control.registry_revision);
+    for (const auto& [id, load] : loads) {
+      proto::EndpointLoad* item = follow->add_loads();
+      item->set_endpoint(id.value());
+      item->set_requests(load.requests);
+      item->set_kv_tokens(load.kv_tokens.value());
+    }
     link_.Send(instance, std::move(message));
   }
 }
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -74,6 +74,11 @@
     Issue(*call);
     return;
   }
+  if (const auto* wait = std::get_if<WaitForRoom>(&step)) {
+    wait_until_ = wait->until;
+    ArmTimer();
+    return;
+  }
   if (const auto* refuse = std::get_if<Refuse>(&step)) {
     HttpHeaders headers = {RetryAfterHeader(refuse->retry_after)};
     exchange_->Respond(503, kJson,
@@ -126,12 +131,13 @@
 }
 
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
-  answer_ = ReadAnswer(status, headers, caller_.id);
+  answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
   constexpr int kOk = 200;
   constexpr int kMultipleChoices = 300;
   constexpr int kServerError = 500;
   if (answer_->not_executed) {
-    CallFailed(CallFailure::kNotExecuted,
+    CallFailed(answer_->other_endpoint ? CallFailure::kMisplaced
+                                       : CallFailure::kNotExecuted,
                fmt::format("status {}, not executed", status));
     return;
   }
@@ -250,6 +256,12 @@
     case CallFailure::kNotExecuted:
       DropCall(WorkOutcome::kRejected);
       break;
+    case CallFailure::kMisplaced:
+      DropCall(WorkOutcome::kMisplaced);
+      break;
+    case CallFailure::kNotSent:
+      DropCall(WorkOutcome::kUnreachable);
+      break;
     case CallFailure::kServerError:
       DropCall(WorkOutcome::kServerError);
       break;
@@ -288,6 +300,7 @@
   if (call_.has_value() && progress_by_.has_value()) {
     next = std::min(next, *progress_by_);
   }
+  if (!call_.has_value()) next = std::min(next, wait_until_);
   const Duration wait = std::max(Milliseconds(1), next - now);
   const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
   timer_ = AddTimer(context_.context, wait + Milliseconds(1), [weak] {
@@ -306,7 +319,11 @@
     Take(forwarder_.OnDeadline());
     return;
   }
-  if (!call_.has_value()) return ArmTimer();
+  if (!call_.has_value()) {
+    if (now < wait_until_) return ArmTimer();
+    Take(forwarder_.OnWaited(now));
+    return;
+  }
   const bool sent = context_.client->WasSent(call_id_);
   if (!sent && now >= connect_by_) {
     CallFailed(CallFailure::kNotSent, "no connection");
@@ -346,6 +363,8 @@
        {"reason", reason},
        {"calls", calls_},
        {"events", events_.events()},
+       {"prompt", facts_.prompt.value()},
+       {"output", facts_.output.value()},
        {"took_ms", ToMilliseconds(took)}});
   context_.metrics
       ->counter(fmt::format("requests_ended_total{{outcome=\"{}\"}}", outcome))
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -79,6 +79,8 @@
   HttpClient::CallId call_id_ = 0;
   Time call_started_{};
   Time connect_by_{};
+  /// Between calls: when to look for room again.
+  Time wait_until_{};
   /// The call counts as broken without an event, or an answer, until then.
   std::optional<Time> progress_by_;
   std::optional<EndpointAnswer> answer_;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -18,13 +18,24 @@
 constexpr std::int64_t kDecodeShare = 8;
 // Weight of the newest observation.
 constexpr double kObservationWeight = 0.3;
+// Loads of other instances count this long without a new word.
+constexpr Duration kLoadLifetime = Seconds(2);
+// An endpoint at whose address another answered is left out this long; the
+// registry learns of the change meanwhile.
+constexpr Duration kMisplacedPause = Seconds(5);
+// A runner that had no room is passed over this long.
+constexpr Duration kFullPause = Milliseconds(150);
+// Weight of KV memory in use, as waiting time for a full runner: a crowded
+// runner makes tokens slowly and preempts requests.
+constexpr double kOccupancyUs = 120000;
+constexpr double kFullUs = 2e6;
 // Added to the score of endpoints that should only be used when no other is
 // left; above any expected time.
 constexpr double kLastResortUs = 1e9;
 
 constexpr CircuitBreakerOptions kBreakerOptions = {
-    // A connection that fails or stays silent is rare on a sound endpoint.
-    .consecutive_failures = 2,
+    // A connection that can't be made is rare on a sound endpoint.
+    .consecutive_failures = 1,
     .failure_ratio = 0.6,
     .window_calls = 6,
     .window = Seconds(3),
@@ -70,10 +81,12 @@
   if (entry.record.born == born) return;
   const int in_flight = entry.in_flight;
   const Tokens tokens = entry.in_flight_tokens;
+  const Tokens kv_tokens = entry.kv_tokens;
   entry = Entry(entry.record, seed);
   entry.changed_at = now;
   entry.in_flight = in_flight;
   entry.in_flight_tokens = tokens;
+  entry.kv_tokens = kv_tokens;
 }
 
 void EndpointPool::SetSilent(const std::string& control,
@@ -140,6 +153,9 @@
   if (entry.record.data_centre != options_.data_centre) {
     score += static_cast<double>(options_.remote_penalty.count());
   }
+  const double occupancy = Occupancy(entry, work, now);
+  score += kOccupancyUs * occupancy;
+  if (occupancy > 1 || now < entry.full_until) score += kFullUs;
   score += Memory(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortUs;
@@ -161,13 +177,46 @@
     if (entry.record.stage != work.stage) continue;
     if (entry.record.state != EndpointState::kReady) continue;
     if (work.excluded.contains(id)) continue;
+    if (now < entry.misplaced_until) continue;
     const double score = Score(entry, work, now);
     if (score >= best_score) continue;
     best = &entry;
     best_score = score;
   }
   if (best == nullptr) return std::nullopt;
-  return Placement{best->record, Expected(*best, work, now)};
+  double occupancy = Occupancy(*best, work, now);
+  if (now < best->full_until) occupancy = std::max(occupancy, 1.01);
+  return Placement{best->record, Expected(*best, work, now), occupancy};
+}
+
+EndpointLoad EndpointPool::OtherLoad(const EndpointId& id, Time now) const {
+  if (now - other_loads_at_ >= kLoadLifetime) return {};
+  const auto found = other_loads_.find(id);
+  return found == other_loads_.end() ? EndpointLoad{} : found->second;
+}
+
+double EndpointPool::Occupancy(const Entry& entry, const WorkSpec& work,
+                               Time now) const {
+  if (work.kv_capacity.value() <= 0) return 0;
+  const Tokens used = entry.kv_tokens + work.kv_tokens +
+                      OtherLoad(entry.record.id, now).kv_tokens;
+  return static_cast<double>(used.value()) /
+         static_cast<double>(work.kv_capacity.value());
+}
+
+void EndpointPool::SetOtherLoads(std::map<EndpointId, EndpointLoad> loads,
+                                 Time now) {
+  other_loads_ = std::move(loads);
+  other_loads_at_ = now;
+}
+
+std::map<EndpointId, EndpointLoad> EndpointPool::OwnLoads() const {
+  std::map<EndpointId, EndpointLoad> loads;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.in_flight == 0) continue;
+    loads[id] = {entry.in_flight, entry.kv_tokens};
+  }
+  return loads;
 }
 
 void EndpointPool::OnStart(const EndpointId& id, const WorkSpec& work,
@@ -178,6 +227,7 @@
   found->second.breaker.Allow(now);
   ++found->second.in_flight;
   found->second.in_flight_tokens += TokensToRead(work);
+  found->second.kv_tokens += work.kv_tokens;
 }
 
 void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
@@ -188,14 +238,20 @@
   const Tokens queued = entry.in_flight_tokens;
   --entry.in_flight;
   entry.in_flight_tokens -= TokensToRead(work);
+  entry.kv_tokens -= work.kv_tokens;
   if (outcome == WorkOutcome::kAbandoned) return;
+  if (outcome == WorkOutcome::kMisplaced) {
+    entry.misplaced_until = now + kMisplacedPause;
+    return;
+  }
+  if (outcome == WorkOutcome::kRejected) entry.full_until = now + kFullPause;
   const double memory = Memory(entry, now);
   const bool failed =
       outcome == WorkOutcome::kServerError || outcome == WorkOutcome::kBroken;
   entry.failure_share =
       (1 - kObservationWeight) * memory * entry.failure_share +
       (failed ? kObservationWeight : 0);
-  if (outcome == WorkOutcome::kBroken) {
+  if (outcome == WorkOutcome::kUnreachable) {
     entry.breaker.OnFailure(now);
   } else {
     entry.breaker.OnSuccess(now);
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -43,6 +43,10 @@
   Tokens prompt{0};
   /// The prompt was read elsewhere and its KV cache is fetched.
   bool prompt_is_read = false;
+  /// Tokens whose KV cache the request is expected to hold at its runner.
+  Tokens kv_tokens{0};
+  /// Memory of a runner; 0 if it doesn't bound what is placed.
+  Tokens kv_capacity{0};
   /// Endpoints not to be used.
   std::set<EndpointId> excluded;
 };
@@ -51,12 +55,23 @@
   EndpointRecord endpoint;
   /// Expected time until the work is done, or until its first event.
   Duration expected{};
+  /// Share of the endpoint's KV memory that is in use with this work; 0 where
+  /// memory doesn't matter.
+  double occupancy = 0;
+};
+
+/// Work in progress at an endpoint.
+struct EndpointLoad {
+  int requests = 0;
+  Tokens kv_tokens{0};
 };
 
 enum class WorkOutcome {
   kDone,
   kServerError,  ///< The endpoint answered that it failed.
-  kBroken,       ///< No connection, no answer or half of one.
+  kUnreachable,  ///< No connection.
+  kBroken,       ///< No answer or half of one.
+  kMisplaced,    ///< Another endpoint has the address.
   kRejected,     ///< The endpoint had no room.
   kAbandoned,    ///< Given up here, for example since the caller left.
 };
@@ -71,6 +86,10 @@
   /// Replaces what `control` said of silent endpoints.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
                  Time now);
+  /// Replaces what the other entry instances have in progress, as of `now`.
+  void SetOtherLoads(std::map<EndpointId, EndpointLoad> loads, Time now);
+  /// What this instance has in progress.
+  std::map<EndpointId, EndpointLoad> OwnLoads() const;
   void Expire(Time now);
 
   /// The endpoint with the least expected time. Endpoints that are silent or
@@ -94,6 +113,11 @@
     Time changed_at{};
     int in_flight = 0;
     Tokens in_flight_tokens{0};
+    Tokens kv_tokens{0};
+    /// Another endpoint answered at the address; not used until then.
+    Time misplaced_until{};
+    /// Had no room for a request; others are preferred until then.
+    Time full_until{};
     /// Observed microseconds for each prompt token, or for a request without
     /// a prompt; 0 until observed.
     double unit_cost_us = 0;
@@ -109,6 +133,8 @@
   Duration Expected(const Entry& entry, const WorkSpec& work, Time now) const;
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
+  EndpointLoad OtherLoad(const EndpointId& id, Time now) const;
 
   struct SilentView {
     std::set<EndpointId> endpoints;
@@ -118,6 +144,8 @@
   EndpointPoolOptions options_;
   std::map<EndpointId, Entry> entries_;
   std::map<std::string, SilentView> silent_;
+  std::map<EndpointId, EndpointLoad> other_loads_;
+  Time other_loads_at_{};
 };
 
 }  // namespace cassiausher
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -13,6 +13,13 @@
 // Fetching the KV cache and the second call, in the comparison with reading
 // the prompt at the decode runner.
 constexpr Duration kHandoverTime = Milliseconds(12);
+// Reading a prompt and the first token, kept back from the latency target
+// while a request waits for room.
+constexpr Duration kReadingTime = Milliseconds(350);
+constexpr Duration kRoomPollPeriod = Milliseconds(30);
+// A runner that is full and one whose source lost the handle give the same
+// answer, so a handle is offered to this many.
+constexpr int kMostHandleOffers = 3;
 // A handle is not offered this shortly before it lapses.
 constexpr Duration kHandleMargin = Milliseconds(120);
 // An idempotent call that takes this many times the expected time is repeated
@@ -27,7 +34,8 @@
 constexpr int kGapFactor = 4;
 // Short enough that a caller of a lookup can come back within its deadline.
 constexpr Duration kPlainRetryAfter = Milliseconds(150);
-constexpr Duration kModelRetryAfter = Milliseconds(1000);
+// A stream holds its runner's memory for seconds; room comes back as slowly.
+constexpr Duration kModelRetryAfter = Milliseconds(2000);
 
 }  // namespace
 
@@ -44,9 +52,17 @@
   return {.service = facts_.service,
           .stage = stage,
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
+          .kv_tokens = facts_.prompt + Tokens(facts_.output.value() / 2),
+          .kv_capacity = facts_.kv_capacity,
           .excluded = tried_};
 }
 
+ForwardStep RequestForwarder::OnWaited(Time now) { return Next(now); }
+
+bool RequestForwarder::MayWait(Time now) const {
+  return now - facts_.arrived + kReadingTime < facts_.latency_target;
+}
+
 ForwardStep RequestForwarder::Start(Time now) {
   budget_->OnRequest(now);
   return Next(now);
@@ -66,10 +82,15 @@
     return Next(now);
   }
   if (failure == CallFailure::kNotSent) return Next(now);
-  // Whatever the endpoint did with the handle, it can't be offered again.
-  kv_source_.reset();
   ++arrivals_;
-  if (failure == CallFailure::kNotExecuted) return Next(now);
+  const bool not_executed = failure == CallFailure::kNotExecuted ||
+                            failure == CallFailure::kMisplaced;
+  if (not_executed) {
+    const bool offered_enough = ++handle_rejections_ >= kMostHandleOffers;
+    if (kv_source_.has_value() && offered_enough) kv_source_.reset();
+    return Next(now);
+  }
+  kv_source_.reset();
   ++runs_;
   if (!Repeatable()) return GiveUp("the endpoint broke off");
   if (runs_ >= facts_.attempts) return GiveUp("no attempt is left");
@@ -99,13 +120,16 @@
   if (facts_.deadline - now < kLeastUsefulTime) return GiveUp("no time left");
   if (calls_ >= kMostCalls) return GiveUp("no endpoint took the request");
   if (kv_source_.has_value() && !HandleIsFresh(now)) kv_source_.reset();
-  std::optional<StartCall> call =
+  std::optional<ForwardStep> step =
       facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
-  if (!call.has_value()) return GiveUp("no endpoint is known");
-  return Issue(std::move(*call), now);
+  if (!step.has_value()) return GiveUp("no endpoint is known");
+  if (auto* call = std::get_if<StartCall>(&*step)) {
+    return Issue(std::move(*call), now);
+  }
+  return *step;
 }
 
-std::optional<StartCall> RequestForwarder::ChoosePlainCall(Time now) {
+std::optional<ForwardStep> RequestForwarder::ChoosePlainCall(Time now) {
   const WorkSpec work = Work(EndpointStage::kNone);
   const auto placed = pool_->Pick(work, now);
   if (!placed.has_value()) return std::nullopt;
@@ -117,12 +141,18 @@
   return call;
 }
 
-std::optional<StartCall> RequestForwarder::ChooseModelCall(Time now) {
+std::optional<ForwardStep> RequestForwarder::ChooseModelCall(Time now) {
   WorkSpec decode = Work(EndpointStage::kDecode);
   decode.prompt_is_read = kv_source_.has_value();
   const auto direct = pool_->Pick(decode, now);
+  const bool full = direct.has_value() && direct->occupancy > 1;
+  if (full && !kv_source_.has_value()) {
+    if (!MayWait(now)) return GiveUp("no runner has room");
+    return WaitForRoom{now + kRoomPollPeriod};
+  }
   if (!kv_source_.has_value() && !prefill_failed_ && runs_ == 0) {
-    const WorkSpec prefill = Work(EndpointStage::kPrefill);
+    WorkSpec prefill = Work(EndpointStage::kPrefill);
+    prefill.kv_tokens = facts_.prompt;
     const auto split = pool_->Pick(prefill, now);
     const bool split_is_faster =
         split.has_value() &&
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -30,6 +30,12 @@
   bool has_engine = false;
   /// Size of the prompt; 0 for plain services.
   Tokens prompt{0};
+  /// Expected size of the answer.
+  Tokens output{0};
+  /// Memory of one runner.
+  Tokens kv_capacity{0};
+  /// Time to the first event that the caller is promised.
+  Duration latency_target = Seconds(1);
   /// Time for which a runner keeps a prompt that it read.
   Duration handle_lifetime = Milliseconds(500);
   Time arrived{};
@@ -61,6 +67,11 @@
   Duration gap_timeout{};
 };
 
+/// No runner has room; ask again at that time.
+struct WaitForRoom {
+  Time until{};
+};
+
 /// The request has not run and never will. The caller may come back.
 struct Refuse {
   std::string_view reason;
@@ -78,11 +89,12 @@
   std::string_view reason;
 };
 
-using ForwardStep = std::variant<StartCall, Refuse, Fail, BreakOff>;
+using ForwardStep = std::variant<StartCall, WaitForRoom, Refuse, Fail, BreakOff>;
 
 enum class CallFailure {
   kNotSent,      ///< No connection; the endpoint saw nothing.
   kNotExecuted,  ///< The endpoint says that it didn't run the request.
+  kMisplaced,    ///< The same, since another endpoint has the address.
   kServerError,  ///< The endpoint answered that it failed.
   kBroken,       ///< No answer or half of one; may have run.
 };
@@ -94,6 +106,8 @@
       : facts_(std::move(facts)), pool_(pool), budget_(budget) {}
 
   ForwardStep Start(Time now);
+  /// The time of WaitForRoom has come.
+  ForwardStep OnWaited(Time now);
   ForwardStep OnPrefillDone(KvSource source, Time now);
   /// The current call failed. A server error may be relayed instead of asking;
   /// see MayRepeatServerError().
@@ -112,8 +126,10 @@
   bool Repeatable() const;
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
-  std::optional<StartCall> ChooseModelCall(Time now);
-  std::optional<StartCall> ChoosePlainCall(Time now);
+  std::optional<ForwardStep> ChooseModelCall(Time now);
+  std::optional<ForwardStep> ChoosePlainCall(Time now);
+  /// Whether waiting for room can still keep the latency target.
+  bool MayWait(Time now) const;
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason);
   WorkSpec Work(EndpointStage stage) const;
@@ -127,6 +143,8 @@
   std::optional<KvSource> kv_source_;
   Time kv_read_at_{};
   bool prefill_failed_ = false;
+  /// Runners that rejected the prompt's KV cache.
+  int handle_rejections_ = 0;
   /// Endpoints that failed this request.
   std::set<EndpointId> tried_;
   /// Runs that began or may have begun. At most `attempts`, and at most one if
