--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -112,8 +112,7 @@
   g_signal_connect_swapped(message, "starting",
                            G_CALLBACK(+[](Pending* p) { p->sent = true; }),
                            pending);
-  g_signal_connect_swapped(message, "got-headers",
-                           G_CALLBACK(+[](Pending* p) {
+  g_signal_connect_swapped(message, "got-headers", G_CALLBACK(+[](Pending* p) {
                              if (soup_message_get_status(p->message.get()) !=
                                  SOUP_STATUS_MISDIRECTED_REQUEST) {
                                return;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -89,7 +89,8 @@
   std::string_view reason;
 };
 
-using ForwardStep = std::variant<StartCall, WaitForRoom, Refuse, Fail, BreakOff>;
+using ForwardStep =
+    std::variant<StartCall, WaitForRoom, Refuse, Fail, BreakOff>;
 
 enum class CallFailure {
   kNotSent,      ///< No connection; the endpoint saw nothing.
--- /dev/null
+++ b/tests/control/endpoint_registry_test.cc
@@ -0,0 +1,117 @@
+// Guards what control instances believe of endpoints: a departing one never
+// comes back, a late heartbeat changes nothing, and two instances that heard
+// the same in another order agree.
+#include "servers/control/endpoint_registry.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "core/random.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+
+EndpointRecord Runner(std::uint64_t born, std::uint64_t sequence,
+                      EndpointState state = EndpointState::kReady) {
+  return {.id = EndpointId("r1"),
+          .service = ServiceId("model"),
+          .address = "10.0.0.1:80",
+          .stage = EndpointStage::kDecode,
+          .state = state,
+          .born = Incarnation(born),
+          .sequence = sequence};
+}
+
+}  // namespace
+
+TEST_GROUP(EndpointRegistry) {
+  EndpointRegistry registry{EndpointRegistryOptions{}};
+};
+
+TEST(EndpointRegistry, AHeartbeatWithoutNewsChangesNothing) {
+  CHECK_TRUE(registry.Hear(Runner(1, 1), kStart));
+  CHECK_FALSE(registry.Hear(Runner(1, 2), kStart + Seconds(1)));
+  CHECK_EQUAL(1u, registry.revision());
+  CHECK_EQUAL(1u, registry.ChangedSince(0).size());
+  CHECK_EQUAL(0u, registry.ChangedSince(1).size());
+}
+
+// A heartbeat that was sent before the drain arrives after it.
+TEST(EndpointRegistry, ALateHeartbeatDoesNotEndADrain) {
+  registry.Hear(Runner(1, 5, EndpointState::kDraining), kStart);
+  CHECK_FALSE(registry.Hear(Runner(1, 4), kStart));
+  CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
+             EndpointState::kDraining);
+}
+
+TEST(EndpointRegistry, ADepartureIsFinalForTheIncarnation) {
+  registry.Hear(Runner(7, 5), kStart);
+  CHECK_TRUE(registry.Depart(EndpointId("r1"), kStart));
+  CHECK_FALSE(registry.Depart(EndpointId("r1"), kStart));
+  registry.Hear(Runner(7, 6), kStart);
+  CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
+             EndpointState::kDeparted);
+}
+
+// A runner may start again under the id that it had; its counts start anew.
+TEST(EndpointRegistry, ALaterStartIsANewEndpoint) {
+  registry.Hear(Runner(7, 50), kStart);
+  registry.Depart(EndpointId("r1"), kStart);
+  CHECK_TRUE(registry.Hear(Runner(8, 1), kStart));
+  CHECK_TRUE(registry.Find(EndpointId("r1"))->state == EndpointState::kReady);
+  CHECK_FALSE(registry.Hear(Runner(7, 51), kStart));
+  CHECK_EQUAL(8u, registry.Find(EndpointId("r1"))->born.value());
+}
+
+TEST(EndpointRegistry, SilenceIsReportedAndEnds) {
+  registry.Hear(Runner(1, 1), kStart);
+  CHECK_EQUAL(0u, registry.Silent(kStart + Seconds(1)).size());
+  CHECK_EQUAL(1u, registry.Silent(kStart + Seconds(10)).size());
+  registry.Hear(Runner(1, 2), kStart + Seconds(10));
+  CHECK_EQUAL(0u, registry.Silent(kStart + Seconds(10)).size());
+}
+
+// A repeated statement of another control instance is no sign of life.
+TEST(EndpointRegistry, AnOldStatementIsNoSignOfLife) {
+  registry.Hear(Runner(1, 1), kStart);
+  registry.Hear(Runner(1, 1), kStart + Seconds(9));
+  CHECK_EQUAL(1u, registry.Silent(kStart + Seconds(10)).size());
+}
+
+TEST(EndpointRegistry, ForgetsWhatIsLongGone) {
+  registry.Hear(Runner(1, 1), kStart);
+  registry.Expire(kStart + Seconds(60));
+  CHECK_EQUAL(1u, registry.size());
+  registry.Expire(kStart + Seconds(600));
+  CHECK_EQUAL(0u, registry.size());
+}
+
+TEST(EndpointRegistry, TwoInstancesAgreeWhateverTheOrder) {
+  for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    std::vector<EndpointRecord> statements;
+    for (int i = 0; i < 12; ++i) {
+      const auto state =
+          random.Chance(0.3) ? EndpointState::kDraining : EndpointState::kReady;
+      EndpointRecord record =
+          Runner(1 + random.Below(3), 1 + random.Below(6), state);
+      // What a runner says under one number is always the same.
+      record.slots = static_cast<int>(record.sequence);
+      record.state = record.sequence > 3 ? EndpointState::kDraining
+                                         : EndpointState::kReady;
+      statements.push_back(record);
+    }
+    EndpointRegistry first{EndpointRegistryOptions{}};
+    EndpointRegistry second{EndpointRegistryOptions{}};
+    for (const auto& record : statements) first.Hear(record, kStart);
+    std::shuffle(statements.begin(), statements.end(), random.engine());
+    for (const auto& record : statements) second.Hear(record, kStart);
+    CHECK_TRUE(*first.Find(EndpointId("r1")) == *second.Find(EndpointId("r1")));
+  }
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/control/serving_configuration_test.cc
@@ -0,0 +1,69 @@
+// Guards which route serves a request and which configurations are refused.
+#include "servers/control/serving_configuration.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace cassiausher {
+namespace {
+
+Route MakeRoute(const char* name, const char* prefix, const char* service) {
+  return {.name = name,
+          .host = "a.example",
+          .path_prefix = prefix,
+          .targets = {{ServiceId(service), 1}}};
+}
+
+ServingConfiguration MakeConfiguration() {
+  ServingConfiguration configuration;
+  configuration.version = Revision(3);
+  configuration.routes = {MakeRoute("short", "/a/", "s"),
+                          MakeRoute("long", "/a/b/", "s")};
+  configuration.services[ServiceId("s")] = {.id = ServiceId("s")};
+  return configuration;
+}
+
+}  // namespace
+
+TEST_GROUP(ServingConfiguration){};
+
+TEST(ServingConfiguration, TheLongestPrefixServes) {
+  const RouteTable table(MakeConfiguration());
+  STRCMP_EQUAL("long", table.Find("a.example", "/a/b/c")->name.c_str());
+  STRCMP_EQUAL("short", table.Find("a.example", "/a/c")->name.c_str());
+  POINTERS_EQUAL(nullptr, table.Find("a.example", "/b/"));
+  POINTERS_EQUAL(nullptr, table.Find("b.example", "/a/"));
+}
+
+TEST(ServingConfiguration, AProperOneHasNoFindings) {
+  CHECK_TRUE(Validate(MakeConfiguration()).empty());
+}
+
+TEST(ServingConfiguration, EachFaultIsFound) {
+  ServingConfiguration unknown = MakeConfiguration();
+  unknown.routes[0].targets = {{ServiceId("x"), 1}};
+  CHECK_FALSE(Validate(unknown).empty());
+
+  ServingConfiguration same_place = MakeConfiguration();
+  same_place.routes[1].path_prefix = "/a/";
+  CHECK_FALSE(Validate(same_place).empty());
+
+  ServingConfiguration no_weight = MakeConfiguration();
+  no_weight.routes[0].targets = {{ServiceId("s"), 0}, {ServiceId("s"), 0}};
+  CHECK_FALSE(Validate(no_weight).empty());
+
+  ServingConfiguration no_timeout = MakeConfiguration();
+  no_timeout.routes[0].timeout = Duration(0);
+  CHECK_FALSE(Validate(no_timeout).empty());
+}
+
+TEST(ServingConfiguration, WeightsDecideTheTarget) {
+  Route route = MakeRoute("split", "/a/", "s");
+  route.targets = {
+      {ServiceId("a"), 90}, {ServiceId("none"), 0}, {ServiceId("b"), 10}};
+  STRCMP_EQUAL("a", PickTarget(route, 0.0).service.value().c_str());
+  STRCMP_EQUAL("a", PickTarget(route, 0.89).service.value().c_str());
+  STRCMP_EQUAL("b", PickTarget(route, 0.91).service.value().c_str());
+  STRCMP_EQUAL("b", PickTarget(route, 0.999999).service.value().c_str());
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/control/voter_planner_test.cc
@@ -0,0 +1,104 @@
+// Guards the group of voters: a lost one is replaced before another can be
+// lost, and the group doesn't grow to an even number.
+#include "servers/control/voter_planner.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace cassiausher {
+namespace {
+
+ReplicaId Replica(const char* instance, std::uint64_t storage = 1) {
+  return {InstanceId(instance), storage};
+}
+
+VoterView Three() {
+  VoterView view;
+  view.configuration.group = 1;
+  for (const char* name : {"a", "b", "c"}) {
+    view.configuration.voters.insert(Replica(name));
+  }
+  view.silence[Replica("b")] = Milliseconds(100);
+  view.silence[Replica("c")] = Milliseconds(100);
+  return view;
+}
+
+template <typename Step>
+bool Is(const VoterStep& step) {
+  return std::holds_alternative<Step>(step);
+}
+
+}  // namespace
+
+TEST_GROUP(VoterPlanner) { VoterPlannerOptions options; };
+
+TEST(VoterPlanner, ACompleteGroupStays) {
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, Three())));
+}
+
+// A machine is gone for good and another comes at a new address.
+TEST(VoterPlanner, ASpareReplacesASilentVoter) {
+  VoterView view = Three();
+  view.silence[Replica("c")] = Seconds(3);
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+  view.unconfigured[Replica("d")] = Milliseconds(100);
+  const VoterStep step = PlanVoters(options, view);
+  CHECK_TRUE(Is<ReplaceStep>(step));
+  CHECK_TRUE(std::get<ReplaceStep>(step).lost == Replica("c"));
+  CHECK_TRUE(std::get<ReplaceStep>(step).replacement == Replica("d"));
+}
+
+// An instance that lost its disk takes its own place.
+TEST(VoterPlanner, AWipedInstanceReplacesItself) {
+  VoterView view = Three();
+  view.silence[Replica("c")] = Seconds(3);
+  view.unconfigured[Replica("a0")] = Milliseconds(100);
+  view.unconfigured[Replica("c", 2)] = Milliseconds(100);
+  const VoterStep step = PlanVoters(options, view);
+  CHECK_TRUE(std::get<ReplaceStep>(step).replacement == Replica("c", 2));
+}
+
+TEST(VoterPlanner, ASpareThatWentSilentIsNotUsed) {
+  VoterView view = Three();
+  view.silence[Replica("c")] = Seconds(3);
+  view.unconfigured[Replica("d")] = Seconds(30);
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+}
+
+TEST(VoterPlanner, GrowsByTwo) {
+  VoterView view = Three();
+  view.unconfigured[Replica("d")] = Milliseconds(100);
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+  view.unconfigured[Replica("e")] = Milliseconds(100);
+  CHECK_TRUE(Is<AddLearnerStep>(PlanVoters(options, view)));
+
+  view.unconfigured.erase(Replica("d"));
+  view.configuration.learners.insert(Replica("d"));
+  CHECK_TRUE(Is<AddLearnerStep>(PlanVoters(options, view)));
+  view.unconfigured.clear();
+  view.configuration.learners.insert(Replica("e"));
+  CHECK_TRUE(Is<PromoteStep>(PlanVoters(options, view)));
+
+  view.configuration.learners.erase(Replica("d"));
+  view.configuration.voters.insert(Replica("d"));
+  CHECK_TRUE(Is<PromoteStep>(PlanVoters(options, view)));
+}
+
+TEST(VoterPlanner, DoesNotGrowBeyondItsBound) {
+  options.most_voters = 3;
+  VoterView view = Three();
+  view.unconfigured[Replica("d")] = Milliseconds(100);
+  view.unconfigured[Replica("e")] = Milliseconds(100);
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+}
+
+// A learner that is gone would hold up every later change.
+TEST(VoterPlanner, ASilentLearnerLeaves) {
+  VoterView view = Three();
+  view.configuration.learners.insert(Replica("d"));
+  view.silence[Replica("d")] = Seconds(5);
+  CHECK_TRUE(Is<RemoveLearnerStep>(PlanVoters(options, view)));
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/entry/endpoint_pool_test.cc
@@ -0,0 +1,157 @@
+// Guards where requests go: away from departing, dark, slow, failing and full
+// endpoints, and to the own data centre otherwise.
+#include "servers/entry/endpoint_pool.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+
+EndpointRecord Plain(const char* id, const char* data_centre) {
+  return {.id = EndpointId(id),
+          .service = ServiceId("lookup"),
+          .address = "10.0.0.1:80",
+          .data_centre = DataCentreId(data_centre),
+          .slots = 6,
+          .born = Incarnation(1),
+          .sequence = 1};
+}
+
+EndpointRecord Decoder(const char* id) {
+  EndpointRecord record = Plain(id, "here");
+  record.service = ServiceId("model");
+  record.stage = EndpointStage::kDecode;
+  return record;
+}
+
+const WorkSpec kLookup = {.service = ServiceId("lookup")};
+
+WorkSpec Stream() {
+  return {.service = ServiceId("model"),
+          .stage = EndpointStage::kDecode,
+          .prompt = Tokens(5000),
+          .kv_tokens = Tokens(7000),
+          .kv_capacity = Tokens(100000)};
+}
+
+}  // namespace
+
+TEST_GROUP(EndpointPool) {
+  EndpointPool pool{EndpointPoolOptions{.data_centre = DataCentreId("here")}};
+
+  std::string PickId(const WorkSpec& work, Time now) {
+    const auto placed = pool.Pick(work, now);
+    return placed ? placed->endpoint.id.value() : "none";
+  }
+  void Finish(const char* id, WorkOutcome outcome, Duration took, Time now) {
+    pool.OnStart(EndpointId(id), kLookup, now);
+    pool.OnFinish(EndpointId(id), kLookup, outcome, took, now);
+  }
+};
+
+TEST(EndpointPool, PrefersTheOwnDataCentre) {
+  pool.Merge(Plain("a", "there"), kStart);
+  pool.Merge(Plain("b", "here"), kStart);
+  STRCMP_EQUAL("b", PickId(kLookup, kStart).c_str());
+}
+
+TEST(EndpointPool, ADepartingEndpointGetsNothing) {
+  EndpointRecord record = Plain("a", "here");
+  pool.Merge(record, kStart);
+  record.state = EndpointState::kDraining;
+  record.sequence = 2;
+  pool.Merge(record, kStart);
+  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+}
+
+// A control instance that started anew tells of a runner that has departed.
+TEST(EndpointPool, AnOlderWordDoesNotBringAnEndpointBack) {
+  EndpointRecord record = Plain("a", "here");
+  record.state = EndpointState::kDeparted;
+  record.sequence = 5;
+  pool.Merge(record, kStart);
+  pool.Merge(Plain("a", "here"), kStart);
+  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+}
+
+// Pattern: runners go dark; connections to them hang.
+TEST(EndpointPool, OneFailedConnectionMovesTheLoadAway) {
+  pool.Merge(Plain("dark", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  Finish("dark", WorkOutcome::kUnreachable, Milliseconds(250), kStart);
+  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
+  // Later one trial at a time finds out whether it is back.
+  const Time later = kStart + Seconds(8);
+  STRCMP_EQUAL("dark", PickId(kLookup, later).c_str());
+  pool.OnStart(EndpointId("dark"), kLookup, later);
+  STRCMP_EQUAL("sound", PickId(kLookup, later).c_str());
+}
+
+// Pattern: runners turn slow.
+TEST(EndpointPool, ASlowEndpointGetsLess) {
+  pool.Merge(Plain("slow", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  for (int i = 0; i < 4; ++i) {
+    Finish("slow", WorkOutcome::kDone, Milliseconds(75), kStart);
+  }
+  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
+}
+
+// Pattern: runners fail part of their requests while their health is good.
+TEST(EndpointPool, AFailingEndpointGetsLess) {
+  pool.Merge(Plain("grey", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  Finish("grey", WorkOutcome::kServerError, Milliseconds(10), kStart);
+  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("grey", PickId(kLookup, kStart + Seconds(60)).c_str());
+}
+
+TEST(EndpointPool, ASilentEndpointIsTheLastResort) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.SetSilent("control", {EndpointId("silent")}, kStart);
+  STRCMP_EQUAL("silent", PickId(kLookup, kStart).c_str());
+  pool.Merge(Plain("heard", "there"), kStart);
+  STRCMP_EQUAL("heard", PickId(kLookup, kStart).c_str());
+  // Another control instance still hears of it.
+  pool.SetSilent("other control", {}, kStart);
+  STRCMP_EQUAL("silent", PickId(kLookup, kStart).c_str());
+}
+
+// An address is used again by another endpoint.
+TEST(EndpointPool, AMisplacedEndpointIsLeftOut) {
+  pool.Merge(Plain("old", "here"), kStart);
+  Finish("old", WorkOutcome::kMisplaced, Milliseconds(2), kStart);
+  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+}
+
+// Pattern: a burst of streams; each entry instance sees only its own, and a
+// runner whose memory is full preempts or rejects.
+TEST(EndpointPool, StreamsGoWhereMemoryIsLeft) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.Merge(Decoder("b"), kStart);
+  pool.SetOtherLoads({{EndpointId("a"), {8, Tokens(60000)}}}, kStart);
+  STRCMP_EQUAL("b", PickId(Stream(), kStart).c_str());
+  for (int i = 0; i < 13; ++i) {
+    pool.OnStart(EndpointId("b"), Stream(), kStart);
+  }
+  STRCMP_EQUAL("a", PickId(Stream(), kStart).c_str());
+  DOUBLES_EQUAL(0.67, pool.Pick(Stream(), kStart)->occupancy, 0.001);
+  // An old word on others' loads doesn't count.
+  DOUBLES_EQUAL(0.07, pool.Pick(Stream(), kStart + Seconds(9))->occupancy,
+                0.001);
+}
+
+TEST(EndpointPool, OwnLoadsEndWithTheWork) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.OnStart(EndpointId("a"), Stream(), kStart);
+  LONGS_EQUAL(7000, pool.OwnLoads()[EndpointId("a")].kv_tokens.value());
+  pool.OnFinish(EndpointId("a"), Stream(), WorkOutcome::kDone, Seconds(1),
+                kStart);
+  CHECK_TRUE(pool.OwnLoads().empty());
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/entry/request_forwarder_test.cc
@@ -0,0 +1,258 @@
+// Guards what may be repeated, what a caller is told, and how long a request
+// waits: the promises of at most once and of "not run".
+#include "servers/entry/request_forwarder.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+#include "core/random.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+
+EndpointRecord Endpoint(const std::string& id, EndpointStage stage) {
+  return {.id = EndpointId(id),
+          .service = ServiceId("s"),
+          .address = "10.0.0.1:80",
+          .data_centre = DataCentreId("here"),
+          .stage = stage,
+          .slots = 6,
+          .born = Incarnation(1),
+          .sequence = 1};
+}
+
+RequestFacts Facts(RouteKind kind, int attempts) {
+  return {.kind = kind,
+          .attempts = attempts,
+          .service = ServiceId("s"),
+          .arrived = kStart,
+          .deadline = kStart + Seconds(10)};
+}
+
+RequestFacts StreamFacts(bool resumable) {
+  RequestFacts facts = Facts(RouteKind::kStream, resumable ? 2 : 1);
+  facts.resumable = resumable;
+  facts.has_engine = true;
+  facts.prompt = Tokens(5000);
+  facts.output = Tokens(4000);
+  facts.kv_capacity = Tokens(100000);
+  facts.latency_target = Milliseconds(900);
+  return facts;
+}
+
+template <typename Step>
+bool Is(const ForwardStep& step) {
+  return std::holds_alternative<Step>(step);
+}
+
+const StartCall& Call(const ForwardStep& step) {
+  return std::get<StartCall>(step);
+}
+
+}  // namespace
+
+TEST_GROUP(RequestForwarder) {
+  EndpointPool pool{EndpointPoolOptions{.data_centre = DataCentreId("here")}};
+  RetryBudget budget{RetryBudgetOptions{.ratio = 1, .floor_per_second = 10}};
+
+  void AddPlain(int count) {
+    for (int i = 0; i < count; ++i) {
+      pool.Merge(Endpoint("p" + std::to_string(i), EndpointStage::kNone),
+                 kStart);
+    }
+  }
+  void AddRunners() {
+    pool.Merge(Endpoint("prefill", EndpointStage::kPrefill), kStart);
+    pool.Merge(Endpoint("decode1", EndpointStage::kDecode), kStart);
+    pool.Merge(Endpoint("decode2", EndpointStage::kDecode), kStart);
+  }
+  RequestForwarder Make(const RequestFacts& facts) {
+    return RequestForwarder(facts, &pool, &budget);
+  }
+};
+
+TEST(RequestForwarder, ABrokenCallOfANonIdempotentRequestIsTheEnd) {
+  AddPlain(3);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 3));
+  CHECK_TRUE(Is<StartCall>(forwarder.Start(kStart)));
+  const ForwardStep end = forwarder.OnCallFailed(CallFailure::kBroken, kStart);
+  // It may have run: neither a refusal nor another run.
+  CHECK_TRUE(Is<Fail>(end));
+  LONGS_EQUAL(502, std::get<Fail>(end).status);
+}
+
+TEST(RequestForwarder, WhatWasNotSentGoesElsewhere) {
+  AddPlain(2);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 1));
+  const std::string first = Call(forwarder.Start(kStart)).endpoint.id.value();
+  const ForwardStep next =
+      forwarder.OnCallFailed(CallFailure::kNotSent, kStart);
+  CHECK_TRUE(Is<StartCall>(next));
+  CHECK_FALSE(Call(next).endpoint.id.value() == first);
+}
+
+TEST(RequestForwarder, WhatNobodyRanIsRefusedWithATime) {
+  AddPlain(2);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 1));
+  forwarder.Start(kStart);
+  forwarder.OnCallFailed(CallFailure::kNotExecuted, kStart);
+  const ForwardStep end =
+      forwarder.OnCallFailed(CallFailure::kNotExecuted, kStart);
+  CHECK_TRUE(Is<Refuse>(end));
+  CHECK_TRUE(std::get<Refuse>(end).retry_after > Duration(0));
+}
+
+TEST(RequestForwarder, WithoutEndpointsARequestIsRefusedAtOnce) {
+  RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+  CHECK_TRUE(Is<Refuse>(forwarder.Start(kStart)));
+}
+
+TEST(RequestForwarder, AnIdempotentRequestIsRepeatedWithinItsAttempts) {
+  AddPlain(3);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+  const ForwardStep first = forwarder.Start(kStart);
+  CHECK_TRUE(Call(first).answer_timeout > Duration(0));
+  const ForwardStep second =
+      forwarder.OnCallFailed(CallFailure::kBroken, kStart);
+  CHECK_TRUE(Is<StartCall>(second));
+  // The last attempt has all the time that is left.
+  CHECK_TRUE(Call(second).answer_timeout == Duration(0));
+  CHECK_TRUE(Is<Fail>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
+}
+
+// Pattern: callers repeat at once and often. Repeats of our own must not add to
+// it beyond the budget.
+TEST(RequestForwarder, TheRetryBudgetBoundsRepeats) {
+  AddPlain(3);
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0.2, .floor_per_second = 0});
+  int repeats = 0;
+  for (int i = 0; i < 100; ++i) {
+    RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+    if (!Is<StartCall>(forwarder.Start(kStart))) continue;
+    if (Is<StartCall>(forwarder.OnCallFailed(CallFailure::kBroken, kStart))) {
+      ++repeats;
+    }
+  }
+  CHECK_TRUE(repeats > 0);
+  CHECK_TRUE(repeats <= 20);
+}
+
+TEST(RequestForwarder, APromptIsReadThenDecoded) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  const ForwardStep first = forwarder.Start(kStart);
+  CHECK_TRUE(Call(first).kind == CallKind::kPrefill);
+  const ForwardStep second =
+      forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  CHECK_TRUE(Call(second).kind == CallKind::kRun);
+  STRCMP_EQUAL("h", Call(second).kv_source->handle.c_str());
+  CHECK_FALSE(forwarder.OnCallFailed(CallFailure::kBroken, kStart).index() ==
+              0);
+}
+
+// A full runner doesn't take the handle; another may.
+TEST(RequestForwarder, ARejectedHandleIsOfferedElsewhere) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  forwarder.Start(kStart);
+  forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  const ForwardStep next =
+      forwarder.OnCallFailed(CallFailure::kNotExecuted, kStart);
+  CHECK_TRUE(Is<StartCall>(next));
+  CHECK_TRUE(Call(next).kv_source.has_value());
+}
+
+// Pattern: handles lapse at once.
+TEST(RequestForwarder, ALapsedHandleIsNotOffered) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  forwarder.Start(kStart);
+  forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  const ForwardStep next =
+      forwarder.OnCallFailed(CallFailure::kNotSent, kStart + Milliseconds(450));
+  CHECK_TRUE(Is<StartCall>(next));
+  CHECK_FALSE(Call(next).kv_source.has_value());
+}
+
+TEST(RequestForwarder, AFailedPrefillEndsWithTheDecodeRunner) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  forwarder.Start(kStart);
+  const ForwardStep next = forwarder.OnCallFailed(CallFailure::kBroken, kStart);
+  CHECK_TRUE(Call(next).kind == CallKind::kRun);
+  CHECK_TRUE(Call(next).endpoint.stage == EndpointStage::kDecode);
+}
+
+TEST(RequestForwarder, AResumableStreamGoesOnElsewhere) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  const ForwardStep run = forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  forwarder.OnRelayed();
+  const ForwardStep next = forwarder.OnCallFailed(CallFailure::kBroken, kStart);
+  CHECK_TRUE(Is<StartCall>(next));
+  CHECK_FALSE(Call(next).endpoint.id == Call(run).endpoint.id);
+  CHECK_TRUE(
+      Is<BreakOff>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
+}
+
+TEST(RequestForwarder, AStreamThatBeganIsBrokenOffNotAnswered) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  forwarder.Start(kStart);
+  forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  forwarder.OnRelayed();
+  CHECK_TRUE(
+      Is<BreakOff>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
+  CHECK_TRUE(Is<BreakOff>(forwarder.OnDeadline()));
+}
+
+// Pattern: a burst of streams beyond the runners' memory. A request waits
+// while it can still be in time, then its caller is told when to come back.
+TEST(RequestForwarder, ABurstWaitsForRoomThenIsRefused) {
+  AddRunners();
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(99000)}},
+                      {EndpointId("decode2"), {9, Tokens(99000)}}},
+                     kStart);
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  CHECK_TRUE(Is<WaitForRoom>(forwarder.Start(kStart)));
+  CHECK_TRUE(Is<WaitForRoom>(forwarder.OnWaited(kStart + Milliseconds(100))));
+  const ForwardStep end = forwarder.OnWaited(kStart + Milliseconds(800));
+  CHECK_TRUE(Is<Refuse>(end));
+  CHECK_TRUE(std::get<Refuse>(end).retry_after >= Seconds(1));
+}
+
+// Any sequence of failures: a request that can't be repeated is never sent
+// again once it may have run, and a refusal is only given if none ran.
+TEST(RequestForwarder, PromisesHoldForAnySequenceOfFailures) {
+  AddRunners();
+  for (std::uint64_t seed = 1; seed <= 4000; ++seed) {
+    Random random(seed);
+    const bool resumable = random.Chance(0.5);
+    RequestForwarder forwarder = Make(StreamFacts(resumable));
+    Time now = kStart;
+    ForwardStep step = forwarder.Start(now);
+    int may_have_run = 0;
+    while (Is<StartCall>(step)) {
+      const bool prefill = Call(step).kind == CallKind::kPrefill;
+      CHECK_TRUE(prefill || may_have_run < (resumable ? 2 : 1));
+      now += Milliseconds(random.Below(400));
+      if (prefill && random.Chance(0.5)) {
+        step = forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, now);
+        continue;
+      }
+      const auto failure = static_cast<CallFailure>(random.Below(5));
+      const bool ran = failure == CallFailure::kBroken ||
+                       failure == CallFailure::kServerError;
+      if (ran && !prefill) ++may_have_run;
+      step = forwarder.OnCallFailed(failure, now);
+    }
+    CHECK_FALSE(Is<Refuse>(step) && may_have_run > 0);
+  }
+}
+
+}  // namespace cassiausher
