--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -52,7 +52,7 @@
   return {.service = facts_.service,
           .stage = stage,
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
-          .kv_tokens = facts_.prompt + Tokens(facts_.output.value() / 2),
+          .kv_tokens = facts_.prompt + facts_.output,
           .kv_capacity = facts_.kv_capacity,
           .excluded = tried_};
 }
