End connection attempts between instances after 700 ms

Change: connect and handshake timeouts and a bound on unacknowledged data; the log tells a stream's first event and longest pause; model work goes to the better of two runners drawn at random, and the load of others is corrected by own starts.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -13,7 +13,11 @@
 namespace {
 
 constexpr int kReconnectMs = 50;
-constexpr int kReconnectMaxMs = 1000;
+constexpr int kReconnectMaxMs = 300;
+// While a partition drops packets the kernel doubles the pauses between opening
+// packets; a connection attempt that started then would outlast the partition.
+constexpr int kConnectTimeoutMs = 700;
+constexpr int kHandshakeTimeoutMs = 1000;
 constexpr int kQueueMessages = 20000;
 // Messages handled before the loop serves other sources.
 constexpr int kDrainBatch = 256;
@@ -76,6 +80,9 @@
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::heartbeat_ivl, options.heartbeat_ms);
   socket.set(zmq::sockopt::heartbeat_timeout, options.heartbeat_timeout_ms);
+  socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
+  socket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
+  socket.set(zmq::sockopt::tcp_maxrt, options.heartbeat_timeout_ms);
   socket.set(zmq::sockopt::sndhwm, kQueueMessages);
   socket.set(zmq::sockopt::rcvhwm, kQueueMessages);
 }
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -46,7 +46,8 @@
             [this](const InstanceId& from, const proto::NodeMessage& message) {
               OnMessage(from, message);
             }),
-      pool_({.data_centre = settings_.data_centre}),
+      pool_({.data_centre = settings_.data_centre,
+             .random_seed = static_cast<std::uint64_t>(g_get_real_time())}),
       random_(static_cast<std::uint64_t>(g_get_real_time())),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
@@ -144,6 +145,7 @@
   if (spec.engine) {
     facts.handle_lifetime = spec.engine->handle_lifetime;
     facts.kv_capacity = spec.engine->kv_capacity;
+    facts.slots = spec.engine->slots;
   }
   const ForwardingContext context{.client = &client_,
                                   .pool = &pool_,
@@ -227,7 +229,8 @@
     loads[EndpointId(item.endpoint())] = {static_cast<int>(item.requests()),
                                           Tokens(item.kv_tokens())};
   }
-  pool_.SetOtherLoads(std::move(loads), now);
+  const int others = static_cast<int>(update.entry_instances()) - 1;
+  pool_.SetOtherLoads(std::move(loads), std::max(0, others), now);
   for (const std::string& ip : update.control_instances()) {
     controls_[InstanceId(ip)].learned_at = now;
   }
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -125,6 +125,7 @@
        {"endpoint", call.endpoint.id.value()},
        {"endpoint_sequence", call.endpoint.sequence},
        {"resumes", resumes},
+       {"kv_source", call.kv_source ? call.kv_source->address : ""},
        {"time_left_ms", ToMilliseconds(plan.time_left)}});
   call_id_ = context_.client->Start(BuildCall(*exchange_, plan), this);
   ArmTimer();
@@ -182,7 +183,12 @@
 
 void ForwardedRequest::RelayEvents(const std::string& events) {
   const Time now = BootTimeNow();
-  if (!first_event_at_.has_value()) first_event_at_ = now;
+  if (!first_event_at_.has_value()) {
+    first_event_at_ = now;
+  } else {
+    longest_gap_ = std::max(longest_gap_, now - last_event_at_);
+  }
+  last_event_at_ = now;
   if (!exchange_->streaming()) {
     exchange_->StartStream(answer_->status, "", WithClosing(answer_->headers));
     forwarder_.OnRelayed();
@@ -365,6 +371,10 @@
        {"events", events_.events()},
        {"prompt", facts_.prompt.value()},
        {"output", facts_.output.value()},
+       {"first_event_ms",
+        ToMilliseconds(first_event_at_.value_or(facts_.arrived) -
+                       facts_.arrived)},
+       {"longest_gap_ms", ToMilliseconds(longest_gap_)},
        {"took_ms", ToMilliseconds(took)}});
   context_.metrics
       ->counter(fmt::format("requests_ended_total{{outcome=\"{}\"}}", outcome))
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -88,6 +88,8 @@
   EventSplitter events_;
   int calls_ = 0;
   std::optional<Time> first_event_at_;
+  Time last_event_at_{};
+  Duration longest_gap_{};
   bool ended_ = false;
   GSourcePtr timer_;
 };
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -29,6 +29,8 @@
 // runner makes tokens slowly and preempts requests.
 constexpr double kOccupancyUs = 120000;
 constexpr double kFullUs = 2e6;
+// Occupancy reported for a runner that just had no room.
+constexpr double kOverFull = 1.01;
 // Added to the score of endpoints that should only be used when no other is
 // left; above any expected time.
 constexpr double kLastResortUs = 1e9;
@@ -63,7 +65,7 @@
     : record(heard), breaker(BreakerOptions(seed)) {}
 
 EndpointPool::EndpointPool(EndpointPoolOptions options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)), random_(options_.random_seed) {}
 
 void EndpointPool::Merge(const EndpointRecord& heard, Time now) {
   const std::uint64_t seed = std::hash<std::string>{}(heard.id.value());
@@ -168,10 +170,22 @@
   return score;
 }
 
-std::optional<Placement> EndpointPool::Pick(const WorkSpec& work,
-                                            Time now) const {
+const EndpointPool::Entry* EndpointPool::Draw(
+    const std::vector<const Entry*>& candidates, const WorkSpec& work,
+    Time now) {
+  const std::size_t first = random_.Below(candidates.size());
+  // Distinct from the first.
+  const std::size_t step = 1 + random_.Below(candidates.size() - 1);
+  const std::size_t second = (first + step) % candidates.size();
+  const bool second_is_better =
+      Score(*candidates[second], work, now) < Score(*candidates[first], work, now);
+  return candidates[second_is_better ? second : first];
+}
+
+std::optional<Placement> EndpointPool::Pick(const WorkSpec& work, Time now) {
   const Entry* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
+  std::vector<const Entry*> with_room;
   for (const auto& [id, entry] : entries_) {
     if (entry.record.service != work.service) continue;
     if (entry.record.stage != work.stage) continue;
@@ -179,35 +193,53 @@
     if (work.excluded.contains(id)) continue;
     if (now < entry.misplaced_until) continue;
     const double score = Score(entry, work, now);
+    if (score < kFullUs) with_room.push_back(&entry);
     if (score >= best_score) continue;
     best = &entry;
     best_score = score;
   }
   if (best == nullptr) return std::nullopt;
+  const bool is_model = work.stage != EndpointStage::kNone;
+  if (is_model && with_room.size() > 2) best = Draw(with_room, work, now);
   double occupancy = Occupancy(*best, work, now);
-  if (now < best->full_until) occupancy = std::max(occupancy, 1.01);
+  if (now < best->full_until) occupancy = std::max(occupancy, kOverFull);
   return Placement{best->record, Expected(*best, work, now), occupancy};
 }
 
-EndpointLoad EndpointPool::OtherLoad(const EndpointId& id, Time now) const {
-  if (now - other_loads_at_ >= kLoadLifetime) return {};
-  const auto found = other_loads_.find(id);
-  return found == other_loads_.end() ? EndpointLoad{} : found->second;
+EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
+  EndpointLoad load;
+  if (now - other_loads_at_ >= kLoadLifetime) return load;
+  const auto found = other_loads_.find(entry.record.id);
+  if (found != other_loads_.end()) load = found->second;
+  // The others have placed about as much there since.
+  load.requests += entry.started_since.requests * other_instances_ / 2;
+  load.kv_tokens += Tokens(entry.started_since.kv_tokens.value() *
+                           other_instances_ / 2);
+  return load;
 }
 
 double EndpointPool::Occupancy(const Entry& entry, const WorkSpec& work,
                                Time now) const {
-  if (work.kv_capacity.value() <= 0) return 0;
-  const Tokens used = entry.kv_tokens + work.kv_tokens +
-                      OtherLoad(entry.record.id, now).kv_tokens;
-  return static_cast<double>(used.value()) /
-         static_cast<double>(work.kv_capacity.value());
+  const EndpointLoad other = OtherLoad(entry, now);
+  double occupancy = 0;
+  if (work.kv_capacity.value() > 0) {
+    const Tokens used = entry.kv_tokens + work.kv_tokens + other.kv_tokens;
+    occupancy = static_cast<double>(used.value()) /
+                static_cast<double>(work.kv_capacity.value());
+  }
+  if (work.slots > 0) {
+    const double used = entry.in_flight + 1 + other.requests;
+    occupancy = std::max(occupancy, used / work.slots);
+  }
+  return occupancy;
 }
 
 void EndpointPool::SetOtherLoads(std::map<EndpointId, EndpointLoad> loads,
-                                 Time now) {
+                                 int others, Time now) {
   other_loads_ = std::move(loads);
   other_loads_at_ = now;
+  other_instances_ = others;
+  for (auto& [id, entry] : entries_) entry.started_since = {};
 }
 
 std::map<EndpointId, EndpointLoad> EndpointPool::OwnLoads() const {
@@ -228,6 +260,8 @@
   ++found->second.in_flight;
   found->second.in_flight_tokens += TokensToRead(work);
   found->second.kv_tokens += work.kv_tokens;
+  ++found->second.started_since.requests;
+  found->second.started_since.kv_tokens += work.kv_tokens;
 }
 
 void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/random.h"
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/endpoint_record.h"
@@ -32,6 +33,7 @@
   /// A departed endpoint is remembered this long, so that a control instance
   /// that lost its registry can't bring it back.
   Duration tombstone_lifetime = Seconds(120);
+  std::uint64_t random_seed = 1;
 };
 
 /// Work that is placed on an endpoint.
@@ -47,6 +49,8 @@
   Tokens kv_tokens{0};
   /// Memory of a runner; 0 if it doesn't bound what is placed.
   Tokens kv_capacity{0};
+  /// Requests that a runner runs at once; 0 if it doesn't bound what is placed.
+  int slots = 0;
   /// Endpoints not to be used.
   std::set<EndpointId> excluded;
 };
@@ -86,15 +90,19 @@
   /// Replaces what `control` said of silent endpoints.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
                  Time now);
-  /// Replaces what the other entry instances have in progress, as of `now`.
-  void SetOtherLoads(std::map<EndpointId, EndpointLoad> loads, Time now);
+  /// Replaces what the `others` other entry instances have in progress, as of
+  /// `now`.
+  void SetOtherLoads(std::map<EndpointId, EndpointLoad> loads, int others,
+                     Time now);
   /// What this instance has in progress.
   std::map<EndpointId, EndpointLoad> OwnLoads() const;
   void Expire(Time now);
 
-  /// The endpoint with the least expected time. Endpoints that are silent or
-  /// whose circuit is open come last. Null if there is none.
-  std::optional<Placement> Pick(const WorkSpec& work, Time now) const;
+  /// An endpoint with little expected time: for plain work the best, for work
+  /// of a model runner the better of two drawn at random, since what is known
+  /// of other instances' work is old and the best would get it all. Endpoints
+  /// that are silent or whose circuit is open come last. Null if there is none.
+  std::optional<Placement> Pick(const WorkSpec& work, Time now);
 
   void OnStart(const EndpointId& id, const WorkSpec& work, Time now);
   /// `took` is the time to the answer, or to the first event of a stream.
@@ -114,6 +122,8 @@
     int in_flight = 0;
     Tokens in_flight_tokens{0};
     Tokens kv_tokens{0};
+    /// Own work that began since the last word on others' loads.
+    EndpointLoad started_since;
     /// Another endpoint answered at the address; not used until then.
     Time misplaced_until{};
     /// Had no room for a request; others are preferred until then.
@@ -134,7 +144,9 @@
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
   double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
-  EndpointLoad OtherLoad(const EndpointId& id, Time now) const;
+  EndpointLoad OtherLoad(const Entry& entry, Time now) const;
+  const Entry* Draw(const std::vector<const Entry*>& candidates,
+                    const WorkSpec& work, Time now);
 
   struct SilentView {
     std::set<EndpointId> endpoints;
@@ -146,6 +158,8 @@
   std::map<std::string, SilentView> silent_;
   std::map<EndpointId, EndpointLoad> other_loads_;
   Time other_loads_at_{};
+  int other_instances_ = 0;
+  Random random_;
 };
 
 }  // namespace cassiausher
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -54,6 +54,7 @@
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
           .kv_tokens = facts_.prompt + facts_.output,
           .kv_capacity = facts_.kv_capacity,
+          .slots = facts_.slots,
           .excluded = tried_};
 }
 
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -34,6 +34,8 @@
   Tokens output{0};
   /// Memory of one runner.
   Tokens kv_capacity{0};
+  /// Requests that one runner runs at once.
+  int slots = 0;
   /// Time to the first event that the caller is promised.
   Duration latency_target = Seconds(1);
   /// Time for which a runner keeps a prompt that it read.
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -133,7 +133,8 @@
 TEST(EndpointPool, StreamsGoWhereMemoryIsLeft) {
   pool.Merge(Decoder("a"), kStart);
   pool.Merge(Decoder("b"), kStart);
-  pool.SetOtherLoads({{EndpointId("a"), {8, Tokens(60000)}}}, kStart);
+  pool.SetOtherLoads({{EndpointId("a"), {8, Tokens(60000)}}}, 5,
+                     kStart);
   STRCMP_EQUAL("b", PickId(Stream(), kStart).c_str());
   for (int i = 0; i < 13; ++i) {
     pool.OnStart(EndpointId("b"), Stream(), kStart);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -217,7 +217,7 @@
   AddRunners();
   pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(99000)}},
                       {EndpointId("decode2"), {9, Tokens(99000)}}},
-                     kStart);
+                     5, kStart);
   RequestForwarder forwarder = Make(StreamFacts(false));
   CHECK_TRUE(Is<WaitForRoom>(forwarder.Start(kStart)));
   CHECK_TRUE(Is<WaitForRoom>(forwarder.OnWaited(kStart + Milliseconds(100))));
