Read prompts at prefill runners only, also for streams that go on

Change: a prompt is read at a decode runner only for want of prefill runners; expected memory above 0.92 counts as full; a stream that began goes on whatever the load; what others read at a prefill runner counts there.

--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -140,7 +140,11 @@
                                 Time now) const {
   const double unit = UnitCost(entry, work, now);
   if (work.prompt.value() > 0) {
-    const Tokens tokens = entry.in_flight_tokens + TokensToRead(work);
+    Tokens tokens = entry.in_flight_tokens + TokensToRead(work);
+    // What others read at a prefill runner comes before this.
+    if (entry.record.stage == EndpointStage::kPrefill) {
+      tokens += OtherLoad(entry, now).kv_tokens;
+    }
     return Duration(
         static_cast<std::int64_t>(unit * static_cast<double>(tokens.value())));
   }
@@ -157,7 +161,7 @@
   }
   const double occupancy = Occupancy(entry, work, now);
   score += kOccupancyUs * occupancy;
-  if (occupancy > 1 || now < entry.full_until) score += kFullUs;
+  if (occupancy > 0.92 || now < entry.full_until) score += kFullUs;
   score += Memory(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortUs;
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -10,9 +10,12 @@
 constexpr Duration kLeastUsefulTime = Milliseconds(5);
 // Bounds the calls of a request when no endpoint accepts connections.
 constexpr int kMostCalls = 6;
-// Fetching the KV cache and the second call, in the comparison with reading
-// the prompt at the decode runner.
-constexpr Duration kHandoverTime = Milliseconds(12);
+// A prompt is read at another prefill runner this often before the decode
+// runner reads it.
+constexpr int kMostPrefillFailures = 2;
+// Expected memory above this share counts as full: estimates of answers are
+// often too short, and a runner out of memory reads a request anew.
+constexpr double kFullOccupancy = 0.92;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
 constexpr Duration kReadingTime = Milliseconds(350);
@@ -78,7 +81,7 @@
 ForwardStep RequestForwarder::OnCallFailed(CallFailure failure, Time now) {
   tried_.insert(current_endpoint_);
   if (current_ == CallKind::kPrefill) {
-    prefill_failed_ = true;
+    ++prefill_failures_;
     if (failure != CallFailure::kNotSent) ++arrivals_;
     return Next(now);
   }
@@ -144,33 +147,24 @@
 
 std::optional<ForwardStep> RequestForwarder::ChooseModelCall(Time now) {
   WorkSpec decode = Work(EndpointStage::kDecode);
-  decode.prompt_is_read = kv_source_.has_value();
-  const auto direct = pool_->Pick(decode, now);
-  const bool full = direct.has_value() && direct->occupancy > 1;
-  if (full && !kv_source_.has_value()) {
+  decode.prompt_is_read = true;
+  const auto runner = pool_->Pick(decode, now);
+  const bool full = runner.has_value() && runner->occupancy > kFullOccupancy;
+  // A stream that began goes on whatever the load: its caller has a part of it.
+  if (full && !kv_source_.has_value() && runs_ == 0) {
     if (!MayWait(now)) return GiveUp("no runner has room");
     return WaitForRoom{now + kRoomPollPeriod};
   }
-  if (!kv_source_.has_value() && !prefill_failed_ && runs_ == 0) {
-    WorkSpec prefill = Work(EndpointStage::kPrefill);
-    prefill.kv_tokens = facts_.prompt;
-    const auto split = pool_->Pick(prefill, now);
-    const bool split_is_faster =
-        split.has_value() &&
-        (!direct.has_value() ||
-         split->expected + kHandoverTime <= direct->expected);
-    if (split_is_faster) {
-      return StartCall{.kind = CallKind::kPrefill,
-                       .endpoint = split->endpoint,
-                       .work = prefill,
-                       .answer_timeout = std::clamp(
-                           3 * split->expected + Milliseconds(200),
-                           kShortestPrefillTimeout, kLongestPrefillTimeout)};
-    }
+  if (!kv_source_.has_value() && runner.has_value()) {
+    if (auto prefill = ChoosePrefill(now)) return *prefill;
   }
-  if (!direct.has_value()) return std::nullopt;
-  StartCall call{
-      .endpoint = direct->endpoint, .work = decode, .kv_source = kv_source_};
+  // A runner that reads a prompt itself holds up its other streams beyond the
+  // pauses that their callers bear, so this is for want of prefill runners.
+  decode.prompt_is_read = kv_source_.has_value();
+  if (!runner.has_value()) return std::nullopt;
+  StartCall call{.endpoint = runner->endpoint,
+                 .work = decode,
+                 .kv_source = kv_source_};
   if (Repeatable() && runs_ + 1 < facts_.attempts) {
     call.answer_timeout = kFirstEventTimeout;
     call.gap_timeout = kGapFactor * facts_.gap_target;
@@ -178,6 +172,22 @@
   return call;
 }
 
+std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) const {
+  if (prefill_failures_ >= kMostPrefillFailures) return std::nullopt;
+  WorkSpec prefill = Work(EndpointStage::kPrefill);
+  prefill.kv_tokens = facts_.prompt;
+  prefill.slots = 0;
+  const auto placed = pool_->Pick(prefill, now);
+  if (!placed.has_value()) return std::nullopt;
+  const Duration timeout =
+      std::clamp(3 * placed->expected + Milliseconds(200),
+                 kShortestPrefillTimeout, kLongestPrefillTimeout);
+  return StartCall{.kind = CallKind::kPrefill,
+                   .endpoint = placed->endpoint,
+                   .work = prefill,
+                   .answer_timeout = timeout};
+}
+
 ForwardStep RequestForwarder::Issue(StartCall call, Time now) {
   // The first prefill call and the first run are part of every request.
   const bool extra = arrivals_ > 0;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -130,6 +130,7 @@
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
+  std::optional<StartCall> ChoosePrefill(Time now) const;
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether waiting for room can still keep the latency target.
   bool MayWait(Time now) const;
@@ -145,7 +146,7 @@
   EndpointId current_endpoint_;
   std::optional<KvSource> kv_source_;
   Time kv_read_at_{};
-  bool prefill_failed_ = false;
+  int prefill_failures_ = 0;
   /// Runners that rejected the prompt's KV cache.
   int handle_rejections_ = 0;
   /// Endpoints that failed this request.
