Call endpoints through libcurl; weigh failures; refuse long queues at once

Callers that were refused for want of memory came back into the same burst. Change: HttpClient runs on libcurl; a broken connection weighs four times an error answer; a connection that takes 120 ms is made elsewhere; Retry-After of streams is 3 to 4.5 s; more than three waiting streams are refused at once; three quarters of the expected answer are reserved.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -1,214 +1,321 @@
 #include "drivers/http_client.h"
 
-#include <array>
+#include <curl/curl.h>
+#include <glib-unix.h>
+
+#include <algorithm>
+#include <deque>
+#include <map>
 
 namespace cassiausher {
 namespace {
 
-constexpr int kMaxConnections = 256;
-constexpr int kMaxConnectionsPerHost = 256;
+// Idle connections that a client keeps for calls that may reuse them.
+constexpr long kMaxIdleConnections = 64;
 // An idle connection older than this is closed before a middlebox forgets it.
-constexpr int kIdleTimeoutSeconds = 20;
-// One buffer for each open call; 10,000 streams hold 80 MB of them.
-constexpr gsize kReadBytes = 8 << 10;
-// libsoup walks all calls of a session, and for each its connections, whenever
-// one call moves on. With 2,500 calls in one session a task did nothing else.
-constexpr int kCallsPerSession = 64;
+constexpr long kIdleTimeoutSeconds = 20;
+// One buffer for each open call.
+constexpr long kReadBytes = 8 << 10;
+constexpr int kFirstFinalStatus = 200;
 
-}  // namespace
+struct SoupHeadersUnref {
+  void operator()(SoupMessageHeaders* headers) const {
+    soup_message_headers_unref(headers);
+  }
+};
+using SoupHeadersPtr = std::unique_ptr<SoupMessageHeaders, SoupHeadersUnref>;
 
-struct HttpClient::Session {
-  GObjectPtr<SoupSession> soup;
-  int calls = 0;
+struct SlistFree {
+  void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
+using SlistPtr = std::unique_ptr<curl_slist, SlistFree>;
+
+SoupHeadersPtr NewHeaders() {
+  return SoupHeadersPtr(
+      soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE));
+}
+
+std::string_view Trimmed(std::string_view text) {
+  const char* blanks = " \t\r\n";
+  const std::size_t first = text.find_first_not_of(blanks);
+  if (first == std::string_view::npos) return {};
+  return text.substr(first, text.find_last_not_of(blanks) - first + 1);
+}
+
+GSourcePtr AttachSource(GSource* source, GMainContext* context) {
+  g_source_attach(source, context);
+  return GSourcePtr(source);
+}
+
+}  // namespace
 
 struct HttpClient::Pending {
-  std::shared_ptr<Session> session;
-  HttpClient* client = nullptr;
   CallId id = 0;
-  HttpCallSink* sink = nullptr;  // Null once cancelled.
-  GObjectPtr<SoupMessage> message;
-  GObjectPtr<GCancellable> cancellable;
-  GObjectPtr<GInputStream> stream;
+  HttpCallSink* sink = nullptr;
+  CURL* easy = nullptr;
+  CURLM* multi = nullptr;
+  SlistPtr request_headers;
+  std::string request_body;
+  Loop* loop = nullptr;
+
+  // What has arrived and is not yet delivered. libcurl's callbacks must not
+  // start or cancel calls, so sinks are called after them.
+  int status = 0;
+  SoupHeadersPtr headers = NewHeaders();
+  bool headers_complete = false;
+  bool headers_delivered = false;
+  std::string body;
+  bool done = false;
+  std::string error;
   bool sent = false;
-  /// Answered 421, which libsoup would answer by sending the call again.
-  bool misdirected = false;
-  std::array<char, kReadBytes> buffer;
+
+  ~Pending() {
+    if (easy == nullptr) return;
+    curl_multi_remove_handle(multi, easy);
+    curl_easy_cleanup(easy);
+  }
+
+  bool Sent() const {
+    curl_off_t pretransfer_us = 0;
+    curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
+    return pretransfer_us > 0;
+  }
 };
 
-HttpClient::HttpClient() = default;
+// Runs libcurl's transfers on a GLib main context.
+struct HttpClient::Loop {
+  HttpClient* client = nullptr;
+  GMainContext* context = nullptr;
+  CURLM* multi = nullptr;
+  std::map<curl_socket_t, GSourcePtr> sockets;
+  GSourcePtr timer;
+  /// Calls with something to deliver.
+  std::deque<CallId> ready;
 
-HttpClient::~HttpClient() {
-  for (auto& [id, pending] : pending_) {
-    pending->sink = nullptr;
-    pending->client = nullptr;
-    g_cancellable_cancel(pending->cancellable.get());
+  explicit Loop(HttpClient* owner) : client(owner), multi(curl_multi_init()) {
+    curl_multi_setopt(multi, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(multi, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(multi, CURLMOPT_TIMERDATA, this);
+    curl_multi_setopt(multi, CURLMOPT_MAXCONNECTS, kMaxIdleConnections);
   }
-  for (const auto& session : sessions_) {
-    soup_session_abort(session->soup.get());
+  ~Loop() {
+    sockets.clear();
+    timer.reset();
+    curl_multi_cleanup(multi);
   }
-}
 
-std::shared_ptr<HttpClient::Session> HttpClient::SessionWithRoom() {
-  for (const auto& session : sessions_) {
-    if (session->calls < kCallsPerSession) return session;
+  static int OnSocket(CURL*, curl_socket_t socket, int what, void* data,
+                      void*) {
+    auto* self = static_cast<Loop*>(data);
+    self->sockets.erase(socket);
+    if (what == CURL_POLL_REMOVE) return 0;
+    int condition = G_IO_ERR | G_IO_HUP;
+    if ((what & CURL_POLL_IN) != 0) condition |= G_IO_IN;
+    if ((what & CURL_POLL_OUT) != 0) condition |= G_IO_OUT;
+    GSource* source =
+        g_unix_fd_source_new(socket, static_cast<GIOCondition>(condition));
+    const GUnixFDSourceFunc ready = [](gint descriptor, GIOCondition events,
+                                       gpointer loop) -> gboolean {
+      int mask = 0;
+      if ((events & (G_IO_IN | G_IO_HUP)) != 0) mask |= CURL_CSELECT_IN;
+      if ((events & G_IO_OUT) != 0) mask |= CURL_CSELECT_OUT;
+      if ((events & G_IO_ERR) != 0) mask |= CURL_CSELECT_ERR;
+      static_cast<Loop*>(loop)->Act(descriptor, mask);
+      return G_SOURCE_CONTINUE;
+    };
+    g_source_set_callback(source, G_SOURCE_FUNC(ready), self, nullptr);
+    self->sockets[socket] = AttachSource(source, self->context);
+    return 0;
   }
-  auto session = std::make_shared<Session>();
-  session->soup.reset(soup_session_new_with_options(
-      "max-conns", kMaxConnections, "max-conns-per-host",
-      kMaxConnectionsPerHost, "idle-timeout", kIdleTimeoutSeconds, "timeout", 0,
-      nullptr));
-  // Without this feature a call is exactly what the driver wrote.
-  soup_session_remove_feature_by_type(session->soup.get(),
-                                      SOUP_TYPE_CONTENT_DECODER);
-  sessions_.push_back(session);
-  return session;
-}
 
-HttpClient::CallId HttpClient::Start(const HttpCall& call, HttpCallSink* sink) {
-  auto* pending = new Pending;
-  pending->client = this;
-  pending->id = next_id_++;
-  pending->sink = sink;
-  pending->session = SessionWithRoom();
-  ++pending->session->calls;
-  pending->cancellable.reset(g_cancellable_new());
-  pending->message.reset(
-      soup_message_new(call.method.c_str(), call.url.c_str()));
-  pending_[pending->id] = pending;
-  if (!pending->message) {
-    // Reported from the main loop, so that the caller has the id by then.
-    GSource* source = g_idle_source_new();
+  static int OnTimer(CURLM*, long timeout_ms, void* data) {
+    auto* self = static_cast<Loop*>(data);
+    self->timer.reset();
+    if (timeout_ms < 0) return 0;
+    GSource* source = g_timeout_source_new(static_cast<guint>(timeout_ms));
     g_source_set_callback(
         source,
-        [](gpointer data) -> gboolean {
-          Done(static_cast<Pending*>(data), "the URL is malformed");
+        [](gpointer loop) -> gboolean {
+          static_cast<Loop*>(loop)->Act(CURL_SOCKET_TIMEOUT, 0);
           return G_SOURCE_REMOVE;
         },
-        pending, nullptr);
-    g_source_attach(source, g_main_context_get_thread_default());
-    g_source_unref(source);
-    return pending->id;
-  }
-  SoupMessage* message = pending->message.get();
-  soup_message_add_flags(message, SOUP_MESSAGE_NO_REDIRECT);
-  if (call.new_connection) {
-    soup_message_add_flags(message, SOUP_MESSAGE_NEW_CONNECTION);
-  }
-  if (call.repeatable && !call.new_connection) {
-    soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
-  }
-  SoupMessageHeaders* headers = soup_message_get_request_headers(message);
-  for (const auto& [name, value] : call.headers) {
-    soup_message_headers_append(headers, name.c_str(), value.c_str());
+        self, nullptr);
+    self->timer = AttachSource(source, self->context);
+    return 0;
   }
-  if (call.method != "GET" || !call.body.empty()) {
-    const GBytesPtr body(g_bytes_new(call.body.data(), call.body.size()));
-    const char* type =
-        call.content_type.empty() ? nullptr : call.content_type.c_str();
-    soup_message_set_request_body_from_bytes(message, type, body.get());
+
+  void Act(curl_socket_t socket, int mask) {
+    int running = 0;
+    curl_multi_socket_action(multi, socket, mask, &running);
+    int left = 0;
+    while (CURLMsg* message = curl_multi_info_read(multi, &left)) {
+      if (message->msg != CURLMSG_DONE) continue;
+      Pending* pending = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &pending);
+      pending->done = true;
+      pending->sent = pending->Sent();
+      if (message->data.result != CURLE_OK) {
+        pending->error = curl_easy_strerror(message->data.result);
+      }
+      ready.push_back(pending->id);
+    }
+    client->Deliver();
   }
-  // From here on the far end may have seen the call.
-  g_signal_connect_swapped(message, "starting",
-                           G_CALLBACK(+[](Pending* p) { p->sent = true; }),
-                           pending);
-  g_signal_connect_swapped(message, "got-headers", G_CALLBACK(+[](Pending* p) {
-                             if (soup_message_get_status(p->message.get()) !=
-                                 SOUP_STATUS_MISDIRECTED_REQUEST) {
-                               return;
-                             }
-                             p->misdirected = true;
-                             g_cancellable_cancel(p->cancellable.get());
-                           }),
-                           pending);
-  soup_session_send_async(pending->session->soup.get(), message,
-                          G_PRIORITY_DEFAULT, pending->cancellable.get(),
-                          &HttpClient::OnSent, pending);
-  return pending->id;
-}
+};
 
-void HttpClient::Cancel(CallId id) {
-  const auto found = pending_.find(id);
-  if (found == pending_.end()) return;
-  Pending* pending = found->second;
-  pending_.erase(found);
-  pending->sink = nullptr;
-  pending->client = nullptr;
-  g_cancellable_cancel(pending->cancellable.get());
-}
+HttpClient::HttpClient() = default;
 
-bool HttpClient::WasSent(CallId id) const {
-  const auto found = pending_.find(id);
-  return found != pending_.end() && found->second->sent;
-}
+HttpClient::~HttpClient() { pending_.clear(); }
 
-void HttpClient::Done(Pending* pending, std::string_view error) {
-  HttpCallSink* sink = pending->sink;
-  const bool sent = pending->sent;
-  if (pending->client != nullptr) pending->client->pending_.erase(pending->id);
-  if (pending->message) {
-    g_signal_handlers_disconnect_by_data(pending->message.get(), pending);
+HttpClient::CallId HttpClient::Start(const HttpCall& call, HttpCallSink* sink) {
+  if (!loop_) {
+    loop_ = std::make_unique<Loop>(this);
+    loop_->context = g_main_context_get_thread_default();
   }
-  --pending->session->calls;
-  delete pending;
-  if (sink != nullptr) sink->OnDone(error, sent);
+  const CallId id = next_id_++;
+  auto pending = std::make_unique<Pending>();
+  pending->id = id;
+  pending->sink = sink;
+  pending->loop = loop_.get();
+  pending->multi = loop_->multi;
+  pending->easy = curl_easy_init();
+  Prepare(call, pending.get());
+  curl_multi_add_handle(loop_->multi, pending->easy);
+  pending_[id] = std::move(pending);
+  return id;
 }
 
-void HttpClient::OnSent(GObject* source, GAsyncResult* result, gpointer data) {
-  auto* pending = static_cast<Pending*>(data);
-  GError* error = nullptr;
-  pending->stream.reset(
-      soup_session_send_finish(SOUP_SESSION(source), result, &error));
-  if (!pending->stream && pending->misdirected) {
-    const GErrorPtr owned(error);
-    if (pending->sink != nullptr) {
-      pending->sink->OnHeaders(
-          SOUP_STATUS_MISDIRECTED_REQUEST,
-          soup_message_get_response_headers(pending->message.get()));
-    }
-    Done(pending, {});
-    return;
+void HttpClient::Prepare(const HttpCall& call, Pending* pending) {
+  CURL* easy = pending->easy;
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, pending);
+  curl_easy_setopt(easy, CURLOPT_URL, call.url.c_str());
+  curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReadBytes);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kIdleTimeoutSeconds);
+  // libcurl sends a call again when a pooled connection turns out to be closed.
+  const bool fresh =
+      call.new_connection || (!call.repeatable && call.method != "GET");
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.new_connection ? 1L : 0L);
+
+  pending->request_body = call.body;
+  const bool has_body = !call.body.empty() || call.method == "POST" ||
+                        call.method == "PUT" || call.method == "PATCH";
+  if (has_body) {
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(pending->request_body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, pending->request_body.data());
   }
-  if (!pending->stream) {
-    const GErrorPtr owned(error);
-    Done(pending, owned ? owned->message : "the call failed");
-    return;
+  if (call.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
+
+  // Without a value these keep libcurl from adding headers of its own.
+  curl_slist* list = nullptr;
+  bool accepts = false;
+  bool typed = !call.content_type.empty();
+  for (const auto& [name, value] : call.headers) {
+    accepts |= g_ascii_strcasecmp(name.c_str(), "Accept") == 0;
+    typed |= g_ascii_strcasecmp(name.c_str(), "Content-Type") == 0;
+    // A header without a value is written with a semicolon.
+    const std::string line = value.empty() ? name + ";" : name + ": " + value;
+    list = curl_slist_append(list, line.c_str());
   }
-  if (pending->sink != nullptr) {
-    pending->sink->OnHeaders(
-        static_cast<int>(soup_message_get_status(pending->message.get())),
-        soup_message_get_response_headers(pending->message.get()));
+  if (has_body && !call.content_type.empty()) {
+    const std::string line = "Content-Type: " + call.content_type;
+    list = curl_slist_append(list, line.c_str());
   }
-  ReadMore(pending);
+  if (!accepts) list = curl_slist_append(list, "Accept:");
+  if (!typed) list = curl_slist_append(list, "Content-Type:");
+  list = curl_slist_append(list, "Expect:");
+  pending->request_headers.reset(list);
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
+
+  const curl_write_callback on_header = [](char* data, std::size_t size,
+                                           std::size_t count,
+                                           void* user) -> std::size_t {
+    auto* self = static_cast<Pending*>(user);
+    const std::string_view line(data, size * count);
+    // What follows the body are trailers.
+    if (self->headers_complete) return line.size();
+    if (line.substr(0, 5) == "HTTP/") {
+      self->headers = NewHeaders();
+      long status = 0;
+      curl_easy_getinfo(self->easy, CURLINFO_RESPONSE_CODE, &status);
+      self->status = static_cast<int>(status);
+      return line.size();
+    }
+    const std::size_t colon = line.find(':');
+    if (colon != std::string_view::npos) {
+      const std::string name(Trimmed(line.substr(0, colon)));
+      const std::string value(Trimmed(line.substr(colon + 1)));
+      soup_message_headers_append(self->headers.get(), name.c_str(),
+                                  value.c_str());
+      return line.size();
+    }
+    if (Trimmed(line).empty() && self->status >= kFirstFinalStatus) {
+      self->headers_complete = true;
+      self->loop->ready.push_back(self->id);
+    }
+    return line.size();
+  };
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, pending);
+
+  const curl_write_callback on_body = [](char* data, std::size_t size,
+                                         std::size_t count,
+                                         void* user) -> std::size_t {
+    auto* self = static_cast<Pending*>(user);
+    self->body.append(data, size * count);
+    self->loop->ready.push_back(self->id);
+    return size * count;
+  };
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
 }
 
-void HttpClient::ReadMore(Pending* pending) {
-  g_input_stream_read_async(pending->stream.get(), pending->buffer.data(),
-                            pending->buffer.size(), G_PRIORITY_DEFAULT,
-                            pending->cancellable.get(), &HttpClient::OnRead,
-                            pending);
+void HttpClient::Cancel(CallId id) { pending_.erase(id); }
+
+bool HttpClient::WasSent(CallId id) const {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return false;
+  return found->second->sent || found->second->Sent();
 }
 
-void HttpClient::OnRead(GObject* source, GAsyncResult* result, gpointer data) {
-  auto* pending = static_cast<Pending*>(data);
-  GError* error = nullptr;
-  const gssize size =
-      g_input_stream_read_finish(G_INPUT_STREAM(source), result, &error);
-  if (size < 0) {
-    const GErrorPtr owned(error);
-    Done(pending, owned ? owned->message : "the connection broke");
-    return;
+void HttpClient::Deliver() {
+  while (!loop_->ready.empty()) {
+    const CallId id = loop_->ready.front();
+    loop_->ready.pop_front();
+    DeliverOne(id);
   }
-  if (size == 0) {
-    Done(pending, {});
-    return;
+}
+
+// Each call of the sink may cancel this call or any other.
+void HttpClient::DeliverOne(CallId id) {
+  auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  Pending* pending = found->second.get();
+  if (pending->headers_complete && !pending->headers_delivered) {
+    pending->headers_delivered = true;
+    // Kept while the sink reads them, also if it cancels the call.
+    const SoupHeadersPtr headers(
+        soup_message_headers_ref(pending->headers.get()));
+    pending->sink->OnHeaders(pending->status, headers.get());
+    if (!pending_.contains(id)) return;
   }
-  if (pending->sink != nullptr) {
-    pending->sink->OnBody(
-        {pending->buffer.data(), static_cast<std::size_t>(size)});
+  if (!pending->body.empty()) {
+    const std::string body = std::exchange(pending->body, {});
+    pending->sink->OnBody(body);
+    if (!pending_.contains(id)) return;
   }
-  // After Cancel the next read returns the cancellation and frees the call.
-  ReadMore(pending);
+  if (!pending->done) return;
+  const std::unique_ptr<Pending> ended = std::move(pending_.at(id));
+  pending_.erase(id);
+  ended->sink->OnDone(ended->error, ended->sent);
 }
 
 }  // namespace cassiausher
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -1,5 +1,8 @@
-// HTTP calls of one task to endpoints, on libsoup. The answer's body arrives in
+// HTTP calls of one task to endpoints, on libcurl. The answer's body arrives in
 // pieces as the network delivers them.
+//
+// libsoup's client takes a chunked body whose connection ends between two
+// chunks for complete, and sends a call again that is answered 421.
 #ifndef DRIVERS_HTTP_CLIENT_H_
 #define DRIVERS_HTTP_CLIENT_H_
 
@@ -62,18 +65,14 @@
 
  private:
   struct Pending;
-  static void OnSent(GObject* source, GAsyncResult* result, gpointer data);
-  static void OnRead(GObject* source, GAsyncResult* result, gpointer data);
-  static void ReadMore(Pending* pending);
-  static void Done(Pending* pending, std::string_view error);
+  struct Loop;
 
-  /// A library session with the calls that it carries now.
-  struct Session;
-  /// The first session with room, so that few calls share few connections.
-  std::shared_ptr<Session> SessionWithRoom();
+  void Prepare(const HttpCall& call, Pending* pending);
+  void Deliver();
+  void DeliverOne(CallId id);
 
-  std::vector<std::shared_ptr<Session>> sessions_;
-  std::unordered_map<CallId, Pending*> pending_;
+  std::unique_ptr<Loop> loop_;
+  std::unordered_map<CallId, std::unique_ptr<Pending>> pending_;
   CallId next_id_ = 1;
 };
 
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -14,7 +14,7 @@
 
 // A connection takes a few milliseconds. A lost opening packet would be sent
 // again after a second, later than another endpoint answers.
-constexpr Duration kConnectTimeout = Milliseconds(250);
+constexpr Duration kConnectTimeout = Milliseconds(120);
 // An answer that is relayed as a whole is held in memory until then.
 constexpr std::size_t kMaxWholeBytes = std::size_t{16} << 20;
 
@@ -231,6 +231,13 @@
     CallFailed(CallFailure::kBroken, "the stream ends inside an event");
     return;
   }
+  const bool short_body =
+      !exchange_->streaming() && answer_->body_bytes &&
+      *answer_->body_bytes != static_cast<std::int64_t>(body_.size());
+  if (short_body) {
+    CallFailed(CallFailure::kBroken, "the body has another length than told");
+    return;
+  }
   const int status = answer_->status;
   constexpr int kServerError = 500;
   const bool server_error = status >= kServerError;
@@ -368,6 +375,7 @@
        {"status", status},
        {"reason", reason},
        {"calls", calls_},
+       {"unframed", answer_ && answer_->ends_with_connection},
        {"events", events_.events()},
        {"prompt", facts_.prompt.value()},
        {"output", facts_.output.value()},
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 packages=(
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3 curl
-  libboost1.81-dev libsoup-3.0-dev glib-networking libzmq3-dev cppzmq-dev libprotobuf-dev
+  libboost1.81-dev libsoup-3.0-dev libcurl4-openssl-dev glib-networking libzmq3-dev cppzmq-dev libprotobuf-dev
   libdocopt-dev libfmt-dev libcpputest-dev nlohmann-json3-dev librapidcheck-dev
   libxxhash-dev tao-pegtl-dev
 )
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -17,7 +17,10 @@
 // Tokens of reading that a decode takes the time of, as a share of the prompt.
 constexpr std::int64_t kDecodeShare = 8;
 // Weight of the newest observation.
-constexpr double kObservationWeight = 0.3;
+constexpr double kObservationWeight = 0.25;
+// An answer that says that the endpoint failed, against a connection that
+// breaks: some requests fail wherever they run.
+constexpr double kServerErrorWeight = 0.25;
 // Loads of other instances count this long without a new word.
 constexpr Duration kLoadLifetime = Seconds(2);
 // An endpoint at whose address another answered is left out this long; the
@@ -41,8 +44,8 @@
     .failure_ratio = 0.6,
     .window_calls = 6,
     .window = Seconds(3),
-    .backoff_minimum = Milliseconds(400),
-    .backoff_maximum = Milliseconds(1600),
+    .backoff_minimum = Milliseconds(800),
+    .backoff_maximum = Milliseconds(3000),
     .trials = 1,
     .trial_timeout = Seconds(2),
 };
@@ -53,6 +56,18 @@
   return options;
 }
 
+double FailureWeight(WorkOutcome outcome) {
+  switch (outcome) {
+    case WorkOutcome::kBroken:
+    case WorkOutcome::kUnreachable:
+      return 1;
+    case WorkOutcome::kServerError:
+      return kServerErrorWeight;
+    default:
+      return 0;
+  }
+}
+
 double DefaultUnitCost(const EndpointRecord& record, const WorkSpec& work) {
   if (work.prompt.value() == 0) return kPlainRequestUs;
   return record.stage == EndpointStage::kPrefill ? kPrefillTokenUs
@@ -181,8 +196,8 @@
   // Distinct from the first.
   const std::size_t step = 1 + random_.Below(candidates.size() - 1);
   const std::size_t second = (first + step) % candidates.size();
-  const bool second_is_better =
-      Score(*candidates[second], work, now) < Score(*candidates[first], work, now);
+  const bool second_is_better = Score(*candidates[second], work, now) <
+                                Score(*candidates[first], work, now);
   return candidates[second_is_better ? second : first];
 }
 
@@ -217,8 +232,8 @@
   if (found != other_loads_.end()) load = found->second;
   // The others have placed about as much there since.
   load.requests += entry.started_since.requests * other_instances_ / 2;
-  load.kv_tokens += Tokens(entry.started_since.kv_tokens.value() *
-                           other_instances_ / 2);
+  load.kv_tokens +=
+      Tokens(entry.started_since.kv_tokens.value() * other_instances_ / 2);
   return load;
 }
 
@@ -284,11 +299,9 @@
   }
   if (outcome == WorkOutcome::kRejected) entry.full_until = now + kFullPause;
   const double memory = Memory(entry, now);
-  const bool failed =
-      outcome == WorkOutcome::kServerError || outcome == WorkOutcome::kBroken;
   entry.failure_share =
       (1 - kObservationWeight) * memory * entry.failure_share +
-      (failed ? kObservationWeight : 0);
+      kObservationWeight * FailureWeight(outcome);
   if (outcome == WorkOutcome::kUnreachable) {
     entry.breaker.OnFailure(now);
   } else {
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -25,7 +25,7 @@
   /// bytes that the operator pays for.
   Duration remote_penalty = Milliseconds(8);
   /// Waiting time that a certain failure is worth.
-  Duration failure_penalty = Milliseconds(400);
+  Duration failure_penalty = Milliseconds(1000);
   /// Half-life of what was observed of an endpoint.
   Duration memory_half_life = Seconds(3);
   /// A control instance's word on silent endpoints counts this long.
@@ -109,6 +109,10 @@
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
 
+  /// Requests of this instance that wait for room.
+  int waiting() const { return waiting_; }
+  void ChangeWaiting(int difference) { waiting_ += difference; }
+
   bool HasEndpoints() const { return !entries_.empty(); }
   std::size_t ReadyCount(const ServiceId& service) const;
   const EndpointRecord* Find(const EndpointId& id) const;
@@ -131,7 +135,7 @@
     /// Observed microseconds for each prompt token, or for a request without
     /// a prompt; 0 until observed.
     double unit_cost_us = 0;
-    /// Share of failed requests, between 0 and 1.
+    /// Weighted share of failed requests, between 0 and 1.
     double failure_share = 0;
     Time observed_at{};
     CircuitBreaker breaker;
@@ -159,6 +163,7 @@
   std::map<EndpointId, EndpointLoad> other_loads_;
   Time other_loads_at_{};
   int other_instances_ = 0;
+  int waiting_ = 0;
   Random random_;
 };
 
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -37,8 +37,10 @@
 constexpr int kGapFactor = 4;
 // Short enough that a caller of a lookup can come back within its deadline.
 constexpr Duration kPlainRetryAfter = Milliseconds(150);
-// A stream holds its runner's memory for seconds; room comes back as slowly.
-constexpr Duration kModelRetryAfter = Milliseconds(2000);
+// Bursts last a few seconds, and a caller comes back once or twice at most.
+constexpr Duration kModelRetryAfter = Milliseconds(3000);
+constexpr Duration kModelRetrySpread = Milliseconds(1500);
+constexpr int kMostWaiting = 3;
 
 }  // namespace
 
@@ -51,11 +53,17 @@
          now - kv_read_at_ + kHandleMargin < facts_.handle_lifetime;
 }
 
+// Streams of a runner are at different points of their answers, so they don't
+// hold the whole of them at the same time.
+Tokens RequestForwarder::ExpectedGrowth() const {
+  return Tokens(facts_.output.value() * 3 / 4);
+}
+
 WorkSpec RequestForwarder::Work(EndpointStage stage) const {
   return {.service = facts_.service,
           .stage = stage,
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
-          .kv_tokens = facts_.prompt + facts_.output,
+          .kv_tokens = facts_.prompt + ExpectedGrowth(),
           .kv_capacity = facts_.kv_capacity,
           .slots = facts_.slots,
           .excluded = tried_};
@@ -63,7 +71,14 @@
 
 ForwardStep RequestForwarder::OnWaited(Time now) { return Next(now); }
 
+void RequestForwarder::StopWaiting() {
+  if (std::exchange(waiting_, false)) pool_->ChangeWaiting(-1);
+}
+
 bool RequestForwarder::MayWait(Time now) const {
+  // Room comes back at one instance for one request each few hundred
+  // milliseconds; a longer queue is told at once to come back.
+  if (!waiting_ && pool_->waiting() >= kMostWaiting) return false;
   return now - facts_.arrived + kReadingTime < facts_.latency_target;
 }
 
@@ -116,8 +131,14 @@
 ForwardStep RequestForwarder::GiveUp(std::string_view reason) {
   if (relayed_) return BreakOff{reason};
   if (runs_ > 0) return Fail{502, reason};
-  return Refuse{reason,
-                facts_.has_engine ? kModelRetryAfter : kPlainRetryAfter};
+  return Refuse{reason, RetryAfter()};
+}
+
+// Spread over the callers, so that they don't come back together.
+Duration RequestForwarder::RetryAfter() const {
+  if (!facts_.has_engine) return kPlainRetryAfter;
+  const auto arrived_us = facts_.arrived.time_since_epoch().count();
+  return kModelRetryAfter + Duration(arrived_us % kModelRetrySpread.count());
 }
 
 ForwardStep RequestForwarder::Next(Time now) {
@@ -153,8 +174,10 @@
   // A stream that began goes on whatever the load: its caller has a part of it.
   if (full && !kv_source_.has_value() && runs_ == 0) {
     if (!MayWait(now)) return GiveUp("no runner has room");
+    if (!std::exchange(waiting_, true)) pool_->ChangeWaiting(1);
     return WaitForRoom{now + kRoomPollPeriod};
   }
+  StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
     if (auto prefill = ChoosePrefill(now)) return *prefill;
   }
@@ -162,9 +185,8 @@
   // pauses that their callers bear, so this is for want of prefill runners.
   decode.prompt_is_read = kv_source_.has_value();
   if (!runner.has_value()) return std::nullopt;
-  StartCall call{.endpoint = runner->endpoint,
-                 .work = decode,
-                 .kv_source = kv_source_};
+  StartCall call{
+      .endpoint = runner->endpoint, .work = decode, .kv_source = kv_source_};
   if (Repeatable() && runs_ + 1 < facts_.attempts) {
     call.answer_timeout = kFirstEventTimeout;
     call.gap_timeout = kGapFactor * facts_.gap_target;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -107,6 +107,9 @@
  public:
   RequestForwarder(RequestFacts facts, EndpointPool* pool, RetryBudget* budget)
       : facts_(std::move(facts)), pool_(pool), budget_(budget) {}
+  ~RequestForwarder() { StopWaiting(); }
+  RequestForwarder(const RequestForwarder&) = delete;
+  RequestForwarder& operator=(const RequestForwarder&) = delete;
 
   ForwardStep Start(Time now);
   /// The time of WaitForRoom has come.
@@ -134,8 +137,11 @@
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether waiting for room can still keep the latency target.
   bool MayWait(Time now) const;
+  void StopWaiting();
+  Duration RetryAfter() const;
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason);
+  Tokens ExpectedGrowth() const;
   WorkSpec Work(EndpointStage stage) const;
 
   RequestFacts facts_;
@@ -158,6 +164,8 @@
   int arrivals_ = 0;
   int calls_ = 0;
   bool relayed_ = false;
+  /// Counted in the pool's waiting requests.
+  bool waiting_ = false;
 };
 
 }  // namespace cassiausher
