Draw expected answers towards what was seen

Cause: callers' estimates of their answers are off by half or more, and a runner whose reservations are too small preempts streams. Change: AnswerEstimate takes the geometric mean of the estimate and the answers seen.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -146,10 +146,13 @@
     facts.handle_lifetime = spec.engine->handle_lifetime;
     facts.kv_capacity = spec.engine->kv_capacity;
     facts.slots = spec.engine->slots;
+    facts.output = answers_[service].Expect(caller.output);
+    facts.tokens_per_event = spec.engine->tokens_per_event;
   }
   const ForwardingContext context{.client = &client_,
                                   .pool = &pool_,
                                   .budget = &BudgetOf(service),
+                                  .answers = &answers_[service],
                                   .metrics = &metrics_,
                                   .context = context_,
                                   .closing = &closing_};
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -19,6 +19,7 @@
 #include "main/node_link.h"
 #include "main/node_settings.h"
 #include "servers/control/serving_configuration.h"
+#include "servers/entry/answer_estimate.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/routing/retry_budget.h"
 
@@ -75,6 +76,7 @@
   std::shared_ptr<const RouteTable> routes_;
   std::map<InstanceId, Control> controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
+  std::map<ServiceId, AnswerEstimate> answers_;
   /// Requests in progress.
   std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> requests_;
   std::uint64_t next_request_ = 1;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -243,6 +243,8 @@
   const bool server_error = status >= kServerError;
   DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
   if (exchange_->streaming()) {
+    context_.answers->Observe(
+        Tokens(events_.events() * facts_.tokens_per_event));
     exchange_->EndStream();
   } else {
     RespondWhole();
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -15,6 +15,7 @@
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "platform/request_headers.h"
+#include "servers/entry/answer_estimate.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/event_splitter.h"
 #include "servers/entry/request_forwarder.h"
@@ -26,6 +27,7 @@
   HttpClient* client = nullptr;
   EndpointPool* pool = nullptr;
   RetryBudget* budget = nullptr;
+  AnswerEstimate* answers = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
   /// Answers end their connection; the instance is about to stop.
--- a/servers/control/serving_configuration.h
+++ b/servers/control/serving_configuration.h
@@ -55,6 +55,8 @@
 struct EngineSpec {
   int slots = 1;
   Tokens kv_capacity{0};
+  /// Tokens of an answer that come in one event.
+  int tokens_per_event = 1;
   /// Time for which a runner keeps a prompt that was read for another runner.
   Duration handle_lifetime = Milliseconds(500);
 };
--- /dev/null
+++ b/servers/entry/answer_estimate.h
@@ -0,0 +1,26 @@
+// Expected length of answers. Callers' own estimates are right at the median but
+// often far off, so they are drawn towards what was seen.
+#ifndef SERVERS_ENTRY_ANSWER_ESTIMATE_H_
+#define SERVERS_ENTRY_ANSWER_ESTIMATE_H_
+
+#include "core/units.h"
+
+namespace cassiausher {
+
+/// For the answers of one service. Not thread safe.
+class AnswerEstimate {
+ public:
+  /// An answer came whole.
+  void Observe(Tokens answer);
+
+  /// Expected length, given what the caller says; 0 says nothing.
+  Tokens Expect(Tokens told) const;
+
+ private:
+  /// Mean of the answers seen, the latest weighing most; 0 before the first.
+  double mean_ = 0;
+};
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_ENTRY_ANSWER_ESTIMATE_H_
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -56,7 +56,7 @@
 // Streams of a runner are at different points of their answers, so they don't
 // hold the whole of them at the same time.
 Tokens RequestForwarder::ExpectedGrowth() const {
-  return Tokens(facts_.output.value() * 3 / 4);
+  return Tokens(facts_.output.value() * 17 / 20);
 }
 
 WorkSpec RequestForwarder::Work(EndpointStage stage) const {
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -32,6 +32,7 @@
   Tokens prompt{0};
   /// Expected size of the answer.
   Tokens output{0};
+  int tokens_per_event = 1;
   /// Memory of one runner.
   Tokens kv_capacity{0};
   /// Requests that one runner runs at once.
