Count a runner as full at 0.8 of its expected memory

Cause: loads of other instances are some 250 ms old, and all that wait for room see the same room at once; in overload runners ran over their memory and preempted. Change: full at 0.8 instead of 0.92.

--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -15,7 +15,7 @@
 constexpr int kMostPrefillFailures = 2;
 // Expected memory above this share counts as full: estimates of answers are
 // often too short, and a runner out of memory reads a request anew.
-constexpr double kFullOccupancy = 0.92;
+constexpr double kFullOccupancy = 0.8;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
 constexpr Duration kReadingTime = Milliseconds(350);
