Change runners' stage in lasting overload; pass paths on as they were sent

The new test of request headers found that the listener gave out decoded paths, so a path with escapes reached endpoints changed. Change: StageBalancer and StageOrders: the leader, confirmed by a quorum and settled for 5 s, orders one runner at a time, with its term as fencing number. The listener keeps raw paths.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -252,7 +252,8 @@
 
 std::string HttpServer::Listen(GMainContext* context) {
   watcher_ = std::make_unique<CloseWatcher>(context);
-  server_.reset(soup_server_new("server-header", "cassiausher", nullptr));
+  server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
+                                TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
                          GHashTable*, gpointer data) {
     auto* self = static_cast<HttpServer*>(data);
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -30,6 +30,7 @@
   HttpExchange& operator=(const HttpExchange&) = delete;
 
   std::string_view method() const;
+  /// As it was sent, with its escapes.
   std::string_view path() const;
   /// The raw query string, or empty.
   std::string_view query() const;
--- a/main/configuration_log.h
+++ b/main/configuration_log.h
@@ -49,6 +49,7 @@
   void TransferLeadership(Time now);
 
   bool leading() const;
+  Term term() const { return host_->raft().term(); }
   /// Empty if unknown.
   InstanceId leader() const;
   const VersionedDocument& current() const { return register_.current(); }
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -63,7 +63,8 @@
               OnMessage(from, message);
             }),
       log_(settings_, metrics, context, *this),
-      registry_({}) {}
+      registry_({}),
+      stage_orders_(settings_.ip, metrics) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -275,7 +276,9 @@
   link_.Send(to, message);
 }
 
-void ControlNode::OnConfiguration(const VersionedDocument&) {
+void ControlNode::OnConfiguration(const VersionedDocument& document) {
+  Findings findings;
+  configuration_ = codec_.Decode(document.document, &findings);
   UpdateFollowers();
 }
 
@@ -290,6 +293,11 @@
 
 void ControlNode::OnCurrentRead(const InstanceId& origin, std::uint64_t read,
                                 bool served) {
+  if (read == confirming_read_ && origin.value() == settings_.ip) {
+    confirming_read_ = 0;
+    if (served) stage_orders_.Send(log_.term(), BootTimeNow());
+    return;
+  }
   // An unserved read is sent again, to the next leader.
   if (!served) return;
   if (origin.value() == settings_.ip) return FinishRead(read, log_.current());
@@ -387,6 +395,10 @@
   for (const EndpointId& id : registry_.Silent(BootTimeNow())) {
     update->add_silent_endpoints(id.value());
   }
+  // A runner that changes stage takes no work, like a silent one.
+  for (const EndpointId& id : stage_orders_.Changing(BootTimeNow())) {
+    update->add_silent_endpoints(id.value());
+  }
   if (log_.current().version > follower.configuration) {
     *update->mutable_configuration() = ToProto(log_.current());
   }
@@ -482,6 +494,26 @@
   last_sync_ = now;
 }
 
+void ControlNode::BalanceStages(Time now) {
+  if (!log_.leading()) {
+    stage_orders_.OnFollowing();
+    return;
+  }
+  stage_orders_.OnLeading(now);
+  if (!configuration_.has_value()) return;
+  EndpointLoads loads;
+  for (const auto& [instance, follower] : followers_) {
+    for (const proto::EndpointLoad& load : follower.loads) {
+      RunnerLoad& sum = loads[EndpointId(load.endpoint())];
+      sum.requests += static_cast<int>(load.requests());
+      sum.kv_tokens += Tokens(load.kv_tokens());
+    }
+  }
+  if (!stage_orders_.Plan(*configuration_, registry_, loads, now)) return;
+  confirming_read_ = next_call_++;
+  log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
+}
+
 void ControlNode::Tick() {
   const Time now = BootTimeNow();
   log_.Tick(now);
@@ -489,6 +521,7 @@
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
   SyncControls(now);
+  BalanceStages(now);
   registry_.Expire(now);
   std::erase_if(followers_, [&](const auto& item) {
     if (now - item.second.heard_at < kFollowerLifetime) return false;
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -18,6 +18,7 @@
 #include "main/configuration_log.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
+#include "main/stage_orders.h"
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/serving_configuration.h"
 
@@ -96,6 +97,8 @@
   void PublishRegistryChange(const EndpointRecord& record);
   void Tick();
   void SyncControls(Time now);
+  /// Plans orders to model runners while this instance leads.
+  void BalanceStages(Time now);
   void RetryCalls(Time now);
 
   NodeSettings settings_;
@@ -110,6 +113,11 @@
   NodeLink link_;
   ConfigurationLog log_;
   EndpointRegistry registry_;
+  StageOrders stage_orders_;
+  /// The configuration in force, decoded; null before the first.
+  std::optional<ServingConfiguration> configuration_;
+  /// Read that confirms leadership for a planned order; 0 for none.
+  std::uint64_t confirming_read_ = 0;
   std::map<InstanceId, Follower> followers_;
   /// Seeds and whatever was learned since.
   std::map<InstanceId, Control> controls_;
--- /dev/null
+++ b/main/stage_orders.cc
@@ -0,0 +1,111 @@
+#include "main/stage_orders.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/log.h"
+#include "platform/runner_orders.h"
+
+namespace cassiausher {
+namespace {
+
+// Longer than the lease for which the orders of a leader before may count.
+constexpr Duration kSettleTime = Seconds(5);
+// A confirmation that took longer says nothing of now.
+constexpr Duration kConfirmTime = Milliseconds(500);
+// Time in which a runner changes stage, its requests in progress aside.
+constexpr Duration kChangeTime = Seconds(7);
+
+// Logs the answer to one order.
+class OrderSink : public HttpCallSink {
+ public:
+  explicit OrderSink(EndpointId endpoint) : endpoint_(std::move(endpoint)) {}
+
+  void OnHeaders(int status, SoupMessageHeaders*) override { status_ = status; }
+  void OnBody(std::string_view) override {}
+  void OnDone(std::string_view error, bool) override {
+    Log(LogLevel::kInfo, "stage_order_answered",
+        {{"endpoint", endpoint_.value()},
+         {"status", status_},
+         {"error", error}});
+    delete this;
+  }
+
+ private:
+  EndpointId endpoint_;
+  int status_ = 0;
+};
+
+}  // namespace
+
+StageOrders::StageOrders(std::string holder, Metrics& metrics)
+    : holder_(std::move(holder)),
+      sent_(metrics.counter("stage_orders_total")) {}
+
+void StageOrders::OnLeading(Time now) {
+  if (!leading_since_.has_value()) leading_since_ = now;
+}
+
+void StageOrders::OnFollowing() {
+  leading_since_.reset();
+  planned_.reset();
+  balancers_.clear();
+}
+
+bool StageOrders::Plan(const ServingConfiguration& configuration,
+                       const EndpointRegistry& registry,
+                       const EndpointLoads& loads, Time now) {
+  planned_.reset();
+  if (!leading_since_ || now - *leading_since_ < kSettleTime) return false;
+  const std::vector<EndpointId> silent = registry.Silent(now);
+  for (const auto& [id, service] : configuration.services) {
+    if (!service.engine.has_value()) continue;
+    std::vector<RunnerLoad> runners;
+    for (const EndpointRecord& record : registry.ChangedSince(0)) {
+      if (record.service != id || record.state != EndpointState::kReady) {
+        continue;
+      }
+      if (std::find(silent.begin(), silent.end(), record.id) != silent.end()) {
+        continue;
+      }
+      const auto load = loads.find(record.id);
+      RunnerLoad runner = load == loads.end() ? RunnerLoad{} : load->second;
+      runner.id = record.id;
+      runner.stage = record.stage;
+      runners.push_back(runner);
+    }
+    StageBalancer& balancer =
+        balancers_.try_emplace(id, StageBalancerOptions{}).first->second;
+    const auto order = balancer.Step(runners, service.engine->kv_capacity, now);
+    if (!order.has_value() || planned_.has_value()) continue;
+    planned_ = {*order, *registry.Find(order->endpoint), &balancer, now};
+  }
+  return planned_.has_value();
+}
+
+void StageOrders::Send(std::uint64_t term, Time now) {
+  if (!planned_.has_value() || !leading_since_.has_value()) return;
+  const Planned planned = *std::exchange(planned_, std::nullopt);
+  if (now - planned.planned_at >= kConfirmTime) return;
+  planned.balancer->Ordered(planned.order, now);
+  changing_since_[planned.order.endpoint] = now;
+  sent_.Add();
+  Log(LogLevel::kInfo, "stage_ordered",
+      {{"endpoint", planned.order.endpoint.value()},
+       {"stage", static_cast<int>(planned.order.stage)},
+       {"sequence", planned.endpoint.sequence},
+       {"term", term}});
+  client_.Start(
+      BuildStageOrder(planned.endpoint, planned.order.stage, holder_, term),
+      new OrderSink(planned.order.endpoint));
+}
+
+std::vector<EndpointId> StageOrders::Changing(Time now) const {
+  std::vector<EndpointId> changing;
+  for (const auto& [id, since] : changing_since_) {
+    if (now - since < kChangeTime) changing.push_back(id);
+  }
+  return changing;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/stage_orders.h
@@ -0,0 +1,64 @@
+// Sends the orders by which model runners change stage, from the control
+// instance that leads.
+#ifndef MAIN_STAGE_ORDERS_H_
+#define MAIN_STAGE_ORDERS_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "drivers/http_client.h"
+#include "servers/control/endpoint_registry.h"
+#include "servers/control/serving_configuration.h"
+#include "servers/control/stage_balancer.h"
+
+namespace cassiausher {
+
+/// Work in progress by endpoint, over all entry instances.
+using EndpointLoads = std::map<EndpointId, RunnerLoad>;
+
+/// Belongs to the control node's task. An order is planned, then sent once a
+/// quorum has confirmed that this instance still leads.
+class StageOrders {
+ public:
+  StageOrders(std::string holder, Metrics& metrics);
+
+  /// The instance leads since `now`. Orders wait until those of the leader
+  /// before have lapsed.
+  void OnLeading(Time now);
+  void OnFollowing();
+
+  /// Plans at most one order. True if one waits to be confirmed and sent.
+  bool Plan(const ServingConfiguration& configuration,
+            const EndpointRegistry& registry, const EndpointLoads& loads,
+            Time now);
+  /// Sends the planned order under the leader's term.
+  void Send(std::uint64_t term, Time now);
+
+  /// Runners that change stage now and take no work.
+  std::vector<EndpointId> Changing(Time now) const;
+
+ private:
+  struct Planned {
+    StageOrder order;
+    EndpointRecord endpoint;
+    StageBalancer* balancer = nullptr;
+    Time planned_at{};
+  };
+
+  std::string holder_;
+  Counter& sent_;
+  HttpClient client_;
+  std::optional<Time> leading_since_;
+  std::map<ServiceId, StageBalancer> balancers_;
+  std::optional<Planned> planned_;
+  std::map<EndpointId, Time> changing_since_;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_STAGE_ORDERS_H_
--- /dev/null
+++ b/servers/control/stage_balancer.h
@@ -0,0 +1,85 @@
+// Decides when a model runner changes between reading prompts and writing
+// answers, so that neither stage runs out while the other has room.
+#ifndef SERVERS_CONTROL_STAGE_BALANCER_H_
+#define SERVERS_CONTROL_STAGE_BALANCER_H_
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/units.h"
+#include "servers/control/endpoint_record.h"
+
+namespace cassiausher {
+
+struct StageBalancerOptions {
+  /// Load of the busier stage below which nothing changes.
+  double least_load = 0.8;
+  /// The busier stage's load must fall at least to this share of itself.
+  double benefit = 0.86;
+  /// How long the imbalance must last.
+  Duration hold = Seconds(4);
+  /// Time constant of the smoothed loads.
+  Duration smoothing = Seconds(4);
+  /// From one order of a service to the next; longer than a change takes.
+  Duration pause = Seconds(9);
+  /// From one order of a runner to the next.
+  Duration runner_pause = Seconds(30);
+  /// Runners of each stage that always remain, where there are that many.
+  int least_runners = 2;
+  /// Share of a decode runner's memory that placement uses.
+  double usable_memory = 0.8;
+};
+
+/// One usable runner and its work in progress.
+struct RunnerLoad {
+  EndpointId id;
+  EndpointStage stage = EndpointStage::kDecode;
+  int requests = 0;
+  Tokens kv_tokens{0};
+};
+
+struct StageOrder {
+  EndpointId endpoint;
+  EndpointStage stage = EndpointStage::kDecode;
+};
+
+/// For the runners of one service. Not thread safe.
+class StageBalancer {
+ public:
+  explicit StageBalancer(StageBalancerOptions options) : options_(options) {}
+
+  /// Call about each second with all usable runners of the service. Returns an
+  /// order to send now; Ordered() must follow if it was sent.
+  std::optional<StageOrder> Step(const std::vector<RunnerLoad>& runners,
+                                 Tokens kv_capacity, Time now);
+  void Ordered(const StageOrder& order, Time now);
+
+ private:
+  struct Loads {
+    double prefill = 0;
+    double decode = 0;
+    double busier() const { return prefill > decode ? prefill : decode; }
+  };
+
+  void Smooth(const Loads& sample, Time now);
+  std::optional<StageOrder> Choose(const std::vector<RunnerLoad>& runners,
+                                   EndpointStage from, Time now) const;
+
+  StageBalancerOptions options_;
+  /// Requests at a prefill runner and share of a decode runner's memory, both
+  /// as means over the runners of the stage.
+  Loads loads_;
+  std::optional<Time> sampled_at_;
+  /// Stage that is short of runners, and since when.
+  EndpointStage short_stage_ = EndpointStage::kNone;
+  Time short_since_{};
+  std::optional<Time> ordered_at_;
+  std::map<EndpointId, Time> runner_ordered_at_;
+};
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_CONTROL_STAGE_BALANCER_H_
--- a/servers/entry/answer_estimate.cc
+++ b/servers/entry/answer_estimate.cc
@@ -14,7 +14,8 @@
 void AnswerEstimate::Observe(Tokens answer) {
   const auto seen = static_cast<double>(answer.value());
   if (seen <= 0) return;
-  mean_ = mean_ <= 0 ? seen : (1 - kNewestWeight) * mean_ + kNewestWeight * seen;
+  mean_ =
+      mean_ <= 0 ? seen : (1 - kNewestWeight) * mean_ + kNewestWeight * seen;
 }
 
 Tokens AnswerEstimate::Expect(Tokens told) const {
--- a/servers/entry/answer_estimate.h
+++ b/servers/entry/answer_estimate.h
@@ -1,5 +1,5 @@
-// Expected length of answers. Callers' own estimates are right at the median but
-// often far off, so they are drawn towards what was seen.
+// Expected length of answers. Callers' own estimates are right at the median
+// but often far off, so they are drawn towards what was seen.
 #ifndef SERVERS_ENTRY_ANSWER_ESTIMATE_H_
 #define SERVERS_ENTRY_ANSWER_ESTIMATE_H_
 
--- /dev/null
+++ b/tests/entry/answer_estimate_test.cc
@@ -0,0 +1,29 @@
+// Guards the size of reservations: one wrong estimate of a caller must not fill
+// or overfill a runner.
+#include "servers/entry/answer_estimate.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace cassiausher {
+
+TEST_GROUP(AnswerEstimate) { AnswerEstimate estimate; };
+
+TEST(AnswerEstimate, TakesWhatTheCallerSaysAtFirst) {
+  LONGS_EQUAL(5000, estimate.Expect(Tokens(5000)).value());
+  LONGS_EQUAL(0, estimate.Expect(Tokens(0)).value());
+}
+
+TEST(AnswerEstimate, DrawsEstimatesTowardsWhatWasSeen) {
+  for (int i = 0; i < 100; ++i) estimate.Observe(Tokens(4000));
+  LONGS_EQUAL(4000, estimate.Expect(Tokens(0)).value());
+  LONGS_EQUAL(4000, estimate.Expect(Tokens(4000)).value());
+  LONGS_EQUAL(2000, estimate.Expect(Tokens(1000)).value());
+  LONGS_EQUAL(8000, estimate.Expect(Tokens(16000)).value());
+}
+
+TEST(AnswerEstimate, AnEmptyAnswerSaysNothing) {
+  estimate.Observe(Tokens(0));
+  LONGS_EQUAL(700, estimate.Expect(Tokens(700)).value());
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/platform/node_settings_test.cc
@@ -0,0 +1,50 @@
+// Guards the settings of a node: what the platform's template fills in is read,
+// and every fault is named.
+#include "main/node_settings.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace cassiausher {
+namespace {
+
+constexpr const char* kSettings = R"({"instance":"front-1",
+  "address":"10.0.0.1","data_centre":"z","listen":{"callers":"10.0.0.1:80",
+  "readiness":"10.0.0.1:81"},"peer_port":7660,"seeds":["10.0.0.2:90"],
+  "first_start":true,"data_folder":"","shutdown_grace_s":8,
+  "retry_budget":{"ratio":0.2,"allowance":52}})";
+
+}  // namespace
+
+TEST_GROUP(NodeSettings) { Findings findings; };
+
+TEST(NodeSettings, AreReadWhole) {
+  const NodeSettings settings =
+      ReadNodeSettings(kSettings, "node.json", &findings);
+  CHECK_TRUE(findings.empty());
+  STRCMP_EQUAL("10.0.0.1:80", settings.callers->text().c_str());
+  CHECK_FALSE(settings.control.has_value());
+  LONGS_EQUAL(7660, settings.peer_port);
+  LONGS_EQUAL(1, settings.seeds.size());
+  CHECK_TRUE(settings.first_start);
+  CHECK_TRUE(settings.shutdown_grace == Seconds(8));
+  DOUBLES_EQUAL(52, settings.retry_allowance, 0);
+}
+
+TEST(NodeSettings, EveryFaultIsNamed) {
+  ReadNodeSettings(R"({"instance":7,"address":"x","listen":{"callers":"y"},
+                      "seeds":["z"],"surprise":1})",
+                   "node.json", &findings);
+  // A wrong type, two missing keys, two addresses, an unknown key.
+  CHECK_TRUE(findings.items().size() >= 6);
+}
+
+TEST(NodeSettings, WhatIsNoJsonIsSaid) {
+  ReadNodeSettings("instance: front", "node.json", &findings);
+  CHECK_FALSE(findings.empty());
+  Findings missing;
+  std::string text;
+  CHECK_FALSE(ReadFile("/nonexistent/node.json", &text, &missing));
+  CHECK_FALSE(missing.empty());
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/platform/request_headers_test.cc
@@ -0,0 +1,175 @@
+// Guards what endpoints get of a caller's request and what callers get of an
+// endpoint's answer: no header that only the system may set passes, and an
+// answer to another request is noticed.
+#include "platform/request_headers.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <memory>
+#include <string>
+
+#include "drivers/http_server.h"
+
+namespace cassiausher {
+namespace {
+
+struct Sink : HttpCallSink {
+  void OnHeaders(int, SoupMessageHeaders*) override {}
+  void OnBody(std::string_view) override {}
+  void OnDone(std::string_view, bool) override {}
+};
+
+std::string ValueOf(const HttpCall& call, const std::string& name) {
+  std::string value;
+  for (const auto& [key, text] : call.headers) {
+    if (key == name) value += value.empty() ? text : "," + text;
+  }
+  return value;
+}
+
+EndpointRecord Endpoint() {
+  return {.id = EndpointId("i-1"), .address = "10.0.0.9:80"};
+}
+
+}  // namespace
+
+TEST_GROUP(RequestHeaders) {
+  GMainContext* context = nullptr;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpClient> client;
+  HttpExchangePtr exchange;
+  Sink sink;
+
+  void setup() override {
+    context = g_main_context_new();
+    g_main_context_push_thread_default(context);
+    server = std::make_unique<HttpServer>(
+        HttpServerOptions{.address = "127.0.0.1"},
+        [this](HttpExchangePtr taken) { exchange = std::move(taken); },
+        [](int, std::string_view message) { return std::string(message); });
+    STRCMP_EQUAL("", server->Listen(context).c_str());
+    client = std::make_unique<HttpClient>();
+  }
+  void teardown() override {
+    exchange.reset();
+    client.reset();
+    server.reset();
+    g_main_context_pop_thread_default(context);
+    g_main_context_unref(context);
+  }
+
+  void Receive(std::vector<std::pair<std::string, std::string>> headers) {
+    client->Start({.method = "POST",
+                   .url = "http://127.0.0.1:" + std::to_string(server->port()) +
+                          "/a%20b/c?d=%2F&e",
+                   .headers = std::move(headers),
+                   .content_type = "",
+                   .body = "body"},
+                  &sink);
+    const gint64 deadline = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
+    while (!exchange && g_get_monotonic_time() < deadline) {
+      if (!g_main_context_iteration(context, FALSE)) g_usleep(1000);
+    }
+    CHECK_TRUE(exchange != nullptr);
+  }
+};
+
+TEST(RequestHeaders, ACallersHeadersAreRead) {
+  Receive({{"Host", "a.example:8080"},
+           {"X-Request-Id", "r1"},
+           {"X-Deadline-Ms", "1400"},
+           {"X-Token-Counts", "1460,80"},
+           {"Last-Event-Id", "12"}});
+  const CallerHeaders headers = ReadCallerHeaders(*exchange);
+  STRCMP_EQUAL("r1", headers.id.value().c_str());
+  STRCMP_EQUAL("a.example", headers.host.c_str());
+  CHECK_TRUE(*headers.patience == Milliseconds(1400));
+  LONGS_EQUAL(1460, headers.prompt.value());
+  LONGS_EQUAL(80, headers.output.value());
+  LONGS_EQUAL(12, *headers.last_event_id);
+}
+
+TEST(RequestHeaders, MalformedHeadersSayNothing) {
+  Receive({{"X-Deadline-Ms", "soon"}, {"X-Token-Counts", "-3,x"}});
+  const CallerHeaders headers = ReadCallerHeaders(*exchange);
+  CHECK_FALSE(headers.patience.has_value());
+  LONGS_EQUAL(0, headers.prompt.value());
+  CHECK_FALSE(headers.last_event_id.has_value());
+}
+
+TEST(RequestHeaders, TheRequestPassesUnchanged) {
+  Receive({{"X-Model", "m"}, {"X-Prompt-Prefix", "5c:800"}, {"Accept", "a"}});
+  const HttpCall call = BuildCall(
+      *exchange, {.endpoint = Endpoint(), .time_left = Milliseconds(900)});
+  STRCMP_EQUAL("POST", call.method.c_str());
+  STRCMP_EQUAL("http://10.0.0.9:80/a%20b/c?d=%2F&e", call.url.c_str());
+  STRCMP_EQUAL("body", call.body.c_str());
+  STRCMP_EQUAL("m", ValueOf(call, "X-Model").c_str());
+  STRCMP_EQUAL("5c:800", ValueOf(call, "X-Prompt-Prefix").c_str());
+  STRCMP_EQUAL("900", ValueOf(call, "X-Deadline-Ms").c_str());
+  STRCMP_EQUAL("i-1", ValueOf(call, "X-Expect-Instance").c_str());
+  CHECK_TRUE(call.new_connection);
+}
+
+// A caller that sets them could take another caller's memory.
+TEST(RequestHeaders, SystemHeadersOfCallersAreTakenOut) {
+  Receive({{"X-Kv-Source", "10.0.0.1:80/h"},
+           {"x-kv-hold", "h"},
+           {"X-Pin-Ms", "4000"},
+           {"X-Kv-Backup", "10.0.0.1:80"},
+           {"Kv-Fetch", "10.0.0.1:80"},
+           {"X-Serving-Stage", "prefill"},
+           {"X-Expect-Instance", "other"},
+           {"X-Secret-Hop", "1"},
+           {"Connection", "x-secret-hop"}});
+  const HttpCall call = BuildCall(*exchange, {.endpoint = Endpoint()});
+  for (const char* name :
+       {"X-Kv-Source", "x-kv-hold", "X-Pin-Ms", "X-Kv-Backup", "Kv-Fetch",
+        "X-Serving-Stage", "X-Secret-Hop"}) {
+    STRCMP_EQUAL("", ValueOf(call, name).c_str());
+  }
+  STRCMP_EQUAL("i-1", ValueOf(call, "X-Expect-Instance").c_str());
+}
+
+TEST(RequestHeaders, AStreamGoesOnAfterAnEvent) {
+  Receive({{"Last-Event-Id", "3"}});
+  const HttpCall call =
+      BuildCall(*exchange, {.endpoint = Endpoint(),
+                            .kv_source = KvSource{"10.0.0.1:80", "h"},
+                            .resume_after = 12});
+  STRCMP_EQUAL("12", ValueOf(call, "Last-Event-Id").c_str());
+  STRCMP_EQUAL("10.0.0.1:80/h", ValueOf(call, "X-Kv-Source").c_str());
+}
+
+TEST(RequestHeaders, AnswersAreToldApart) {
+  SoupMessageHeaders* headers =
+      soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE);
+  soup_message_headers_append(headers, "X-Request-Id", "r2");
+  soup_message_headers_append(headers, "X-Server-Stamp", "s");
+  soup_message_headers_append(headers, "Content-Type",
+                              "text/event-stream; charset=utf-8");
+  soup_message_headers_append(headers, "Transfer-Encoding", "chunked");
+  EndpointAnswer answer =
+      ReadAnswer(200, headers, RequestId("r1"), EndpointId("i-1"));
+  CHECK_TRUE(answer.other_request);
+  CHECK_TRUE(answer.signed_by_endpoint);
+  CHECK_TRUE(answer.event_stream);
+  CHECK_FALSE(answer.not_executed);
+  for (const auto& [name, value] : answer.headers) {
+    CHECK_FALSE(name == "Transfer-Encoding");
+  }
+  soup_message_headers_append(headers, "X-Instance-Id", "i-2");
+  answer = ReadAnswer(421, headers, RequestId("r2"), EndpointId("i-1"));
+  CHECK_TRUE(answer.not_executed);
+  CHECK_TRUE(answer.other_endpoint);
+  soup_message_headers_unref(headers);
+}
+
+TEST(RequestHeaders, HandlesAreReadFromWholeAnswersOnly) {
+  STRCMP_EQUAL("3f", ReadHandle(R"({"handle":"3f","tokens":1})")->c_str());
+  CHECK_FALSE(ReadHandle(R"({"handle":7})").has_value());
+  CHECK_FALSE(ReadHandle("{").has_value());
+  CHECK_FALSE(ReadHandle("[]").has_value());
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/tests/platform/runner_calls_test.cc
@@ -0,0 +1,95 @@
+// Guards the registry against heartbeats that another writer sends, and keeps
+// what a proper one says.
+#include "platform/runner_calls.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+namespace cassiausher {
+namespace {
+
+constexpr const char* kBeat =
+    R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",
+    "slots":16,"state":"ready","cold-left-ms":0,"stage":"decode",
+    "models":[{"name":"m","version":1,"adapters":[]}],"seq":4,
+    "born":1788134613150})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+}  // namespace
+
+TEST_GROUP(RunnerCalls) {
+  Findings findings;
+  std::optional<EndpointRecord> Read(const std::string& body) {
+    return ReadHeartbeat(EndpointId("i-1"), body, &findings);
+  }
+};
+
+TEST(RunnerCalls, AProperHeartbeatIsKept) {
+  const auto record = Read(kBeat);
+  CHECK_TRUE(record.has_value());
+  STRCMP_EQUAL("i-1", record->id.value().c_str());
+  STRCMP_EQUAL("10.0.0.9:80", record->address.c_str());
+  CHECK_TRUE(record->stage == EndpointStage::kDecode);
+  CHECK_TRUE(record->state == EndpointState::kReady);
+  LONGS_EQUAL(16, record->slots);
+  LONGS_EQUAL(4, record->sequence);
+  CHECK_EQUAL(1788134613150u, record->born.value());
+}
+
+TEST(RunnerCalls, APlainEndpointHasNoStage) {
+  const auto record = Read(Replaced(kBeat, "\"stage\":\"decode\",", ""));
+  CHECK_TRUE(record->stage == EndpointStage::kNone);
+}
+
+// Runners that don't tell their start take a new id at each one.
+TEST(RunnerCalls, AStartThatIsNotToldIsTheFirst) {
+  const auto record =
+      Read(Replaced(kBeat, ",\n    \"born\":1788134613150", ""));
+  CHECK_TRUE(record.has_value());
+  CHECK_EQUAL(1u, record->born.value());
+}
+
+TEST(RunnerCalls, WhatAnotherWriterSendsNamesNoEndpoint) {
+  for (const auto& [from, to] :
+       {std::pair{"\"service\":\"s\"", "\"service\":7"},
+        std::pair{"\"service\":\"s\",", ""},
+        std::pair{"\"address\":\"10.0.0.9:80\"", "\"address\":\"nowhere\""},
+        std::pair{"\"address\":\"10.0.0.9:80\"", "\"address\":\":80\""},
+        std::pair{"\"zone\":\"z\"", "\"zone\":null"},
+        std::pair{"\"slots\":16", "\"slots\":\"16\""},
+        std::pair{"\"slots\":16", "\"slots\":-1"},
+        std::pair{"\"state\":\"ready\"", "\"state\":\"asleep\""},
+        std::pair{"\"stage\":\"decode\"", "\"stage\":\"cook\""},
+        std::pair{"\"stage\":\"decode\"", "\"stage\":3"},
+        std::pair{"\"seq\":4", "\"seq\":4.5"}, std::pair{"\"seq\":4,", ""},
+        std::pair{"1788134613150", "1788134613150.5"},
+        std::pair{"1788134613150", "0"},
+        std::pair{"1788134613150", "\"now\""}}) {
+    CHECK_FALSE(Read(Replaced(kBeat, from, to)).has_value());
+  }
+  for (const char* body : {"", "{", "[]", "null", "\xff\xfe", "{}"}) {
+    CHECK_FALSE(Read(body).has_value());
+  }
+}
+
+TEST(RunnerCalls, CallsAreToldByMethodAndPath) {
+  CHECK_TRUE(ReadControlCall("PUT", "/api/instances/i-1").kind ==
+             ControlCallKind::kHeartbeat);
+  CHECK_TRUE(ReadControlCall("DELETE", "/api/instances/i-1").kind ==
+             ControlCallKind::kDeparture);
+  CHECK_TRUE(ReadControlCall("PUT", "/api/instances/").kind ==
+             ControlCallKind::kUnknown);
+  CHECK_TRUE(ReadControlCall("PUT", "/api/config").kind ==
+             ControlCallKind::kPutConfiguration);
+  CHECK_TRUE(ReadControlCall("POST", "/api/config").kind ==
+             ControlCallKind::kUnknown);
+  CHECK_TRUE(IsReadinessCall("GET", "/api/ready"));
+  CHECK_FALSE(IsReadinessCall("GET", "/api/readyz"));
+}
+
+}  // namespace cassiausher
