Let returning callers wait, refuse queues sooner, and name what the log tells

Cause: callers that came back after a refusal were refused again after 0.55 s in the same overload, and three waiting streams at each instance were more than the room that comes back while they can be in time. EndpointRole stood three times and EndpointState twice in one namespace. Numbers were text in the JSON log. Change: a caller whose patience shows that it came back may wait 2.5 s; one new stream waits at an instance; core/endpoint_role.h; EndpointLifecycle; the log keeps numbers, names failures and tells once why a request waits.

--- a/core/log.cc
+++ b/core/log.cc
@@ -104,7 +104,14 @@
     line["level"] = kLevelNames[static_cast<std::size_t>(level)];
     line["instance"] = InstanceName();
     line["event"] = event;
-    for (const LogField& field : fields) line[field.key] = field.value;
+    for (const LogField& field : fields) {
+      if (field.is_literal) {
+        line[field.key] =
+            nlohmann::ordered_json::parse(field.value, nullptr, false);
+      } else {
+        line[field.key] = field.value;
+      }
+    }
     if (left_out > 0) line["left_out"] = left_out;
     Send(line.dump(-1, ' ', false,
                    nlohmann::ordered_json::error_handler_t::replace) +
--- a/core/log.h
+++ b/core/log.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 namespace cassiausher {
@@ -19,10 +20,14 @@
 struct LogField {
   template <typename Value>
   LogField(std::string_view field_key, const Value& field_value)
-      : key(field_key), value(fmt::format("{}", field_value)) {}
+      : key(field_key),
+        value(fmt::format("{}", field_value)),
+        is_literal(std::is_arithmetic_v<Value>) {}
 
   std::string key;
   std::string value;
+  /// A number or a truth value, which JSON writes without quotes.
+  bool is_literal = false;
 };
 
 /// Sets the lowest level written and the instance name on each line. Call
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -149,8 +149,8 @@
       {{"endpoint", record.id.value()},
        {"service", record.service.value()},
        {"address", record.address},
-       {"state", static_cast<int>(record.state)},
-       {"stage", static_cast<int>(record.stage)},
+       {"state", Name(record.state)},
+       {"role", Name(record.role)},
        {"born", record.born.value()},
        {"sequence", record.sequence}});
   proto::Sync sync;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -26,6 +26,22 @@
   void OnDone(std::string_view, bool) override { delete this; }
 };
 
+std::string_view Name(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNotSent:
+      return "not_sent";
+    case CallFailure::kNotExecuted:
+      return "not_executed";
+    case CallFailure::kMisplaced:
+      return "misplaced";
+    case CallFailure::kServerError:
+      return "server_error";
+    case CallFailure::kBroken:
+      return "broken";
+  }
+  return "unknown";
+}
+
 std::string RefusalBody(std::string_view reason, Duration retry_after) {
   return fmt::format(
       R"({{"error":{{"type":"refused","code":"unavailable","message":"{}","not_run":true,"retry_after_ms":{}}}}})",
@@ -75,6 +91,15 @@
     return;
   }
   if (const auto* wait = std::get_if<WaitForRoom>(&step)) {
+    if (wait_until_ == Time{}) {
+      Log(LogLevel::kInfo, "request_waits",
+          {{"request", caller_.id.value()},
+           {"occupancy", wait->occupancy},
+           {"waiting", context_.pool->waiting()},
+           {"returning", facts_.returning},
+           {"loads_age_ms",
+            ToMilliseconds(context_.pool->LoadsAge(BootTimeNow()))}});
+    }
     wait_until_ = wait->until;
     ArmTimer();
     return;
@@ -264,7 +289,7 @@
       {{"request", caller_.id.value()},
        {"call", calls_},
        {"endpoint", call_->endpoint.id.value()},
-       {"failure", static_cast<int>(failure)},
+       {"failure", Name(failure)},
        {"reason", text},
        {"after_ms", ToMilliseconds(BootTimeNow() - call_started_)}});
   switch (failure) {
@@ -284,8 +309,8 @@
       DropCall(WorkOutcome::kBroken);
   }
   context_.metrics
-      ->counter(fmt::format("call_failures_total{{failure=\"{}\"}}",
-                            static_cast<int>(failure)))
+      ->counter(
+          fmt::format("call_failures_total{{failure=\"{}\"}}", Name(failure)))
       .Add();
   Take(forwarder_.OnCallFailed(failure, BootTimeNow()));
 }
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -62,7 +62,7 @@
     if (!service.engine.has_value()) continue;
     std::vector<RunnerLoad> runners;
     for (const EndpointRecord& record : registry.ChangedSince(0)) {
-      if (record.service != id || record.state != EndpointState::kReady) {
+      if (record.service != id || record.state != EndpointLifecycle::kReady) {
         continue;
       }
       if (std::find(silent.begin(), silent.end(), record.id) != silent.end()) {
@@ -71,7 +71,7 @@
       const auto load = loads.find(record.id);
       RunnerLoad runner = load == loads.end() ? RunnerLoad{} : load->second;
       runner.id = record.id;
-      runner.stage = record.stage;
+      runner.role = record.role;
       runners.push_back(runner);
     }
     StageBalancer& balancer =
@@ -92,11 +92,11 @@
   sent_.Add();
   Log(LogLevel::kInfo, "stage_ordered",
       {{"endpoint", planned.order.endpoint.value()},
-       {"stage", static_cast<int>(planned.order.stage)},
+       {"role", Name(planned.order.role)},
        {"sequence", planned.endpoint.sequence},
        {"term", term}});
   client_.Start(
-      BuildStageOrder(planned.endpoint, planned.order.stage, holder_, term),
+      BuildStageOrder(planned.endpoint, planned.order.role, holder_, term),
       new OrderSink(planned.order.endpoint));
 }
 
--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -20,14 +20,38 @@
   return changed;
 }
 
+std::string_view Name(EndpointLifecycle state) {
+  switch (state) {
+    case EndpointLifecycle::kReady:
+      return "ready";
+    case EndpointLifecycle::kDraining:
+      return "draining";
+    case EndpointLifecycle::kDeparted:
+      return "departed";
+  }
+  return "unknown";
+}
+
+std::string_view Name(EndpointRole role) {
+  switch (role) {
+    case EndpointRole::kPrefill:
+      return "prefill";
+    case EndpointRole::kDecode:
+      return "decode";
+    case EndpointRole::kPlain:
+      return "plain";
+  }
+  return "unknown";
+}
+
 proto::EndpointRecord ToProto(const EndpointRecord& record) {
   proto::EndpointRecord message;
   message.set_id(record.id.value());
   message.set_service(record.service.value());
   message.set_address(record.address);
   message.set_data_centre(record.data_centre.value());
-  message.set_stage(static_cast<proto::EndpointStage>(record.stage));
-  message.set_state(static_cast<proto::EndpointState>(record.state));
+  message.set_role(static_cast<proto::EndpointRole>(record.role));
+  message.set_state(static_cast<proto::EndpointLifecycle>(record.state));
   message.set_slots(record.slots);
   message.set_born_ms(record.born.value());
   message.set_sequence(record.sequence);
@@ -36,14 +60,14 @@
 
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record) {
   if (message.id().empty() || message.born_ms() == 0) return false;
-  if (!proto::EndpointStage_IsValid(message.stage())) return false;
-  if (!proto::EndpointState_IsValid(message.state())) return false;
+  if (!proto::EndpointRole_IsValid(message.role())) return false;
+  if (!proto::EndpointLifecycle_IsValid(message.state())) return false;
   *record = {.id = EndpointId(message.id()),
              .service = ServiceId(message.service()),
              .address = message.address(),
              .data_centre = DataCentreId(message.data_centre()),
-             .stage = static_cast<EndpointStage>(message.stage()),
-             .state = static_cast<EndpointState>(message.state()),
+             .role = static_cast<EndpointRole>(message.role()),
+             .state = static_cast<EndpointLifecycle>(message.state()),
              .slots = static_cast<int>(message.slots()),
              .born = Incarnation(message.born_ms()),
              .sequence = message.sequence()};
--- a/servers/control/endpoint_record.h
+++ b/servers/control/endpoint_record.h
@@ -4,26 +4,25 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
+#include "core/endpoint_role.h"
 #include "core/ids.h"
 #include "core/units.h"
 #include "proto/gen/node.pb.h"
 
 namespace cassiausher {
 
-/// Part of a request that a model runner takes; kNone for plain services.
-enum class EndpointStage { kNone, kPrefill, kDecode };
-
 /// Ordered: an incarnation moves only towards the later states.
-enum class EndpointState { kReady, kDraining, kDeparted };
+enum class EndpointLifecycle { kReady, kDraining, kDeparted };
 
 struct EndpointRecord {
   EndpointId id;
   ServiceId service;
   std::string address;  ///< "IP:PORT".
   DataCentreId data_centre;
-  EndpointStage stage = EndpointStage::kNone;
-  EndpointState state = EndpointState::kReady;
+  EndpointRole role = EndpointRole::kPlain;
+  EndpointLifecycle state = EndpointLifecycle::kReady;
   int slots = 1;
   /// Start of this incarnation, in milliseconds since the epoch.
   Incarnation born{0};
@@ -39,6 +38,10 @@
 /// ready again. Returns whether anything but the sequence number changed.
 bool Merge(const EndpointRecord& heard, EndpointRecord* known);
 
+/// Names for logs.
+std::string_view Name(EndpointLifecycle state);
+std::string_view Name(EndpointRole role);
+
 proto::EndpointRecord ToProto(const EndpointRecord& record);
 /// False if the message lacks an id, an address or an incarnation.
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record);
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -20,8 +20,8 @@
   const auto found = entries_.find(id);
   if (found == entries_.end()) return false;
   Entry& entry = found->second;
-  if (entry.record.state == EndpointState::kDeparted) return false;
-  entry.record.state = EndpointState::kDeparted;
+  if (entry.record.state == EndpointLifecycle::kDeparted) return false;
+  entry.record.state = EndpointLifecycle::kDeparted;
   entry.heard_at = now;
   entry.changed_at = ++revision_;
   return true;
@@ -53,7 +53,7 @@
 std::vector<EndpointId> EndpointRegistry::Silent(Time now) const {
   std::vector<EndpointId> silent;
   for (const auto& [id, entry] : entries_) {
-    if (entry.record.state == EndpointState::kDeparted) continue;
+    if (entry.record.state == EndpointLifecycle::kDeparted) continue;
     if (now - entry.heard_at >= options_.silent_after) silent.push_back(id);
   }
   return silent;
--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -20,10 +20,10 @@
   int reading = 0;
   double memory = 0;
   for (const RunnerLoad& runner : runners) {
-    if (runner.stage == EndpointStage::kPrefill) {
+    if (runner.role == EndpointRole::kPrefill) {
       ++prefill_runners;
       reading += runner.requests;
-    } else if (runner.stage == EndpointStage::kDecode) {
+    } else if (runner.role == EndpointRole::kDecode) {
       ++decode_runners;
       memory += static_cast<double>(runner.kv_tokens.value());
     }
@@ -46,26 +46,27 @@
   const double after = std::fmax(donor_after, taker_after);
   const bool worth_it = spare && loads_.busier() >= options_.least_load &&
                         after <= options_.benefit * loads_.busier();
-  const EndpointStage short_stage = !worth_it         ? EndpointStage::kNone
-                                    : decode_is_short ? EndpointStage::kDecode
-                                                      : EndpointStage::kPrefill;
-  if (short_stage != short_stage_) {
-    short_stage_ = short_stage;
+  std::optional<EndpointRole> short_role;
+  if (worth_it) {
+    short_role =
+        decode_is_short ? EndpointRole::kDecode : EndpointRole::kPrefill;
+  }
+  if (short_role != short_role_) {
+    short_role_ = short_role;
     short_since_ = now;
   }
   if (!worth_it || now - short_since_ < options_.hold) return std::nullopt;
   if (ordered_at_ && now - *ordered_at_ < options_.pause) return std::nullopt;
   return Choose(
-      runners,
-      decode_is_short ? EndpointStage::kPrefill : EndpointStage::kDecode, now);
+      runners, decode_is_short ? EndpointRole::kPrefill : EndpointRole::kDecode,
+      now);
 }
 
 std::optional<StageOrder> StageBalancer::Choose(
-    const std::vector<RunnerLoad>& runners, EndpointStage from,
-    Time now) const {
+    const std::vector<RunnerLoad>& runners, EndpointRole from, Time now) const {
   const RunnerLoad* idlest = nullptr;
   for (const RunnerLoad& runner : runners) {
-    if (runner.stage != from) continue;
+    if (runner.role != from) continue;
     const auto ordered = runner_ordered_at_.find(runner.id);
     if (ordered != runner_ordered_at_.end() &&
         now - ordered->second < options_.runner_pause) {
@@ -76,9 +77,9 @@
     }
   }
   if (idlest == nullptr) return std::nullopt;
-  const EndpointStage to = from == EndpointStage::kPrefill
-                               ? EndpointStage::kDecode
-                               : EndpointStage::kPrefill;
+  const EndpointRole to = from == EndpointRole::kPrefill
+                              ? EndpointRole::kDecode
+                              : EndpointRole::kPrefill;
   return StageOrder{idlest->id, to};
 }
 
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -36,14 +36,14 @@
 /// One usable runner and its work in progress.
 struct RunnerLoad {
   EndpointId id;
-  EndpointStage stage = EndpointStage::kDecode;
+  EndpointRole role = EndpointRole::kDecode;
   int requests = 0;
   Tokens kv_tokens{0};
 };
 
 struct StageOrder {
   EndpointId endpoint;
-  EndpointStage stage = EndpointStage::kDecode;
+  EndpointRole role = EndpointRole::kDecode;
 };
 
 /// For the runners of one service. Not thread safe.
@@ -66,15 +66,15 @@
 
   void Smooth(const Loads& sample, Time now);
   std::optional<StageOrder> Choose(const std::vector<RunnerLoad>& runners,
-                                   EndpointStage from, Time now) const;
+                                   EndpointRole from, Time now) const;
 
   StageBalancerOptions options_;
   /// Requests at a prefill runner and share of a decode runner's memory, both
   /// as means over the runners of the stage.
   Loads loads_;
   std::optional<Time> sampled_at_;
-  /// Stage that is short of runners, and since when.
-  EndpointStage short_stage_ = EndpointStage::kNone;
+  /// Role that is short of runners, and since when.
+  std::optional<EndpointRole> short_role_;
   Time short_since_{};
   std::optional<Time> ordered_at_;
   std::map<EndpointId, Time> runner_ordered_at_;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -70,8 +70,8 @@
 
 double DefaultUnitCost(const EndpointRecord& record, const WorkSpec& work) {
   if (work.prompt.value() == 0) return kPlainRequestUs;
-  return record.stage == EndpointStage::kPrefill ? kPrefillTokenUs
-                                                 : kDecodeTokenUs;
+  return record.role == EndpointRole::kPrefill ? kPrefillTokenUs
+                                               : kDecodeTokenUs;
 }
 
 }  // namespace
@@ -113,7 +113,7 @@
 
 void EndpointPool::Expire(Time now) {
   std::erase_if(entries_, [&](const auto& item) {
-    return item.second.record.state == EndpointState::kDeparted &&
+    return item.second.record.state == EndpointLifecycle::kDeparted &&
            item.second.in_flight == 0 &&
            now - item.second.changed_at >= options_.tombstone_lifetime;
   });
@@ -157,7 +157,7 @@
   if (work.prompt.value() > 0) {
     Tokens tokens = entry.in_flight_tokens + TokensToRead(work);
     // What others read at a prefill runner comes before this.
-    if (entry.record.stage == EndpointStage::kPrefill) {
+    if (entry.record.role == EndpointRole::kPrefill) {
       tokens += OtherLoad(entry, now).kv_tokens;
     }
     return Duration(
@@ -207,8 +207,8 @@
   std::vector<const Entry*> with_room;
   for (const auto& [id, entry] : entries_) {
     if (entry.record.service != work.service) continue;
-    if (entry.record.stage != work.stage) continue;
-    if (entry.record.state != EndpointState::kReady) continue;
+    if (entry.record.role != work.role) continue;
+    if (entry.record.state != EndpointLifecycle::kReady) continue;
     if (work.excluded.contains(id)) continue;
     if (now < entry.misplaced_until) continue;
     const double score = Score(entry, work, now);
@@ -218,7 +218,7 @@
     best_score = score;
   }
   if (best == nullptr) return std::nullopt;
-  const bool is_model = work.stage != EndpointStage::kNone;
+  const bool is_model = work.role != EndpointRole::kPlain;
   if (is_model && with_room.size() > 2) best = Draw(with_room, work, now);
   double occupancy = Occupancy(*best, work, now);
   if (now < best->full_until) occupancy = std::max(occupancy, kOverFull);
@@ -322,7 +322,7 @@
   std::size_t count = 0;
   for (const auto& [id, entry] : entries_) {
     if (entry.record.service == service &&
-        entry.record.state == EndpointState::kReady) {
+        entry.record.state == EndpointLifecycle::kReady) {
       ++count;
     }
   }
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -40,7 +40,7 @@
 struct WorkSpec {
   ServiceId service;
   /// Endpoints of another stage are left out.
-  EndpointStage stage = EndpointStage::kNone;
+  EndpointRole role = EndpointRole::kPlain;
   /// Prompt of the request; 0 for plain services.
   Tokens prompt{0};
   /// The prompt was read elsewhere and its KV cache is fetched.
@@ -113,6 +113,9 @@
   int waiting() const { return waiting_; }
   void ChangeWaiting(int difference) { waiting_ += difference; }
 
+  /// Age of what is known of other instances' work.
+  Duration LoadsAge(Time now) const { return now - other_loads_at_; }
+
   bool HasEndpoints() const { return !entries_.empty(); }
   std::size_t ReadyCount(const ServiceId& service) const;
   const EndpointRecord* Find(const EndpointId& id) const;
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -40,7 +40,12 @@
 // Bursts last a few seconds, and a caller comes back once or twice at most.
 constexpr Duration kModelRetryAfter = Milliseconds(3000);
 constexpr Duration kModelRetrySpread = Milliseconds(1500);
-constexpr int kMostWaiting = 3;
+// Room comes back for about one request at an instance while a new request can
+// wait.
+constexpr int kMostWaiting = 1;
+constexpr int kMostWaitingReturning = 4;
+// Callers give up after 3.6 s without a first event.
+constexpr Duration kReturningWait = Milliseconds(2500);
 
 }  // namespace
 
@@ -59,9 +64,9 @@
   return Tokens(facts_.output.value() * 17 / 20);
 }
 
-WorkSpec RequestForwarder::Work(EndpointStage stage) const {
+WorkSpec RequestForwarder::Work(EndpointRole role) const {
   return {.service = facts_.service,
-          .stage = stage,
+          .role = role,
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
           .kv_tokens = facts_.prompt + ExpectedGrowth(),
           .kv_capacity = facts_.kv_capacity,
@@ -76,9 +81,11 @@
 }
 
 bool RequestForwarder::MayWait(Time now) const {
-  // Room comes back at one instance for one request each few hundred
-  // milliseconds; a longer queue is told at once to come back.
-  if (!waiting_ && pool_->waiting() >= kMostWaiting) return false;
+  // A longer queue is told at once to come back.
+  const int most = facts_.returning ? kMostWaitingReturning : kMostWaiting;
+  if (!waiting_ && pool_->waiting() >= most) return false;
+  // Whoever comes back is late already and isn't turned away twice lightly.
+  if (facts_.returning) return now - facts_.arrived < kReturningWait;
   return now - facts_.arrived + kReadingTime < facts_.latency_target;
 }
 
@@ -155,7 +162,7 @@
 }
 
 std::optional<ForwardStep> RequestForwarder::ChoosePlainCall(Time now) {
-  const WorkSpec work = Work(EndpointStage::kNone);
+  const WorkSpec work = Work(EndpointRole::kPlain);
   const auto placed = pool_->Pick(work, now);
   if (!placed.has_value()) return std::nullopt;
   StartCall call{.endpoint = placed->endpoint, .work = work};
@@ -167,7 +174,7 @@
 }
 
 std::optional<ForwardStep> RequestForwarder::ChooseModelCall(Time now) {
-  WorkSpec decode = Work(EndpointStage::kDecode);
+  WorkSpec decode = Work(EndpointRole::kDecode);
   decode.prompt_is_read = true;
   const auto runner = pool_->Pick(decode, now);
   const bool full = runner.has_value() && runner->occupancy > kFullOccupancy;
@@ -175,7 +182,7 @@
   if (full && !kv_source_.has_value() && runs_ == 0) {
     if (!MayWait(now)) return GiveUp("no runner has room");
     if (!std::exchange(waiting_, true)) pool_->ChangeWaiting(1);
-    return WaitForRoom{now + kRoomPollPeriod};
+    return WaitForRoom{now + kRoomPollPeriod, runner->occupancy};
   }
   StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
@@ -196,7 +203,7 @@
 
 std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) const {
   if (prefill_failures_ >= kMostPrefillFailures) return std::nullopt;
-  WorkSpec prefill = Work(EndpointStage::kPrefill);
+  WorkSpec prefill = Work(EndpointRole::kPrefill);
   prefill.kv_tokens = facts_.prompt;
   prefill.slots = 0;
   const auto placed = pool_->Pick(prefill, now);
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -41,6 +41,9 @@
   Duration latency_target = Seconds(1);
   /// Time for which a runner keeps a prompt that it read.
   Duration handle_lifetime = Milliseconds(500);
+  /// The caller was refused before and came back: it has less time than a new
+  /// one.
+  bool returning = false;
   Time arrived{};
   /// End of the caller's patience or of the route's timeout.
   Time deadline{};
@@ -73,6 +76,8 @@
 /// No runner has room; ask again at that time.
 struct WaitForRoom {
   Time until{};
+  /// Share of the best runner's memory that would be in use.
+  double occupancy = 0;
 };
 
 /// The request has not run and never will. The caller may come back.
@@ -143,7 +148,7 @@
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason);
   Tokens ExpectedGrowth() const;
-  WorkSpec Work(EndpointStage stage) const;
+  WorkSpec Work(EndpointRole role) const;
 
   RequestFacts facts_;
   EndpointPool* pool_;
--- a/servers/routing/router_types.h
+++ b/servers/routing/router_types.h
@@ -8,14 +8,13 @@
 #include <variant>
 #include <vector>
 
+#include "core/endpoint_role.h"
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/units.h"
 
 namespace cassiausher {
 
-enum class EndpointRole { kPrefill, kDecode, kPlain };
-
 /// What is known of an endpoint from its announcements and the configuration.
 struct EndpointInfo {
   EndpointId id;
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -16,11 +16,11 @@
 constexpr Time kStart{Seconds(100)};
 
 EndpointRecord Runner(std::uint64_t born, std::uint64_t sequence,
-                      EndpointState state = EndpointState::kReady) {
+                      EndpointLifecycle state = EndpointLifecycle::kReady) {
   return {.id = EndpointId("r1"),
           .service = ServiceId("model"),
           .address = "10.0.0.1:80",
-          .stage = EndpointStage::kDecode,
+          .role = EndpointRole::kDecode,
           .state = state,
           .born = Incarnation(born),
           .sequence = sequence};
@@ -42,10 +42,10 @@
 
 // A heartbeat that was sent before the drain arrives after it.
 TEST(EndpointRegistry, ALateHeartbeatDoesNotEndADrain) {
-  registry.Hear(Runner(1, 5, EndpointState::kDraining), kStart);
+  registry.Hear(Runner(1, 5, EndpointLifecycle::kDraining), kStart);
   CHECK_FALSE(registry.Hear(Runner(1, 4), kStart));
   CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
-             EndpointState::kDraining);
+             EndpointLifecycle::kDraining);
 }
 
 TEST(EndpointRegistry, ADepartureIsFinalForTheIncarnation) {
@@ -54,7 +54,7 @@
   CHECK_FALSE(registry.Depart(EndpointId("r1"), kStart));
   registry.Hear(Runner(7, 6), kStart);
   CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
-             EndpointState::kDeparted);
+             EndpointLifecycle::kDeparted);
 }
 
 // A runner may start again under the id that it had; its counts start anew.
@@ -62,7 +62,8 @@
   registry.Hear(Runner(7, 50), kStart);
   registry.Depart(EndpointId("r1"), kStart);
   CHECK_TRUE(registry.Hear(Runner(8, 1), kStart));
-  CHECK_TRUE(registry.Find(EndpointId("r1"))->state == EndpointState::kReady);
+  CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
+             EndpointLifecycle::kReady);
   CHECK_FALSE(registry.Hear(Runner(7, 51), kStart));
   CHECK_EQUAL(8u, registry.Find(EndpointId("r1"))->born.value());
 }
@@ -95,14 +96,14 @@
     Random random(seed);
     std::vector<EndpointRecord> statements;
     for (int i = 0; i < 12; ++i) {
-      const auto state =
-          random.Chance(0.3) ? EndpointState::kDraining : EndpointState::kReady;
+      const auto state = random.Chance(0.3) ? EndpointLifecycle::kDraining
+                                            : EndpointLifecycle::kReady;
       EndpointRecord record =
           Runner(1 + random.Below(3), 1 + random.Below(6), state);
       // What a runner says under one number is always the same.
       record.slots = static_cast<int>(record.sequence);
-      record.state = record.sequence > 3 ? EndpointState::kDraining
-                                         : EndpointState::kReady;
+      record.state = record.sequence > 3 ? EndpointLifecycle::kDraining
+                                         : EndpointLifecycle::kReady;
       statements.push_back(record);
     }
     EndpointRegistry first{EndpointRegistryOptions{}};
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -21,11 +21,11 @@
   std::vector<RunnerLoad> runners;
   for (int i = 0; i < prefill; ++i) {
     runners.push_back({EndpointId("p" + std::to_string(i)),
-                       EndpointStage::kPrefill, reading, Tokens(0)});
+                       EndpointRole::kPrefill, reading, Tokens(0)});
   }
   for (int i = 0; i < decode; ++i) {
     runners.push_back({EndpointId("d" + std::to_string(i)),
-                       EndpointStage::kDecode, 5, Tokens(kv_tokens)});
+                       EndpointRole::kDecode, 5, Tokens(kv_tokens)});
   }
   return runners;
 }
@@ -53,7 +53,7 @@
 TEST(StageBalancer, AnIdlePrefillRunnerHelpsFullDecodeRunners) {
   const auto order = Run(Runners(3, 5, 0, 79000), kStart, Seconds(20));
   CHECK_TRUE(order.has_value());
-  CHECK_TRUE(order->stage == EndpointStage::kDecode);
+  CHECK_TRUE(order->role == EndpointRole::kDecode);
   CHECK_EQUAL('p', order->endpoint.value().front());
 }
 
@@ -61,7 +61,7 @@
 TEST(StageBalancer, ADecodeRunnerHelpsBusyPrefillRunners) {
   const auto order = Run(Runners(2, 7, 3, 10000), kStart, Seconds(20));
   CHECK_TRUE(order.has_value());
-  CHECK_TRUE(order->stage == EndpointStage::kPrefill);
+  CHECK_TRUE(order->role == EndpointRole::kPrefill);
 }
 
 TEST(StageBalancer, AQuietServiceStays) {
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -24,7 +24,7 @@
 EndpointRecord Decoder(const char* id) {
   EndpointRecord record = Plain(id, "here");
   record.service = ServiceId("model");
-  record.stage = EndpointStage::kDecode;
+  record.role = EndpointRole::kDecode;
   return record;
 }
 
@@ -32,7 +32,7 @@
 
 WorkSpec Stream() {
   return {.service = ServiceId("model"),
-          .stage = EndpointStage::kDecode,
+          .role = EndpointRole::kDecode,
           .prompt = Tokens(5000),
           .kv_tokens = Tokens(7000),
           .kv_capacity = Tokens(100000)};
@@ -62,7 +62,7 @@
 TEST(EndpointPool, ADepartingEndpointGetsNothing) {
   EndpointRecord record = Plain("a", "here");
   pool.Merge(record, kStart);
-  record.state = EndpointState::kDraining;
+  record.state = EndpointLifecycle::kDraining;
   record.sequence = 2;
   pool.Merge(record, kStart);
   STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
@@ -71,7 +71,7 @@
 // A control instance that started anew tells of a runner that has departed.
 TEST(EndpointPool, AnOlderWordDoesNotBringAnEndpointBack) {
   EndpointRecord record = Plain("a", "here");
-  record.state = EndpointState::kDeparted;
+  record.state = EndpointLifecycle::kDeparted;
   record.sequence = 5;
   pool.Merge(record, kStart);
   pool.Merge(Plain("a", "here"), kStart);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -15,12 +15,12 @@
 
 constexpr Time kStart{Seconds(100)};
 
-EndpointRecord Endpoint(const std::string& id, EndpointStage stage) {
+EndpointRecord Endpoint(const std::string& id, EndpointRole stage) {
   return {.id = EndpointId(id),
           .service = ServiceId("s"),
           .address = "10.0.0.1:80",
           .data_centre = DataCentreId("here"),
-          .stage = stage,
+          .role = stage,
           .slots = 6,
           .born = Incarnation(1),
           .sequence = 1};
@@ -62,14 +62,14 @@
 
   void AddPlain(int count) {
     for (int i = 0; i < count; ++i) {
-      pool.Merge(Endpoint("p" + std::to_string(i), EndpointStage::kNone),
+      pool.Merge(Endpoint("p" + std::to_string(i), EndpointRole::kPlain),
                  kStart);
     }
   }
   void AddRunners() {
-    pool.Merge(Endpoint("prefill", EndpointStage::kPrefill), kStart);
-    pool.Merge(Endpoint("decode1", EndpointStage::kDecode), kStart);
-    pool.Merge(Endpoint("decode2", EndpointStage::kDecode), kStart);
+    pool.Merge(Endpoint("prefill", EndpointRole::kPrefill), kStart);
+    pool.Merge(Endpoint("decode1", EndpointRole::kDecode), kStart);
+    pool.Merge(Endpoint("decode2", EndpointRole::kDecode), kStart);
   }
   RequestForwarder Make(const RequestFacts& facts) {
     return RequestForwarder(facts, &pool, &budget);
@@ -185,7 +185,7 @@
   forwarder.Start(kStart);
   const ForwardStep next = forwarder.OnCallFailed(CallFailure::kBroken, kStart);
   CHECK_TRUE(Call(next).kind == CallKind::kRun);
-  CHECK_TRUE(Call(next).endpoint.stage == EndpointStage::kDecode);
+  CHECK_TRUE(Call(next).endpoint.role == EndpointRole::kDecode);
 }
 
 // The prompt is read again at a prefill runner: a decode runner that reads it
--- a/tests/platform/runner_calls_test.cc
+++ b/tests/platform/runner_calls_test.cc
@@ -34,8 +34,8 @@
   CHECK_TRUE(record.has_value());
   STRCMP_EQUAL("i-1", record->id.value().c_str());
   STRCMP_EQUAL("10.0.0.9:80", record->address.c_str());
-  CHECK_TRUE(record->stage == EndpointStage::kDecode);
-  CHECK_TRUE(record->state == EndpointState::kReady);
+  CHECK_TRUE(record->role == EndpointRole::kDecode);
+  CHECK_TRUE(record->state == EndpointLifecycle::kReady);
   LONGS_EQUAL(16, record->slots);
   LONGS_EQUAL(4, record->sequence);
   CHECK_EQUAL(1788134613150u, record->born.value());
@@ -43,7 +43,7 @@
 
 TEST(RunnerCalls, APlainEndpointHasNoStage) {
   const auto record = Read(Replaced(kBeat, "\"stage\":\"decode\",", ""));
-  CHECK_TRUE(record->stage == EndpointStage::kNone);
+  CHECK_TRUE(record->role == EndpointRole::kPlain);
 }
 
 // Runners that don't tell their start take a new id at each one.
--- a/tools/fake_endpoint/endpoint_options.h
+++ b/tools/fake_endpoint/endpoint_options.h
@@ -6,9 +6,9 @@
 #include <string>
 #include <vector>
 
-namespace cassiausher {
+#include "core/endpoint_role.h"
 
-enum class EndpointRole { kPrefill, kDecode, kPlain };
+namespace cassiausher {
 
 struct EndpointOptions {
   std::string name = "fake";
