--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -30,9 +30,6 @@
 constexpr double kBudgetMargin = 0.8;
 constexpr std::uint32_t kLeastEntryInstances = 8;
 constexpr int kBudgetWindowSeconds = 10;
-// A caller whose patience is shorter than its route's timeout by more than this
-// has spent the difference before.
-constexpr Duration kReturningMargin = Seconds(1);
 constexpr Duration kRefusalRetryAfter = Milliseconds(300);
 
 constexpr const char* kJson = "application/json";
@@ -142,7 +139,6 @@
                      .prompt = caller.prompt,
                      .output = caller.output,
                      .latency_target = route->latency_target,
-                     .returning = patience + kReturningMargin < route->timeout,
                      .arrived = now,
                      .deadline = now + patience,
                      .gap_target = route->gap_target};
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -96,7 +96,6 @@
           {{"request", caller_.id.value()},
            {"occupancy", wait->occupancy},
            {"waiting", context_.pool->waiting()},
-           {"returning", facts_.returning},
            {"loads_age_ms",
             ToMilliseconds(context_.pool->LoadsAge(BootTimeNow()))}});
     }
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -15,7 +15,7 @@
 constexpr int kMostPrefillFailures = 2;
 // Expected memory above this share counts as full: estimates of answers are
 // often too short, and a runner out of memory reads a request anew.
-constexpr double kFullOccupancy = 0.8;
+constexpr double kFullOccupancy = 0.85;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
 constexpr Duration kReadingTime = Milliseconds(350);
@@ -40,12 +40,8 @@
 // Bursts last a few seconds, and a caller comes back once or twice at most.
 constexpr Duration kModelRetryAfter = Milliseconds(3000);
 constexpr Duration kModelRetrySpread = Milliseconds(1500);
-// Room comes back for about one request at an instance while a new request can
-// wait.
-constexpr int kMostWaiting = 1;
-constexpr int kMostWaitingReturning = 4;
-// Callers give up after 3.6 s without a first event.
-constexpr Duration kReturningWait = Milliseconds(2500);
+// Room comes back for a few requests at an instance while a request can wait.
+constexpr int kMostWaiting = 3;
 
 }  // namespace
 
@@ -61,7 +57,7 @@
 // Streams of a runner are at different points of their answers, so they don't
 // hold the whole of them at the same time.
 Tokens RequestForwarder::ExpectedGrowth() const {
-  return Tokens(facts_.output.value() * 17 / 20);
+  return Tokens(facts_.output.value() * 3 / 4);
 }
 
 WorkSpec RequestForwarder::Work(EndpointRole role) const {
@@ -82,10 +78,7 @@
 
 bool RequestForwarder::MayWait(Time now) const {
   // A longer queue is told at once to come back.
-  const int most = facts_.returning ? kMostWaitingReturning : kMostWaiting;
-  if (!waiting_ && pool_->waiting() >= most) return false;
-  // Whoever comes back is late already and isn't turned away twice lightly.
-  if (facts_.returning) return now - facts_.arrived < kReturningWait;
+  if (!waiting_ && pool_->waiting() >= kMostWaiting) return false;
   return now - facts_.arrived + kReadingTime < facts_.latency_target;
 }
 
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -41,9 +41,6 @@
   Duration latency_target = Seconds(1);
   /// Time for which a runner keeps a prompt that it read.
   Duration handle_lifetime = Milliseconds(500);
-  /// The caller was refused before and came back: it has less time than a new
-  /// one.
-  bool returning = false;
   Time arrived{};
   /// End of the caller's patience or of the route's timeout.
   Time deadline{};
