Tell entry instances of runners that change their role

Cause: only the leader told that a runner was ordered to change, among the silent endpoints, and an endpoint is silent only if every control instance says so. Change: Update names changing runners, one word suffices; they stay out until their heartbeat shows the role, 20 s at most.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -295,7 +295,9 @@
                                 bool served) {
   if (read == confirming_read_ && origin.value() == settings_.ip) {
     confirming_read_ = 0;
-    if (served) stage_orders_.Send(log_.term(), BootTimeNow());
+    if (!served) return;
+    stage_orders_.Send(log_.term(), BootTimeNow());
+    UpdateFollowers();
     return;
   }
   // An unserved read is sent again, to the next leader.
@@ -395,9 +397,9 @@
   for (const EndpointId& id : registry_.Silent(BootTimeNow())) {
     update->add_silent_endpoints(id.value());
   }
-  // A runner that changes stage takes no work, like a silent one.
-  for (const EndpointId& id : stage_orders_.Changing(BootTimeNow())) {
-    update->add_silent_endpoints(id.value());
+  for (const EndpointId& id :
+       stage_orders_.Changing(registry_, BootTimeNow())) {
+    update->add_changing_endpoints(id.value());
   }
   if (log_.current().version > follower.configuration) {
     *update->mutable_configuration() = ToProto(log_.current());
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -21,6 +21,8 @@
 // The balancer asks once a second and takes an instance out after two misses;
 // until then new callers still come.
 constexpr Duration kBalancerDelay = Milliseconds(3400);
+// A word that a runner changes its role lasts until after the next update.
+constexpr Duration kChangingLifetime = Milliseconds(1200);
 // Requests after this time could be cut off by the end of the process.
 constexpr Duration kLastRequests = Milliseconds(2900);
 // Left for the process to end before it is killed.
@@ -228,6 +230,9 @@
     silent.insert(EndpointId(id));
   }
   pool_.SetSilent(from.value(), std::move(silent), now);
+  for (const std::string& id : update.changing_endpoints()) {
+    pool_.SetChanging(EndpointId(id), now + kChangingLifetime);
+  }
   std::map<EndpointId, EndpointLoad> loads;
   for (const proto::EndpointLoad& item : update.loads()) {
     loads[EndpointId(item.endpoint())] = {static_cast<int>(item.requests()),
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -13,8 +13,8 @@
 constexpr Duration kSettleTime = Seconds(5);
 // A confirmation that took longer says nothing of now.
 constexpr Duration kConfirmTime = Milliseconds(500);
-// Time in which a runner changes stage, its requests in progress aside.
-constexpr Duration kChangeTime = Seconds(7);
+// A runner ends its streams first; one that takes longer refused the order.
+constexpr Duration kChangeTime = Seconds(20);
 
 // Logs the answer to one order.
 class OrderSink : public HttpCallSink {
@@ -88,7 +88,7 @@
   const Planned planned = *std::exchange(planned_, std::nullopt);
   if (now - planned.planned_at >= kConfirmTime) return;
   planned.balancer->Ordered(planned.order, now);
-  changing_since_[planned.order.endpoint] = now;
+  changes_[planned.order.endpoint] = {planned.order.role, now};
   sent_.Add();
   Log(LogLevel::kInfo, "stage_ordered",
       {{"endpoint", planned.order.endpoint.value()},
@@ -100,10 +100,14 @@
       new OrderSink(planned.order.endpoint));
 }
 
-std::vector<EndpointId> StageOrders::Changing(Time now) const {
+std::vector<EndpointId> StageOrders::Changing(const EndpointRegistry& registry,
+                                              Time now) const {
   std::vector<EndpointId> changing;
-  for (const auto& [id, since] : changing_since_) {
-    if (now - since < kChangeTime) changing.push_back(id);
+  for (const auto& [id, change] : changes_) {
+    const EndpointRecord* record = registry.Find(id);
+    const bool changed = record == nullptr || record->role == change.to;
+    if (changed || now - change.since >= kChangeTime) continue;
+    changing.push_back(id);
   }
   return changing;
 }
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -40,7 +40,8 @@
   void Send(std::uint64_t term, Time now);
 
   /// Runners that change stage now and take no work.
-  std::vector<EndpointId> Changing(Time now) const;
+  std::vector<EndpointId> Changing(const EndpointRegistry& registry,
+                                   Time now) const;
 
  private:
   struct Planned {
@@ -56,7 +57,12 @@
   std::optional<Time> leading_since_;
   std::map<ServiceId, StageBalancer> balancers_;
   std::optional<Planned> planned_;
-  std::map<EndpointId, Time> changing_since_;
+  struct Change {
+    EndpointRole to = EndpointRole::kDecode;
+    Time since{};
+  };
+  /// Orders by runner, until its heartbeat shows the role.
+  std::map<EndpointId, Change> changes_;
 };
 
 }  // namespace cassiausher
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -111,6 +111,11 @@
   silent_[control] = {std::move(silent), now};
 }
 
+void EndpointPool::SetChanging(const EndpointId& id, Time until) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) found->second.changing_until = until;
+}
+
 void EndpointPool::Expire(Time now) {
   std::erase_if(entries_, [&](const auto& item) {
     return item.second.record.state == EndpointLifecycle::kDeparted &&
@@ -210,7 +215,7 @@
     if (entry.record.role != work.role) continue;
     if (entry.record.state != EndpointLifecycle::kReady) continue;
     if (work.excluded.contains(id)) continue;
-    if (now < entry.misplaced_until) continue;
+    if (now < entry.misplaced_until || now < entry.changing_until) continue;
     const double score = Score(entry, work, now);
     if (score < kFullUs) with_room.push_back(&entry);
     if (score >= best_score) continue;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -90,6 +90,8 @@
   /// Replaces what `control` said of silent endpoints.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
                  Time now);
+  /// A runner that changes its role takes no work until `until`.
+  void SetChanging(const EndpointId& id, Time until);
   /// Replaces what the `others` other entry instances have in progress, as of
   /// `now`.
   void SetOtherLoads(std::map<EndpointId, EndpointLoad> loads, int others,
@@ -133,6 +135,8 @@
     EndpointLoad started_since;
     /// Another endpoint answered at the address; not used until then.
     Time misplaced_until{};
+    /// Changes its role until then.
+    Time changing_until{};
     /// Had no room for a request; others are preferred until then.
     Time full_until{};
     /// Observed microseconds for each prompt token, or for a request without
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -121,6 +121,15 @@
   STRCMP_EQUAL("silent", PickId(kLookup, kStart).c_str());
 }
 
+// The leader ordered the runner to change; only it knows, and the runner
+// rejects all work until it is done.
+TEST(EndpointPool, AChangingRunnerGetsNothing) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.SetChanging(EndpointId("a"), kStart + Seconds(1));
+  STRCMP_EQUAL("none", PickId(Stream(), kStart).c_str());
+  STRCMP_EQUAL("a", PickId(Stream(), kStart + Seconds(2)).c_str());
+}
+
 // An address is used again by another endpoint.
 TEST(EndpointPool, AMisplacedEndpointIsLeftOut) {
   pool.Merge(Plain("old", "here"), kStart);
