Print a request's path from logs; keep one NewStorageNumber

Cause: the way from a request's id to its cause was grep by hand. Change: scripts/explain_request.py gathers the lines of a request and what was believed of its endpoints; replica_host uses raft_host's NewStorageNumber.

--- a/main/replica_host.cc
+++ b/main/replica_host.cc
@@ -1,10 +1,10 @@
 #include "main/replica_host.h"
 
 #include <boost/leaf/handle_errors.hpp>
-#include <random>
 #include <utility>
 
 #include "core/log.h"
+#include "main/raft_host.h"
 
 namespace cassiausher {
 namespace {
@@ -24,12 +24,6 @@
 // restart.
 constexpr std::uint64_t kEntriesPerSnapshot = 4000;
 
-std::uint64_t NewStorageNumber() {
-  std::random_device entropy;
-  const std::uint64_t high = entropy();
-  return (high << 32 | entropy()) | 1;
-}
-
 }  // namespace
 
 ReplicaHost::ReplicaHost(const Settings& settings, Metrics& metrics,
--- /dev/null
+++ b/scripts/explain_request.py
@@ -0,0 +1,73 @@
+#!/usr/bin/env python3
+"""Prints what happened to one request, from the logs of any number of instances.
+
+    scripts/explain_request.py REQUEST_ID LOG...
+
+A log is the standard output of cassiausher_node, with or without a prefix before
+each JSON object. Lines about the request come in time order with the time since
+the first. After them come the changes of belief that concern the endpoints that
+the request used, from a second before it began until it ended. A log that is cut
+inside a line is read up to the cut, and the cut is said.
+"""
+
+import json
+import sys
+
+# Beliefs older than this before a request hardly explain it.
+BEFORE_MS = 1000
+PLUMBING = {"time_ms", "level", "event", "request", "instance"}
+
+
+def read_log(path):
+    """Yields the objects of a log; says which lines it can't read."""
+    with open(path, errors="replace") as log:
+        for number, line in enumerate(log, 1):
+            start = line.find("{")
+            if start < 0:
+                continue
+            try:
+                entry = json.loads(line[start:])
+            except ValueError:
+                print(f"{path}:{number}: not a whole line, left out", file=sys.stderr)
+                continue
+            if isinstance(entry, dict) and "event" in entry:
+                yield entry
+
+
+def describe(entry, start_ms):
+    fields = " ".join(f"{key}={value}" for key, value in entry.items() if key not in PLUMBING and value != "")
+    return f"{entry['time_ms'] - start_ms:8d} ms  {entry['instance']:<24} {entry['event']:<20} {fields}"
+
+
+def explain(request, entries):
+    own = [entry for entry in entries if entry.get("request") == request]
+    if not own:
+        return None
+    start, end = own[0]["time_ms"], own[-1]["time_ms"]
+    endpoints = {entry["endpoint"] for entry in own if "endpoint" in entry}
+    beliefs = [entry for entry in entries
+               if "request" not in entry and entry.get("endpoint") in endpoints
+               and start - BEFORE_MS <= entry["time_ms"] <= end]
+    lines = [f"request {request}"] + [describe(entry, start) for entry in own]
+    if beliefs:
+        lines += ["beliefs about its endpoints"] + [describe(entry, start) for entry in beliefs]
+    return "\n".join(lines)
+
+
+def main():
+    if len(sys.argv) < 3:
+        print(__doc__.strip(), file=sys.stderr)
+        return 2
+    request, paths = sys.argv[1], sys.argv[2:]
+    entries = [entry for path in paths for entry in read_log(path)]
+    entries.sort(key=lambda entry: entry["time_ms"])
+    text = explain(request, entries)
+    if text is None:
+        print(f"no line about request {request}", file=sys.stderr)
+        return 1
+    print(text)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -28,7 +28,7 @@
   return record;
 }
 
-const WorkSpec kLookup = {.service = ServiceId("lookup")};
+WorkSpec Lookup() { return {.service = ServiceId("lookup")}; }
 
 WorkSpec Stream() {
   return {.service = ServiceId("model"),
@@ -48,15 +48,15 @@
     return placed ? placed->endpoint.id.value() : "none";
   }
   void Finish(const char* id, WorkOutcome outcome, Duration took, Time now) {
-    pool.OnStart(EndpointId(id), kLookup, now);
-    pool.OnFinish(EndpointId(id), kLookup, outcome, took, now);
+    pool.OnStart(EndpointId(id), Lookup(), now);
+    pool.OnFinish(EndpointId(id), Lookup(), outcome, took, now);
   }
 };
 
 TEST(EndpointPool, PrefersTheOwnDataCentre) {
   pool.Merge(Plain("a", "there"), kStart);
   pool.Merge(Plain("b", "here"), kStart);
-  STRCMP_EQUAL("b", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("b", PickId(Lookup(), kStart).c_str());
 }
 
 TEST(EndpointPool, ADepartingEndpointGetsNothing) {
@@ -65,7 +65,7 @@
   record.state = EndpointLifecycle::kDraining;
   record.sequence = 2;
   pool.Merge(record, kStart);
-  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("none", PickId(Lookup(), kStart).c_str());
 }
 
 // A control instance that started anew tells of a runner that has departed.
@@ -75,7 +75,7 @@
   record.sequence = 5;
   pool.Merge(record, kStart);
   pool.Merge(Plain("a", "here"), kStart);
-  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("none", PickId(Lookup(), kStart).c_str());
 }
 
 // Pattern: runners go dark; connections to them hang.
@@ -83,12 +83,12 @@
   pool.Merge(Plain("dark", "here"), kStart);
   pool.Merge(Plain("sound", "there"), kStart);
   Finish("dark", WorkOutcome::kUnreachable, Milliseconds(250), kStart);
-  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("sound", PickId(Lookup(), kStart).c_str());
   // Later one trial at a time finds out whether it is back.
   const Time later = kStart + Seconds(30);
-  STRCMP_EQUAL("dark", PickId(kLookup, later).c_str());
-  pool.OnStart(EndpointId("dark"), kLookup, later);
-  STRCMP_EQUAL("sound", PickId(kLookup, later).c_str());
+  STRCMP_EQUAL("dark", PickId(Lookup(), later).c_str());
+  pool.OnStart(EndpointId("dark"), Lookup(), later);
+  STRCMP_EQUAL("sound", PickId(Lookup(), later).c_str());
 }
 
 // Pattern: runners turn slow.
@@ -98,7 +98,7 @@
   for (int i = 0; i < 4; ++i) {
     Finish("slow", WorkOutcome::kDone, Milliseconds(75), kStart);
   }
-  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("sound", PickId(Lookup(), kStart).c_str());
 }
 
 // Pattern: runners fail part of their requests while their health is good.
@@ -106,19 +106,19 @@
   pool.Merge(Plain("grey", "here"), kStart);
   pool.Merge(Plain("sound", "there"), kStart);
   Finish("grey", WorkOutcome::kServerError, Milliseconds(10), kStart);
-  STRCMP_EQUAL("sound", PickId(kLookup, kStart).c_str());
-  STRCMP_EQUAL("grey", PickId(kLookup, kStart + Seconds(60)).c_str());
+  STRCMP_EQUAL("sound", PickId(Lookup(), kStart).c_str());
+  STRCMP_EQUAL("grey", PickId(Lookup(), kStart + Seconds(60)).c_str());
 }
 
 TEST(EndpointPool, ASilentEndpointIsTheLastResort) {
   pool.Merge(Plain("silent", "here"), kStart);
   pool.SetSilent("control", {EndpointId("silent")}, kStart);
-  STRCMP_EQUAL("silent", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("silent", PickId(Lookup(), kStart).c_str());
   pool.Merge(Plain("heard", "there"), kStart);
-  STRCMP_EQUAL("heard", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("heard", PickId(Lookup(), kStart).c_str());
   // Another control instance still hears of it.
   pool.SetSilent("other control", {}, kStart);
-  STRCMP_EQUAL("silent", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("silent", PickId(Lookup(), kStart).c_str());
 }
 
 // The leader ordered the runner to change; only it knows, and the runner
@@ -134,7 +134,7 @@
 TEST(EndpointPool, AMisplacedEndpointIsLeftOut) {
   pool.Merge(Plain("old", "here"), kStart);
   Finish("old", WorkOutcome::kMisplaced, Milliseconds(2), kStart);
-  STRCMP_EQUAL("none", PickId(kLookup, kStart).c_str());
+  STRCMP_EQUAL("none", PickId(Lookup(), kStart).c_str());
 }
 
 // Pattern: a burst of streams; each entry instance sees only its own, and a
