--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -150,6 +150,8 @@
     facts.slots = spec.engine->slots;
     facts.output = answers_[service].Expect(caller.output);
     facts.tokens_per_event = spec.engine->tokens_per_event;
+    facts.small_route = shares_[service].IsSmall(route->name, now);
+    shares_[service].OnRequest(route->name, now);
   }
   const ForwardingContext context{.client = &client_,
                                   .pool = &pool_,
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -21,6 +21,7 @@
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/endpoint_pool.h"
+#include "servers/entry/route_shares.h"
 #include "servers/routing/retry_budget.h"
 
 namespace cassiausher {
@@ -77,6 +78,7 @@
   std::map<InstanceId, Control> controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
+  std::map<ServiceId, RouteShares> shares_;
   /// Requests in progress.
   std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> requests_;
   std::uint64_t next_request_ = 1;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -96,6 +96,7 @@
           {{"request", caller_.id.value()},
            {"occupancy", wait->occupancy},
            {"waiting", context_.pool->waiting()},
+           {"small_route", facts_.small_route},
            {"loads_age_ms",
             ToMilliseconds(context_.pool->LoadsAge(BootTimeNow()))}});
     }
@@ -201,7 +202,9 @@
     }
     return;
   }
+  const std::int64_t before = events_.events();
   const std::string events = events_.Feed(bytes);
+  relayed_events_ += events_.events() - before;
   if (!events.empty()) RelayEvents(events);
 }
 
@@ -268,7 +271,7 @@
   DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
   if (exchange_->streaming()) {
     context_.answers->Observe(
-        Tokens(events_.events() * facts_.tokens_per_event));
+        Tokens(relayed_events_ * facts_.tokens_per_event));
     exchange_->EndStream();
   } else {
     RespondWhole();
@@ -402,7 +405,7 @@
        {"reason", reason},
        {"calls", calls_},
        {"unframed", answer_ && answer_->ends_with_connection},
-       {"events", events_.events()},
+       {"events", relayed_events_},
        {"prompt", facts_.prompt.value()},
        {"output", facts_.output.value()},
        {"first_event_ms",
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -89,6 +89,8 @@
   std::string body_;
   EventSplitter events_;
   int calls_ = 0;
+  /// Over all runs of the request.
+  std::int64_t relayed_events_ = 0;
   std::optional<Time> first_event_at_;
   Time last_event_at_{};
   Duration longest_gap_{};
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -16,6 +16,8 @@
 // Expected memory above this share counts as full: estimates of answers are
 // often too short, and a runner out of memory reads a request anew.
 constexpr double kFullOccupancy = 0.85;
+// The same for requests of small routes, which find room where others don't.
+constexpr double kFullForSmallRoutes = 1.0;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
 constexpr Duration kReadingTime = Milliseconds(350);
@@ -72,13 +74,18 @@
 
 ForwardStep RequestForwarder::OnWaited(Time now) { return Next(now); }
 
+double RequestForwarder::FullOccupancy() const {
+  return facts_.small_route ? kFullForSmallRoutes : kFullOccupancy;
+}
+
 void RequestForwarder::StopWaiting() {
   if (std::exchange(waiting_, false)) pool_->ChangeWaiting(-1);
 }
 
 bool RequestForwarder::MayWait(Time now) const {
   // A longer queue is told at once to come back.
-  if (!waiting_ && pool_->waiting() >= kMostWaiting) return false;
+  const bool queue_is_long = pool_->waiting() >= kMostWaiting;
+  if (!waiting_ && queue_is_long && !facts_.small_route) return false;
   return now - facts_.arrived + kReadingTime < facts_.latency_target;
 }
 
@@ -170,7 +177,7 @@
   WorkSpec decode = Work(EndpointRole::kDecode);
   decode.prompt_is_read = true;
   const auto runner = pool_->Pick(decode, now);
-  const bool full = runner.has_value() && runner->occupancy > kFullOccupancy;
+  const bool full = runner.has_value() && runner->occupancy > FullOccupancy();
   // A stream that began goes on whatever the load: its caller has a part of it.
   if (full && !kv_source_.has_value() && runs_ == 0) {
     if (!MayWait(now)) return GiveUp("no runner has room");
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -41,6 +41,9 @@
   Duration latency_target = Seconds(1);
   /// Time for which a runner keeps a prompt that it read.
   Duration handle_lifetime = Milliseconds(500);
+  /// Its route has a small share of the traffic, so it may use the memory that
+  /// is kept free of the others.
+  bool small_route = false;
   Time arrived{};
   /// End of the caller's patience or of the route's timeout.
   Time deadline{};
@@ -140,6 +143,7 @@
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether waiting for room can still keep the latency target.
   bool MayWait(Time now) const;
+  double FullOccupancy() const;
   void StopWaiting();
   Duration RetryAfter() const;
   ForwardStep Issue(StartCall call, Time now);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -246,6 +246,21 @@
   CHECK_TRUE(std::get<Refuse>(end).retry_after >= Seconds(1));
 }
 
+// Pattern: a burst of a large route. The few requests of a small one find the
+// room that is kept free.
+TEST(RequestForwarder, ASmallRouteIsNotCrowdedOut) {
+  AddRunners();
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(85000)}},
+                      {EndpointId("decode2"), {9, Tokens(85000)}}},
+                     5, kStart);
+  RequestForwarder large = Make(StreamFacts(false));
+  CHECK_TRUE(Is<WaitForRoom>(large.Start(kStart)));
+  RequestFacts facts = StreamFacts(false);
+  facts.small_route = true;
+  RequestForwarder small = Make(facts);
+  CHECK_TRUE(Is<StartCall>(small.Start(kStart)));
+}
+
 // Pattern: a burst far beyond the runners' memory. Those who can't be in time
 // are told at once.
 TEST(RequestForwarder, ALongQueueIsRefusedAtOnce) {
