--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -497,11 +497,11 @@
 }
 
 void ControlNode::BalanceStages(Time now) {
-  if (!log_.leading()) {
+  if (log_.leading()) {
+    stage_orders_.OnLeading(now);
+  } else {
     stage_orders_.OnFollowing();
-    return;
   }
-  stage_orders_.OnLeading(now);
   if (!configuration_.has_value()) return;
   EndpointLoads loads;
   for (const auto& [instance, follower] : followers_) {
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -49,14 +49,13 @@
 void StageOrders::OnFollowing() {
   leading_since_.reset();
   planned_.reset();
-  balancers_.clear();
 }
 
 bool StageOrders::Plan(const ServingConfiguration& configuration,
                        const EndpointRegistry& registry,
                        const EndpointLoads& loads, Time now) {
   planned_.reset();
-  if (!leading_since_ || now - *leading_since_ < kSettleTime) return false;
+  const bool settled = leading_since_ && now - *leading_since_ >= kSettleTime;
   const std::vector<EndpointId> silent = registry.Silent(now);
   for (const auto& [id, service] : configuration.services) {
     if (!service.engine.has_value()) continue;
@@ -77,7 +76,7 @@
     StageBalancer& balancer =
         balancers_.try_emplace(id, StageBalancerOptions{}).first->second;
     const auto order = balancer.Step(runners, service.engine->kv_capacity, now);
-    if (!order.has_value() || planned_.has_value()) continue;
+    if (!settled || !order.has_value() || planned_.has_value()) continue;
     planned_ = {*order, *registry.Find(order->endpoint), &balancer, now};
   }
   return planned_.has_value();
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -32,7 +32,9 @@
   void OnLeading(Time now);
   void OnFollowing();
 
-  /// Plans at most one order. True if one waits to be confirmed and sent.
+  /// Observes the loads; while leading, plans at most one order. True if one
+  /// waits to be confirmed and sent. Called on every control instance, so that
+  /// a new leader knows the loads.
   bool Plan(const ServingConfiguration& configuration,
             const EndpointRegistry& registry, const EndpointLoads& loads,
             Time now);
