Name the occupancy of a full runner once; status codes once a file

Cause: 0.85 stood twice, once without a name; status codes were named in each function. Change: kFullOccupancy in endpoint_pool.h; constants of forwarded_request at its top.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -56,6 +56,14 @@
 
 constexpr const char* kJson = "application/json";
 
+constexpr int kOk = 200;
+constexpr int kMultipleChoices = 300;
+constexpr int kServerError = 500;
+
+bool IsSuccess(int status) {
+  return status >= kOk && status < kMultipleChoices;
+}
+
 }  // namespace
 
 ForwardedRequest::ForwardedRequest(ForwardingContext context,
@@ -158,9 +166,6 @@
 
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
-  constexpr int kOk = 200;
-  constexpr int kMultipleChoices = 300;
-  constexpr int kServerError = 500;
   if (answer_->not_executed) {
     CallFailed(answer_->other_endpoint ? CallFailure::kMisplaced
                                        : CallFailure::kNotExecuted,
@@ -175,7 +180,7 @@
     CallFailed(CallFailure::kBroken, "the answer is another request's");
     return;
   }
-  const bool success = status >= kOk && status < kMultipleChoices;
+  const bool success = IsSuccess(status);
   if (success && !answer_->signed_by_endpoint) {
     CallFailed(CallFailure::kBroken, "the answer has no signature");
     return;
@@ -192,7 +197,6 @@
 }
 
 void ForwardedRequest::OnBody(std::string_view bytes) {
-  constexpr int kOk = 200;
   const bool relays_events = call_->kind == CallKind::kRun && is_stream_ &&
                              answer_->status == kOk && answer_->event_stream;
   if (!relays_events) {
@@ -266,7 +270,6 @@
     return;
   }
   const int status = answer_->status;
-  constexpr int kServerError = 500;
   const bool server_error = status >= kServerError;
   DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
   if (exchange_->streaming()) {
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -181,7 +181,7 @@
   }
   const double occupancy = Occupancy(entry, work, now);
   score += kOccupancyUs * occupancy;
-  if (occupancy > 0.85 || now < entry.full_until) score += kFullUs;
+  if (occupancy > kFullOccupancy || now < entry.full_until) score += kFullUs;
   score += Memory(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortUs;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -36,6 +36,11 @@
   std::uint64_t random_seed = 1;
 };
 
+/// Expected share of a runner's memory above which it counts as full. Below 1,
+/// since estimates of answers are often too short, others' loads are a fraction
+/// of a second old, and a runner out of memory reads a request anew.
+inline constexpr double kFullOccupancy = 0.85;
+
 /// Work that is placed on an endpoint.
 struct WorkSpec {
   ServiceId service;
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -13,10 +13,8 @@
 // A prompt is read at another prefill runner this often before the decode
 // runner reads it.
 constexpr int kMostPrefillFailures = 2;
-// Expected memory above this share counts as full: estimates of answers are
-// often too short, and a runner out of memory reads a request anew.
-constexpr double kFullOccupancy = 0.85;
-// The same for requests of small routes, which find room where others don't.
+// In place of kFullOccupancy for requests of small routes, which find room
+// where others don't.
 constexpr double kFullForSmallRoutes = 1.0;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
