Keep a silent stream that can't go on elsewhere

Change: a run that makes no progress is ended only if it may go on elsewhere; else it is looked at again each 300 ms. The new test failed to compile before, for want of the function.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -15,6 +15,8 @@
 // A connection takes a few milliseconds. A lost opening packet would be sent
 // again after a second, later than another endpoint answers.
 constexpr Duration kConnectTimeout = Milliseconds(120);
+// A silent run that can't go on elsewhere is looked at again after this time.
+constexpr Duration kProgressRecheck = Milliseconds(300);
 // An answer that is relayed as a whole is held in memory until then.
 constexpr std::size_t kMaxWholeBytes = std::size_t{16} << 20;
 
@@ -375,6 +377,10 @@
     return;
   }
   if (sent && progress_by_.has_value() && now >= *progress_by_) {
+    if (!forwarder_.MayGoOnElsewhere(now)) {
+      progress_by_ = now + kProgressRecheck;
+      return ArmTimer();
+    }
     CallFailed(CallFailure::kBroken, "no progress");
     return;
   }
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -121,6 +121,15 @@
   return Next(now);
 }
 
+bool RequestForwarder::MayGoOnElsewhere(Time now) const {
+  if (current_ == CallKind::kPrefill) return true;
+  // A prompt is read again before the stream goes on.
+  const double calls = facts_.has_engine ? 2 : 1;
+  return Repeatable() && runs_ + 1 < facts_.attempts &&
+         budget_->Remaining(now) >= calls &&
+         pool_->ReadyCount(facts_.service) > 1;
+}
+
 bool RequestForwarder::MayRepeatServerError(Time now) const {
   return Repeatable() && runs_ + 1 < facts_.attempts &&
          budget_->Remaining(now) >= 1 &&
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -128,6 +128,9 @@
   /// Bytes of the answer went to the caller.
   void OnRelayed() { relayed_ = true; }
 
+  /// Whether a run that makes no progress can be ended and go on elsewhere. If
+  /// not, its endpoint's silence is no reason to end it.
+  bool MayGoOnElsewhere(Time now) const;
   /// Whether an answer that says that the endpoint failed is worth another
   /// attempt. If not, it is the request's answer.
   bool MayRepeatServerError(Time now) const;
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -206,6 +206,25 @@
       Is<BreakOff>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
 }
 
+// A link loses packets and many streams fall silent at once: without a budget
+// to go on elsewhere, ending them would lose them (hunt-8ad5-31 of
+// kfl-fitting).
+TEST(RequestForwarder, ASilentRunStaysIfItCantGoOnElsewhere) {
+  AddRunners();
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0.1});
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  CHECK_TRUE(forwarder.MayGoOnElsewhere(kStart));
+  forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  CHECK_FALSE(forwarder.MayGoOnElsewhere(kStart));
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 1});
+  CHECK_TRUE(forwarder.MayGoOnElsewhere(kStart));
+  RequestForwarder once = Make(StreamFacts(false));
+  once.Start(kStart);
+  once.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  CHECK_FALSE(once.MayGoOnElsewhere(kStart));
+}
+
 // Pattern: a runner dies while the others are full.
 TEST(RequestForwarder, AStreamThatBeganGoesOnWhateverTheLoad) {
   AddRunners();
