Turn spare prefill runners into decode runners before an overload

Cause: both sites start with four prefill and five decode runners; three read all prompts. Change: StageBalancer moves a prefill runner that can be spared after 2 s: at least three and a quarter of all runners remain, their load stays below 0.5, and decode runners are in use. An idle service starts with a third of its runners reading.

--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -13,53 +13,77 @@
   sampled_at_ = now;
 }
 
+bool StageBalancer::Relieves(const Counts& counts, EndpointRole to) const {
+  const bool to_decode = to == EndpointRole::kDecode;
+  const int donors = to_decode ? counts.prefill : counts.decode;
+  const int takers = to_decode ? counts.decode : counts.prefill;
+  if (donors <= options_.least_runners) return false;
+  if (loads_.busier() < options_.least_load) return false;
+  const double donor_load = to_decode ? loads_.prefill : loads_.decode;
+  const double taker_load = to_decode ? loads_.decode : loads_.prefill;
+  const double donor_after = donor_load * donors / (donors - 1);
+  const double taker_after = taker_load * takers / (takers + 1);
+  const double after = std::fmax(donor_after, taker_after);
+  return after <= options_.benefit * loads_.busier();
+}
+
+bool StageBalancer::HasSparePrefill(const Counts& counts) const {
+  const int all = counts.prefill + counts.decode;
+  const double safe = std::fmax(options_.safe_prefill_runners,
+                                options_.safe_prefill_share * all);
+  if (counts.prefill - 1 < safe) return false;
+  if (loads_.busier() < options_.idle_load) {
+    return counts.prefill > options_.idle_prefill_share * all;
+  }
+  const double after = loads_.prefill * counts.prefill / (counts.prefill - 1);
+  return after <= options_.most_spare_load &&
+         loads_.decode >= options_.least_decode_load;
+}
+
+std::optional<EndpointRole> StageBalancer::ShortRole(
+    const Counts& counts) const {
+  if (HasSparePrefill(counts)) return EndpointRole::kDecode;
+  const EndpointRole busier = loads_.decode > loads_.prefill
+                                  ? EndpointRole::kDecode
+                                  : EndpointRole::kPrefill;
+  if (Relieves(counts, busier)) return busier;
+  return std::nullopt;
+}
+
 std::optional<StageOrder> StageBalancer::Step(
     const std::vector<RunnerLoad>& runners, Tokens kv_capacity, Time now) {
-  int prefill_runners = 0;
-  int decode_runners = 0;
+  Counts counts;
   int reading = 0;
   double memory = 0;
   for (const RunnerLoad& runner : runners) {
     if (runner.role == EndpointRole::kPrefill) {
-      ++prefill_runners;
+      ++counts.prefill;
       reading += runner.requests;
     } else if (runner.role == EndpointRole::kDecode) {
-      ++decode_runners;
+      ++counts.decode;
       memory += static_cast<double>(runner.kv_tokens.value());
     }
   }
-  if (prefill_runners == 0 || decode_runners == 0) return std::nullopt;
+  if (counts.prefill == 0 || counts.decode == 0) return std::nullopt;
   if (kv_capacity.value() <= 0) return std::nullopt;
   const double usable = static_cast<double>(kv_capacity.value()) *
-                        options_.usable_memory * decode_runners;
-  Smooth({static_cast<double>(reading) / prefill_runners, memory / usable},
-         now);
+                        options_.usable_memory * counts.decode;
+  Smooth({static_cast<double>(reading) / counts.prefill, memory / usable}, now);
 
-  const bool decode_is_short = loads_.decode > loads_.prefill;
-  const int donors = decode_is_short ? prefill_runners : decode_runners;
-  const int takers = decode_is_short ? decode_runners : prefill_runners;
-  const double donor_load = decode_is_short ? loads_.prefill : loads_.decode;
-  const double taker_load = decode_is_short ? loads_.decode : loads_.prefill;
-  const bool spare = donors > options_.least_runners;
-  const double donor_after = spare ? donor_load * donors / (donors - 1) : 0;
-  const double taker_after = taker_load * takers / (takers + 1);
-  const double after = std::fmax(donor_after, taker_after);
-  const bool worth_it = spare && loads_.busier() >= options_.least_load &&
-                        after <= options_.benefit * loads_.busier();
-  std::optional<EndpointRole> short_role;
-  if (worth_it) {
-    short_role =
-        decode_is_short ? EndpointRole::kDecode : EndpointRole::kPrefill;
-  }
+  const std::optional<EndpointRole> short_role = ShortRole(counts);
   if (short_role != short_role_) {
     short_role_ = short_role;
     short_since_ = now;
   }
-  if (!worth_it || now - short_since_ < options_.hold) return std::nullopt;
+  if (!short_role.has_value()) return std::nullopt;
+  const Duration hold =
+      HasSparePrefill(counts) ? options_.spare_hold : options_.hold;
+  if (now - short_since_ < hold) return std::nullopt;
   if (ordered_at_ && now - *ordered_at_ < options_.pause) return std::nullopt;
-  return Choose(
-      runners, decode_is_short ? EndpointRole::kPrefill : EndpointRole::kDecode,
-      now);
+  const EndpointRole from = *short_role == EndpointRole::kDecode
+                                ? EndpointRole::kPrefill
+                                : EndpointRole::kDecode;
+  return Choose(runners, from, now);
 }
 
 std::optional<StageOrder> StageBalancer::Choose(
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -31,6 +31,23 @@
   int least_runners = 2;
   /// Share of a decode runner's memory that placement uses.
   double usable_memory = 0.8;
+  /// Prefill runners that can be spared go to decode before there is an
+  /// overload, since a change takes longer than a burst. These many always
+  /// remain, and this share of all runners, so that the loss of one is borne.
+  int safe_prefill_runners = 3;
+  double safe_prefill_share = 0.25;
+  /// A prefill runner can be spared while the load of those that remain stays
+  /// below this.
+  double most_spare_load = 0.5;
+  /// Decode load from which a spared runner is of use.
+  double least_decode_load = 0.35;
+  /// Without any load, prefill runners beyond this share of all can be spared:
+  /// an answer takes longer to write than its prompt to read.
+  double idle_prefill_share = 1.0 / 3;
+  /// Load below which a service counts as idle.
+  double idle_load = 0.02;
+  /// How long a prefill runner must be spare.
+  Duration spare_hold = Seconds(2);
 };
 
 /// One usable runner and its work in progress.
@@ -64,7 +81,17 @@
     double busier() const { return prefill > decode ? prefill : decode; }
   };
 
+  struct Counts {
+    int prefill = 0;
+    int decode = 0;
+  };
+
   void Smooth(const Loads& sample, Time now);
+  /// Whether moving a runner to `to` would ease a lasting overload.
+  bool Relieves(const Counts& counts, EndpointRole to) const;
+  bool HasSparePrefill(const Counts& counts) const;
+  /// Role that should get a runner if that lasts.
+  std::optional<EndpointRole> ShortRole(const Counts& counts) const;
   std::optional<StageOrder> Choose(const std::vector<RunnerLoad>& runners,
                                    EndpointRole from, Time now) const;
 
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -64,6 +64,39 @@
   CHECK_TRUE(order->role == EndpointRole::kPrefill);
 }
 
+// Pattern: a burst comes faster than a change of stage, so a prefill runner
+// that nobody needs has to change before it.
+TEST(StageBalancer, ASparePrefillRunnerChangesBeforeAnOverload) {
+  const auto order = Run(Runners(4, 5, 0, 45000), kStart, Seconds(8));
+  CHECK_TRUE(order.has_value());
+  CHECK_TRUE(order->role == EndpointRole::kDecode);
+}
+
+// Pattern: a prefill runner crashes; the others must still read all prompts.
+TEST(StageBalancer, PrefillRunnersForTheLossOfOneRemain) {
+  CHECK_FALSE(Run(Runners(3, 5, 0, 60000), kStart, Seconds(60)).has_value());
+  CHECK_FALSE(Run(Runners(10, 30, 0, 60000), kStart, Seconds(60)).has_value());
+}
+
+TEST(StageBalancer, BusyPrefillRunnersAreNotSpare) {
+  std::vector<RunnerLoad> runners = Runners(4, 5, 0, 45000);
+  runners[0].requests = 1;
+  runners[1].requests = 1;
+  CHECK_FALSE(Run(runners, kStart, Seconds(60)).has_value());
+}
+
+// Pattern: the first burst comes seconds after the first request.
+TEST(StageBalancer, AnIdleServiceStartsWithAThirdOfItsRunnersReading) {
+  const auto order = Run(Runners(4, 5, 0, 0), kStart, Seconds(4));
+  CHECK_TRUE(order.has_value());
+  CHECK_TRUE(order->role == EndpointRole::kDecode);
+  StageBalancer balanced{StageBalancerOptions{}};
+  for (Time now = kStart; now < kStart + Seconds(60);
+       now += Milliseconds(600)) {
+    CHECK_FALSE(balanced.Step(Runners(3, 6, 0, 0), kCapacity, now).has_value());
+  }
+}
+
 TEST(StageBalancer, AQuietServiceStays) {
   CHECK_FALSE(Run(Runners(3, 6, 0, 10000), kStart, Seconds(60)).has_value());
 }
