Tell placements at once; forecast runners' memory from streams' progress

A fixed three quarters of the expected answer was counted however far a stream was. Placements go to the control instances and within 25 ms to the entry instances that chose one as their source. Without any control instance, the others are taken to do as the instance itself. Loads are read, written and summed in one place (load_messages, AddLoads).

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -7,12 +7,16 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
+#include "main/load_messages.h"
 #include "platform/runner_calls.h"
 
 namespace cassiausher {
 namespace {
 
 constexpr Duration kTickPeriod = Milliseconds(100);
+// Placements are passed on together; a runner's memory hardly changes
+// meanwhile.
+constexpr Duration kPlacementPeriod = Milliseconds(25);
 constexpr Duration kSyncPeriod = Milliseconds(600);
 // Callers try another instance after a second.
 constexpr Duration kCallTimeout = Milliseconds(900);
@@ -81,6 +85,8 @@
       });
   if (auto error = server_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
+  placement_timer_ =
+      AddTimer(context_, kPlacementPeriod, [this] { SendPlacements(); });
   return {};
 }
 
@@ -323,6 +329,9 @@
     case proto::NodeMessage::kFollow:
       OnFollow(from, message.follow());
       break;
+    case proto::NodeMessage::kPlacements:
+      OnPlacements(from, message.placements());
+      break;
     case proto::NodeMessage::kSync: {
       std::uint64_t& known = control_incarnations_[from];
       // A control process that started anew knows nothing of before.
@@ -364,25 +373,40 @@
   follower.configuration = Revision(follow.configuration_version());
   follower.registry_revision =
       follow.registry_epoch() == incarnation_ ? follow.registry_revision() : 0;
-  follower.loads.assign(follow.loads().begin(), follow.loads().end());
+  follower.loads = ReadLoads(follow.loads());
+  follower.wants_placements = follow.wants_placements();
   SendUpdate(from, follower);
 }
 
-// The receiver knows its own work better.
-void ControlNode::AddLoads(const InstanceId& to, proto::Update* update) const {
-  std::map<std::string, proto::EndpointLoad> sums;
-  for (const auto& [instance, follower] : followers_) {
-    if (instance == to) continue;
-    for (const proto::EndpointLoad& load : follower.loads) {
-      proto::EndpointLoad& sum = sums[load.endpoint()];
-      sum.set_requests(sum.requests() + load.requests());
-      sum.set_kv_tokens(sum.kv_tokens() + load.kv_tokens());
-    }
+void ControlNode::OnPlacements(const InstanceId& from,
+                               const proto::Placements& placements) {
+  const auto sender = followers_.find(from);
+  // Its next Follow tells everything.
+  if (sender == followers_.end()) return;
+  const EndpointLoads placed = ReadLoads(placements.added());
+  AddLoads(placed, &sender->second.loads);
+  for (auto& [instance, follower] : followers_) {
+    if (instance == from || !follower.wants_placements) continue;
+    AddLoads(placed, &follower.placed);
   }
-  for (auto& [endpoint, sum] : sums) {
-    sum.set_endpoint(endpoint);
-    *update->add_loads() = sum;
+}
+
+void ControlNode::SendPlacements() {
+  for (auto& [instance, follower] : followers_) {
+    if (follower.placed.empty()) continue;
+    proto::NodeMessage message;
+    WriteLoads(follower.placed, message.mutable_placements()->mutable_added());
+    follower.placed.clear();
+    link_.Send(instance, std::move(message));
+  }
+}
+
+EndpointLoads ControlNode::LoadsWithout(const InstanceId& left_out) const {
+  EndpointLoads loads;
+  for (const auto& [instance, follower] : followers_) {
+    if (instance != left_out) AddLoads(follower.loads, &loads);
   }
+  return loads;
 }
 
 void ControlNode::SendUpdate(const InstanceId& to, Follower& follower) {
@@ -408,7 +432,9 @@
   for (const InstanceId& control : HeardControls()) {
     update->add_control_instances(control.value());
   }
-  AddLoads(to, update);
+  // The receiver knows its own work better.
+  WriteLoads(LoadsWithout(to), update->mutable_loads());
+  follower.placed.clear();
   update->set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
   link_.Send(to, std::move(message));
 }
@@ -503,14 +529,7 @@
     stage_orders_.OnFollowing();
   }
   if (!configuration_.has_value()) return;
-  EndpointLoads loads;
-  for (const auto& [instance, follower] : followers_) {
-    for (const proto::EndpointLoad& load : follower.loads) {
-      RunnerLoad& sum = loads[EndpointId(load.endpoint())];
-      sum.requests += static_cast<int>(load.requests());
-      sum.kv_tokens += Tokens(load.kv_tokens());
-    }
-  }
+  const EndpointLoads loads = LoadsWithout(InstanceId());
   if (!stage_orders_.Plan(*configuration_, registry_, loads, now)) return;
   confirming_read_ = next_call_++;
   log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -45,7 +45,10 @@
     Revision configuration{0};
     std::uint64_t registry_revision = 0;
     /// Its work in progress.
-    std::vector<proto::EndpointLoad> loads;
+    EndpointLoads loads;
+    bool wants_placements = false;
+    /// What others placed since it was last told.
+    EndpointLoads placed;
   };
   /// Another control instance.
   struct Control {
@@ -84,6 +87,8 @@
   // Messages between instances.
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
   void OnFollow(const InstanceId& from, const proto::Follow& follow);
+  void OnPlacements(const InstanceId& from,
+                    const proto::Placements& placements);
   void OnSync(const InstanceId& from, const proto::Sync& sync);
   void OnReadResult(const proto::ReadResult& result);
   void LearnControls(const google::protobuf::RepeatedPtrField<std::string>&);
@@ -91,8 +96,10 @@
   std::vector<InstanceId> HeardControls() const;
 
   void SendUpdate(const InstanceId& to, Follower& follower);
-  void AddLoads(const InstanceId& to, proto::Update* update) const;
+  /// Work in progress of the followers but `left_out`.
+  EndpointLoads LoadsWithout(const InstanceId& left_out) const;
   void UpdateFollowers();
+  void SendPlacements();
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
   void Tick();
@@ -130,6 +137,7 @@
   Time last_sync_{};
   std::unique_ptr<HttpServer> server_;
   GSourcePtr timer_;
+  GSourcePtr placement_timer_;
 };
 
 }  // namespace cassiausher
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -6,6 +6,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "main/load_messages.h"
 #include "platform/request_headers.h"
 #include "platform/runner_calls.h"
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr Duration kTickPeriod = Milliseconds(500);
+constexpr Duration kPlacementPeriod = Milliseconds(25);
 constexpr Duration kExpiryPeriod = Seconds(5);
 // A control instance that nobody named or heard of for this long is dropped.
 constexpr Duration kControlLifetime = Seconds(60);
@@ -81,6 +83,8 @@
       limit);
   if (auto error = readiness_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
+  placement_timer_ =
+      AddTimer(context_, kPlacementPeriod, [this] { SendPlacements(); });
   FollowControls(BootTimeNow());
   return {};
 }
@@ -199,6 +203,12 @@
     OnUpdate(from, message.update());
     return;
   }
+  if (message.has_placements()) {
+    // Another one's word would count what its update has counted.
+    if (from != load_source_) return;
+    pool_.AddOtherLoads(ReadLoads(message.placements().added()));
+    return;
+  }
   Log(LogLevel::kWarning, "message_unknown", {{"from", from.value()}});
 }
 
@@ -235,13 +245,10 @@
   for (const std::string& id : update.changing_endpoints()) {
     pool_.SetChanging(EndpointId(id), now + kChangingLifetime);
   }
-  std::map<EndpointId, EndpointLoad> loads;
-  for (const proto::EndpointLoad& item : update.loads()) {
-    loads[EndpointId(item.endpoint())] = {static_cast<int>(item.requests()),
-                                          Tokens(item.kv_tokens())};
-  }
   const int others = static_cast<int>(update.entry_instances()) - 1;
-  pool_.SetOtherLoads(std::move(loads), std::max(0, others), now);
+  if (from == load_source_ || load_source_.empty()) {
+    pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
+  }
   for (const std::string& ip : update.control_instances()) {
     controls_[InstanceId(ip)].learned_at = now;
   }
@@ -270,7 +277,9 @@
     link_.Forget(item.first);
     return true;
   });
-  const std::map<EndpointId, EndpointLoad> loads = pool_.OwnLoads();
+  pool_.TakePlaced();
+  const EndpointLoads loads = pool_.OwnLoads();
+  load_source_ = LoadSource();
   for (auto& [instance, control] : controls_) {
     if (control.connected && now - control.heard_at >= kControlSilence) {
       control.connected = false;
@@ -285,12 +294,33 @@
     }
     follow->set_registry_epoch(control.registry_epoch);
     follow->set_registry_revision(control.registry_revision);
-    for (const auto& [id, load] : loads) {
-      proto::EndpointLoad* item = follow->add_loads();
-      item->set_endpoint(id.value());
-      item->set_requests(load.requests);
-      item->set_kv_tokens(load.kv_tokens.value());
-    }
+    WriteLoads(loads, follow->mutable_loads());
+    follow->set_wants_placements(instance == load_source_);
+    link_.Send(instance, std::move(message));
+  }
+}
+
+InstanceId EntryNode::LoadSource() const {
+  InstanceId best;
+  std::size_t best_rank = 0;
+  for (const auto& [instance, control] : controls_) {
+    if (!control.connected) continue;
+    const std::size_t rank =
+        std::hash<std::string>{}(settings_.ip + ' ' + instance.value());
+    if (!best.empty() && rank <= best_rank) continue;
+    best = instance;
+    best_rank = rank;
+  }
+  return best;
+}
+
+void EntryNode::SendPlacements() {
+  const EndpointLoads placed = pool_.TakePlaced();
+  if (placed.empty()) return;
+  for (const auto& [instance, control] : controls_) {
+    if (!control.connected) continue;
+    proto::NodeMessage message;
+    WriteLoads(placed, message.mutable_placements()->mutable_added());
     link_.Send(instance, std::move(message));
   }
 }
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -52,6 +52,12 @@
     bool connected = false;
   };
 
+  /// The control instance that tells of others' loads: one of those that are
+  /// heard, spread over the entry instances. Empty if none is heard.
+  InstanceId LoadSource() const;
+  /// Tells of work that was placed since.
+  void SendPlacements();
+
   void OnCaller(HttpExchangePtr exchange);
   void Refuse(HttpExchange& exchange, const RequestId& id,
               std::string_view reason);
@@ -88,6 +94,8 @@
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> readiness_;
   GSourcePtr timer_;
+  GSourcePtr placement_timer_;
+  InstanceId load_source_;
   Time next_expiry_{};
   /// Set by Shutdown().
   std::function<void()> on_done_;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -17,6 +17,8 @@
 constexpr Duration kConnectTimeout = Milliseconds(120);
 // A silent run that can't go on elsewhere is looked at again after this time.
 constexpr Duration kProgressRecheck = Milliseconds(300);
+// Placement knows how far a stream is to within so many events.
+constexpr std::int64_t kEventsPerReport = 4;
 // An answer that is relayed as a whole is held in memory until then.
 constexpr std::size_t kMaxWholeBytes = std::size_t{16} << 20;
 
@@ -211,9 +213,18 @@
   const std::int64_t before = events_.events();
   const std::string events = events_.Feed(bytes);
   relayed_events_ += events_.events() - before;
+  ReportProgress();
   if (!events.empty()) RelayEvents(events);
 }
 
+void ForwardedRequest::ReportProgress() {
+  if (relayed_events_ - reported_events_ < kEventsPerReport) return;
+  reported_events_ = relayed_events_;
+  forwarder_.OnWritten(Tokens(relayed_events_ * facts_.tokens_per_event));
+  context_.pool->OnProgress(call_->endpoint.id, forwarder_.Memory(),
+                            &call_->work);
+}
+
 void ForwardedRequest::RelayEvents(const std::string& events) {
   const Time now = BootTimeNow();
   if (!first_event_at_.has_value()) {
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -57,6 +57,7 @@
   void DropCall(WorkOutcome outcome);
   void OnAnswerWhole();
   void OnPrefillAnswer();
+  void ReportProgress();
   void RelayEvents(const std::string& events);
   void RespondWhole();
   void OnCallerGone();
@@ -91,6 +92,8 @@
   int calls_ = 0;
   /// Over all runs of the request.
   std::int64_t relayed_events_ = 0;
+  /// Of these, what placement knows of.
+  std::int64_t reported_events_ = 0;
   std::optional<Time> first_event_at_;
   Time last_event_at_{};
   Duration longest_gap_{};
--- /dev/null
+++ b/main/load_messages.cc
@@ -0,0 +1,35 @@
+#include "main/load_messages.h"
+
+#include <algorithm>
+
+namespace cassiausher {
+
+EndpointLoads ReadLoads(const LoadMessages& messages) {
+  EndpointLoads loads;
+  for (const proto::EndpointLoad& message : messages) {
+    MemoryForecast::Points points{};
+    const std::size_t count =
+        std::min<std::size_t>(points.size(), message.kv_tokens_size());
+    for (std::size_t i = 0; i < count; ++i) {
+      points[i] = Tokens(message.kv_tokens(static_cast<int>(i)));
+    }
+    loads[EndpointId(message.endpoint())] = {
+        static_cast<int>(message.requests()), MemoryForecast(points)};
+  }
+  return loads;
+}
+
+void WriteLoads(const EndpointLoads& loads, LoadMessages* messages) {
+  for (const auto& [endpoint, load] : loads) {
+    proto::EndpointLoad* message = messages->Add();
+    message->set_endpoint(endpoint.value());
+    message->set_requests(load.requests);
+    // Lookups hold none.
+    if (load.memory.Peak() == Tokens(0)) continue;
+    for (const Tokens tokens : load.memory.points()) {
+      message->add_kv_tokens(tokens.value());
+    }
+  }
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/load_messages.h
@@ -0,0 +1,18 @@
+// Loads of endpoints as messages between instances.
+#ifndef MAIN_LOAD_MESSAGES_H_
+#define MAIN_LOAD_MESSAGES_H_
+
+#include "proto/gen/node.pb.h"
+#include "servers/entry/endpoint_pool.h"
+
+namespace cassiausher {
+
+using LoadMessages = google::protobuf::RepeatedPtrField<proto::EndpointLoad>;
+
+/// Points of a forecast that are missing count as 0.
+EndpointLoads ReadLoads(const LoadMessages& messages);
+void WriteLoads(const EndpointLoads& loads, LoadMessages* messages);
+
+}  // namespace cassiausher
+
+#endif  // MAIN_LOAD_MESSAGES_H_
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -68,9 +68,11 @@
         continue;
       }
       const auto load = loads.find(record.id);
-      RunnerLoad runner = load == loads.end() ? RunnerLoad{} : load->second;
-      runner.id = record.id;
-      runner.role = record.role;
+      RunnerLoad runner{.id = record.id, .role = record.role};
+      if (load != loads.end()) {
+        runner.requests = load->second.requests;
+        runner.kv_tokens = load->second.memory.Peak();
+      }
       runners.push_back(runner);
     }
     StageBalancer& balancer =
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -15,12 +15,10 @@
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/control/stage_balancer.h"
+#include "servers/entry/endpoint_pool.h"
 
 namespace cassiausher {
 
-/// Work in progress by endpoint, over all entry instances.
-using EndpointLoads = std::map<EndpointId, RunnerLoad>;
-
 /// Belongs to the control node's task. An order is planned, then sent once a
 /// quorum has confirmed that this instance still leads.
 class StageOrders {
@@ -32,9 +30,9 @@
   void OnLeading(Time now);
   void OnFollowing();
 
-  /// Observes the loads; while leading, plans at most one order. True if one
-  /// waits to be confirmed and sent. Called on every control instance, so that
-  /// a new leader knows the loads.
+  /// Observes the loads of all entry instances; while leading, plans at most
+  /// one order. True if one waits to be confirmed and sent. Called on every
+  /// control instance, so that a new leader knows the loads.
   bool Plan(const ServingConfiguration& configuration,
             const EndpointRegistry& registry, const EndpointLoads& loads,
             Time now);
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -76,6 +76,14 @@
 
 }  // namespace
 
+void AddLoads(const EndpointLoads& more, EndpointLoads* sum) {
+  for (const auto& [endpoint, load] : more) {
+    EndpointLoad& total = (*sum)[endpoint];
+    total.requests += load.requests;
+    total.memory += load.memory;
+  }
+}
+
 EndpointPool::Entry::Entry(const EndpointRecord& heard, std::uint64_t seed)
     : record(heard), breaker(BreakerOptions(seed)) {}
 
@@ -98,12 +106,12 @@
   if (entry.record.born == born) return;
   const int in_flight = entry.in_flight;
   const Tokens tokens = entry.in_flight_tokens;
-  const Tokens kv_tokens = entry.kv_tokens;
+  const MemoryForecast memory = entry.memory;
   entry = Entry(entry.record, seed);
   entry.changed_at = now;
   entry.in_flight = in_flight;
   entry.in_flight_tokens = tokens;
-  entry.kv_tokens = kv_tokens;
+  entry.memory = memory;
 }
 
 void EndpointPool::SetSilent(const std::string& control,
@@ -163,7 +171,7 @@
     Tokens tokens = entry.in_flight_tokens + TokensToRead(work);
     // What others read at a prefill runner comes before this.
     if (entry.record.role == EndpointRole::kPrefill) {
-      tokens += OtherLoad(entry, now).kv_tokens;
+      tokens += OtherLoad(entry, now).memory.Now();
     }
     return Duration(
         static_cast<std::int64_t>(unit * static_cast<double>(tokens.value())));
@@ -231,15 +239,13 @@
 }
 
 EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
-  EndpointLoad load;
-  if (now - other_loads_at_ >= kLoadLifetime) return load;
-  const auto found = other_loads_.find(entry.record.id);
-  if (found != other_loads_.end()) load = found->second;
-  // The others have placed about as much there since.
-  load.requests += entry.started_since.requests * other_instances_ / 2;
-  load.kv_tokens +=
-      Tokens(entry.started_since.kv_tokens.value() * other_instances_ / 2);
-  return load;
+  if (now - other_loads_at_ < kLoadLifetime) {
+    const auto found = other_loads_.find(entry.record.id);
+    return found == other_loads_.end() ? EndpointLoad{} : found->second;
+  }
+  // No control instance is heard; the others do as this instance does.
+  return {entry.in_flight * other_instances_,
+          entry.memory.Scaled(other_instances_, 1)};
 }
 
 double EndpointPool::Occupancy(const Entry& entry, const WorkSpec& work,
@@ -247,8 +253,10 @@
   const EndpointLoad other = OtherLoad(entry, now);
   double occupancy = 0;
   if (work.kv_capacity.value() > 0) {
-    const Tokens used = entry.kv_tokens + work.kv_tokens + other.kv_tokens;
-    occupancy = static_cast<double>(used.value()) /
+    MemoryForecast used = entry.memory;
+    used += work.memory;
+    used += other.memory;
+    occupancy = static_cast<double>(used.Peak().value()) /
                 static_cast<double>(work.kv_capacity.value());
   }
   if (work.slots > 0) {
@@ -258,19 +266,21 @@
   return occupancy;
 }
 
-void EndpointPool::SetOtherLoads(std::map<EndpointId, EndpointLoad> loads,
-                                 int others, Time now) {
+void EndpointPool::SetOtherLoads(EndpointLoads loads, int others, Time now) {
   other_loads_ = std::move(loads);
   other_loads_at_ = now;
   other_instances_ = others;
-  for (auto& [id, entry] : entries_) entry.started_since = {};
 }
 
-std::map<EndpointId, EndpointLoad> EndpointPool::OwnLoads() const {
-  std::map<EndpointId, EndpointLoad> loads;
+void EndpointPool::AddOtherLoads(const EndpointLoads& placed) {
+  AddLoads(placed, &other_loads_);
+}
+
+EndpointLoads EndpointPool::OwnLoads() const {
+  EndpointLoads loads;
   for (const auto& [id, entry] : entries_) {
     if (entry.in_flight == 0) continue;
-    loads[id] = {entry.in_flight, entry.kv_tokens};
+    loads[id] = {entry.in_flight, entry.memory};
   }
   return loads;
 }
@@ -283,9 +293,20 @@
   found->second.breaker.Allow(now);
   ++found->second.in_flight;
   found->second.in_flight_tokens += TokensToRead(work);
-  found->second.kv_tokens += work.kv_tokens;
-  ++found->second.started_since.requests;
-  found->second.started_since.kv_tokens += work.kv_tokens;
+  found->second.memory += work.memory;
+  if (work.role == EndpointRole::kDecode) {
+    AddLoads({{id, {1, work.memory}}}, &placed_);
+  }
+}
+
+void EndpointPool::OnProgress(const EndpointId& id,
+                              const MemoryForecast& memory, WorkSpec* work) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) {
+    found->second.memory -= work->memory;
+    found->second.memory += memory;
+  }
+  work->memory = memory;
 }
 
 void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
@@ -296,7 +317,7 @@
   const Tokens queued = entry.in_flight_tokens;
   --entry.in_flight;
   entry.in_flight_tokens -= TokensToRead(work);
-  entry.kv_tokens -= work.kv_tokens;
+  entry.memory -= work.memory;
   if (outcome == WorkOutcome::kAbandoned) return;
   if (outcome == WorkOutcome::kMisplaced) {
     entry.misplaced_until = now + kMisplacedPause;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/ids.h"
@@ -15,6 +16,7 @@
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/endpoint_record.h"
+#include "servers/entry/memory_forecast.h"
 #include "servers/routing/circuit_breaker.h"
 
 namespace cassiausher {
@@ -39,7 +41,7 @@
 /// Expected share of a runner's memory above which it counts as full. Below 1,
 /// since estimates of answers are often too short, others' loads are a fraction
 /// of a second old, and a runner out of memory reads a request anew.
-inline constexpr double kFullOccupancy = 0.85;
+inline constexpr double kFullOccupancy = 0.84;
 
 /// Work that is placed on an endpoint.
 struct WorkSpec {
@@ -50,8 +52,8 @@
   Tokens prompt{0};
   /// The prompt was read elsewhere and its KV cache is fetched.
   bool prompt_is_read = false;
-  /// Tokens whose KV cache the request is expected to hold at its runner.
-  Tokens kv_tokens{0};
+  /// KV memory that the request is expected to hold at its runner.
+  MemoryForecast memory;
   /// Memory of a runner; 0 if it doesn't bound what is placed.
   Tokens kv_capacity{0};
   /// Requests that a runner runs at once; 0 if it doesn't bound what is placed.
@@ -72,9 +74,13 @@
 /// Work in progress at an endpoint.
 struct EndpointLoad {
   int requests = 0;
-  Tokens kv_tokens{0};
+  MemoryForecast memory;
 };
 
+using EndpointLoads = std::map<EndpointId, EndpointLoad>;
+
+void AddLoads(const EndpointLoads& more, EndpointLoads* sum);
+
 enum class WorkOutcome {
   kDone,
   kServerError,  ///< The endpoint answered that it failed.
@@ -99,10 +105,13 @@
   void SetChanging(const EndpointId& id, Time until);
   /// Replaces what the `others` other entry instances have in progress, as of
   /// `now`.
-  void SetOtherLoads(std::map<EndpointId, EndpointLoad> loads, int others,
-                     Time now);
+  void SetOtherLoads(EndpointLoads loads, int others, Time now);
+  /// Others placed this since.
+  void AddOtherLoads(const EndpointLoads& placed);
   /// What this instance has in progress.
-  std::map<EndpointId, EndpointLoad> OwnLoads() const;
+  EndpointLoads OwnLoads() const;
+  /// Streams that this instance placed on decode runners since the last call.
+  EndpointLoads TakePlaced() { return std::exchange(placed_, {}); }
   void Expire(Time now);
 
   /// An endpoint with little expected time: for plain work the best, for work
@@ -112,6 +121,9 @@
   std::optional<Placement> Pick(const WorkSpec& work, Time now);
 
   void OnStart(const EndpointId& id, const WorkSpec& work, Time now);
+  /// The work in progress now holds `memory`, which replaces what `work` says.
+  void OnProgress(const EndpointId& id, const MemoryForecast& memory,
+                  WorkSpec* work);
   /// `took` is the time to the answer, or to the first event of a stream.
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
@@ -135,9 +147,7 @@
     Time changed_at{};
     int in_flight = 0;
     Tokens in_flight_tokens{0};
-    Tokens kv_tokens{0};
-    /// Own work that began since the last word on others' loads.
-    EndpointLoad started_since;
+    MemoryForecast memory;
     /// Another endpoint answered at the address; not used until then.
     Time misplaced_until{};
     /// Changes its role until then.
@@ -172,7 +182,8 @@
   EndpointPoolOptions options_;
   std::map<EndpointId, Entry> entries_;
   std::map<std::string, SilentView> silent_;
-  std::map<EndpointId, EndpointLoad> other_loads_;
+  EndpointLoads other_loads_;
+  EndpointLoads placed_;
   Time other_loads_at_{};
   int other_instances_ = 0;
   int waiting_ = 0;
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -16,6 +16,10 @@
 // In place of kFullOccupancy for requests of small routes, which find room
 // where others don't.
 constexpr double kFullForSmallRoutes = 1.0;
+// Tokens from one point of a memory forecast to the next, as a share of a
+// runner's memory; the same on all instances, since forecasts are added up.
+constexpr std::int64_t kForecastStepDivisor = 64;
+constexpr std::int64_t kLeastLeftDivisor = 4;
 // Reading a prompt and the first token, kept back from the latency target
 // while a request waits for room.
 constexpr Duration kReadingTime = Milliseconds(350);
@@ -54,17 +58,20 @@
          now - kv_read_at_ + kHandleMargin < facts_.handle_lifetime;
 }
 
-// Streams of a runner are at different points of their answers, so they don't
-// hold the whole of them at the same time.
-Tokens RequestForwarder::ExpectedGrowth() const {
-  return Tokens(facts_.output.value() * 3 / 4);
+MemoryForecast RequestForwarder::Memory() const {
+  // An answer that is longer than expected still goes on for a while.
+  const Tokens left =
+      std::max(facts_.output - written_,
+               Tokens(facts_.output.value() / kLeastLeftDivisor));
+  const Tokens step(facts_.kv_capacity.value() / kForecastStepDivisor);
+  return {facts_.prompt + written_, left, step};
 }
 
 WorkSpec RequestForwarder::Work(EndpointRole role) const {
   return {.service = facts_.service,
           .role = role,
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
-          .kv_tokens = facts_.prompt + ExpectedGrowth(),
+          .memory = Memory(),
           .kv_capacity = facts_.kv_capacity,
           .slots = facts_.slots,
           .excluded = tried_};
@@ -211,7 +218,7 @@
 std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) const {
   if (prefill_failures_ >= kMostPrefillFailures) return std::nullopt;
   WorkSpec prefill = Work(EndpointRole::kPrefill);
-  prefill.kv_tokens = facts_.prompt;
+  prefill.memory = MemoryForecast(facts_.prompt, Tokens(0), Tokens(0));
   prefill.slots = 0;
   const auto placed = pool_->Pick(prefill, now);
   if (!placed.has_value()) return std::nullopt;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -127,6 +127,10 @@
   ForwardStep OnDeadline();
   /// Bytes of the answer went to the caller.
   void OnRelayed() { relayed_ = true; }
+  /// So much of the answer was written, over all runs.
+  void OnWritten(Tokens written) { written_ = written; }
+  /// KV memory that the run in progress is expected to hold.
+  MemoryForecast Memory() const;
 
   /// Whether a run that makes no progress can be ended and go on elsewhere. If
   /// not, its endpoint's silence is no reason to end it.
@@ -151,7 +155,6 @@
   Duration RetryAfter() const;
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason);
-  Tokens ExpectedGrowth() const;
   WorkSpec Work(EndpointRole role) const;
 
   RequestFacts facts_;
@@ -174,6 +177,7 @@
   int arrivals_ = 0;
   int calls_ = 0;
   bool relayed_ = false;
+  Tokens written_{0};
   /// Counted in the pool's waiting requests.
   bool waiting_ = false;
 };
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -30,11 +30,15 @@
 
 WorkSpec Lookup() { return {.service = ServiceId("lookup")}; }
 
+MemoryForecast Hold(std::int64_t tokens) {
+  return {Tokens(tokens), Tokens(0), Tokens(0)};
+}
+
 WorkSpec Stream() {
   return {.service = ServiceId("model"),
           .role = EndpointRole::kDecode,
           .prompt = Tokens(5000),
-          .kv_tokens = Tokens(7000),
+          .memory = Hold(7000),
           .kv_capacity = Tokens(100000)};
 }
 
@@ -142,7 +146,7 @@
 TEST(EndpointPool, StreamsGoWhereMemoryIsLeft) {
   pool.Merge(Decoder("a"), kStart);
   pool.Merge(Decoder("b"), kStart);
-  pool.SetOtherLoads({{EndpointId("a"), {8, Tokens(60000)}}}, 5, kStart);
+  pool.SetOtherLoads({{EndpointId("a"), {8, Hold(60000)}}}, 5, kStart);
   STRCMP_EQUAL("b", PickId(Stream(), kStart).c_str());
   for (int i = 0; i < 13; ++i) {
     pool.OnStart(EndpointId("b"), Stream(), kStart);
@@ -154,10 +158,67 @@
                 0.001);
 }
 
+// Pattern: all control processes are killed. Each entry instance then knows
+// only its own streams, and together they must not overfill runners.
+TEST(EndpointPool, WithoutAWordOthersAreTakenToDoAsThisInstance) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.SetOtherLoads({}, 5, kStart);
+  pool.OnStart(EndpointId("a"), Stream(), kStart);
+  DOUBLES_EQUAL(0.14, pool.Pick(Stream(), kStart)->occupancy, 0.001);
+  DOUBLES_EQUAL(0.49, pool.Pick(Stream(), kStart + Seconds(9))->occupancy,
+                0.001);
+}
+
+// Pattern: a burst; what other instances placed a moment ago counts already.
+TEST(EndpointPool, PlacementsOfOthersCountAtOnce) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.Merge(Decoder("b"), kStart);
+  pool.SetOtherLoads({{EndpointId("b"), {1, Hold(10000)}}}, 5, kStart);
+  STRCMP_EQUAL("a", PickId(Stream(), kStart).c_str());
+  pool.AddOtherLoads({{EndpointId("a"), {2, Hold(20000)}}});
+  STRCMP_EQUAL("b", PickId(Stream(), kStart).c_str());
+  // A whole word on others' loads replaces them.
+  pool.SetOtherLoads({{EndpointId("b"), {1, Hold(10000)}}}, 5, kStart);
+  STRCMP_EQUAL("a", PickId(Stream(), kStart).c_str());
+}
+
+TEST(EndpointPool, PlacedStreamsAreToldOnce) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.OnStart(EndpointId("a"), Stream(), kStart);
+  LONGS_EQUAL(7000, pool.TakePlaced()[EndpointId("a")].memory.Now().value());
+  CHECK_TRUE(pool.TakePlaced().empty());
+}
+
+// Pattern: many users come at once. Streams that are about to end make room for
+// new ones; answers that grew beyond what was expected take it.
+TEST(EndpointPool, ProgressOfStreamsMovesNewOnes) {
+  pool.Merge(Decoder("ending"), kStart);
+  pool.Merge(Decoder("growing"), kStart);
+  WorkSpec ending = Stream();
+  WorkSpec growing = Stream();
+  pool.OnStart(EndpointId("ending"), ending, kStart);
+  pool.OnStart(EndpointId("growing"), growing, kStart);
+  const Tokens step(1500);
+  pool.OnProgress(EndpointId("ending"),
+                  MemoryForecast(Tokens(90000), Tokens(500), step), &ending);
+  pool.OnProgress(EndpointId("growing"),
+                  MemoryForecast(Tokens(80000), Tokens(9000), step), &growing);
+  WorkSpec next = Stream();
+  next.memory = MemoryForecast(Tokens(5000), Tokens(4000), step);
+  STRCMP_EQUAL("growing", PickId(next, kStart).c_str());
+  DOUBLES_EQUAL(0.91, pool.Pick(next, kStart)->occupancy, 0.001);
+  pool.OnFinish(EndpointId("ending"), ending, WorkOutcome::kDone, Seconds(1),
+                kStart);
+  STRCMP_EQUAL("ending", PickId(next, kStart).c_str());
+  pool.OnFinish(EndpointId("growing"), growing, WorkOutcome::kDone, Seconds(1),
+                kStart);
+  CHECK_TRUE(pool.OwnLoads().empty());
+}
+
 TEST(EndpointPool, OwnLoadsEndWithTheWork) {
   pool.Merge(Decoder("a"), kStart);
   pool.OnStart(EndpointId("a"), Stream(), kStart);
-  LONGS_EQUAL(7000, pool.OwnLoads()[EndpointId("a")].kv_tokens.value());
+  LONGS_EQUAL(7000, pool.OwnLoads()[EndpointId("a")].memory.Peak().value());
   pool.OnFinish(EndpointId("a"), Stream(), WorkOutcome::kDone, Seconds(1),
                 kStart);
   CHECK_TRUE(pool.OwnLoads().empty());
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -45,6 +45,10 @@
   return facts;
 }
 
+MemoryForecast Hold(std::int64_t tokens) {
+  return {Tokens(tokens), Tokens(0), Tokens(0)};
+}
+
 template <typename Step>
 bool Is(const ForwardStep& step) {
   return std::holds_alternative<Step>(step);
@@ -232,8 +236,8 @@
   forwarder.Start(kStart);
   forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
   forwarder.OnRelayed();
-  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(99000)}},
-                      {EndpointId("decode2"), {9, Tokens(99000)}}},
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
                      5, kStart);
   CHECK_TRUE(Is<StartCall>(
       forwarder.OnCallFailed(CallFailure::kBroken, kStart + Seconds(2))));
@@ -254,8 +258,8 @@
 // while it can still be in time, then its caller is told when to come back.
 TEST(RequestForwarder, ABurstWaitsForRoomThenIsRefused) {
   AddRunners();
-  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(99000)}},
-                      {EndpointId("decode2"), {9, Tokens(99000)}}},
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
                      5, kStart);
   RequestForwarder forwarder = Make(StreamFacts(false));
   CHECK_TRUE(Is<WaitForRoom>(forwarder.Start(kStart)));
@@ -269,8 +273,8 @@
 // room that is kept free.
 TEST(RequestForwarder, ASmallRouteIsNotCrowdedOut) {
   AddRunners();
-  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(85000)}},
-                      {EndpointId("decode2"), {9, Tokens(85000)}}},
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(85000)}},
+                      {EndpointId("decode2"), {9, Hold(85000)}}},
                      5, kStart);
   RequestForwarder large = Make(StreamFacts(false));
   CHECK_TRUE(Is<WaitForRoom>(large.Start(kStart)));
@@ -280,12 +284,27 @@
   CHECK_TRUE(Is<StartCall>(small.Start(kStart)));
 }
 
+// Pattern: streams at all points of their answers. The caller's prompt and what
+// is left of its answer count, not what it wrote before.
+TEST(RequestForwarder, MemoryFollowsTheAnswer) {
+  RequestFacts facts = StreamFacts(true);
+  facts.output = Tokens(8000);
+  RequestForwarder forwarder = Make(facts);
+  LONGS_EQUAL(5000, forwarder.Memory().Now().value());
+  CHECK_TRUE(forwarder.Memory().Peak() > Tokens(11000));
+  forwarder.OnWritten(Tokens(7500));
+  LONGS_EQUAL(12500, forwarder.Memory().Now().value());
+  // Longer than expected: it goes on for a while.
+  forwarder.OnWritten(Tokens(9000));
+  CHECK_TRUE(forwarder.Memory().Peak() > Tokens(15000));
+}
+
 // Pattern: a burst far beyond the runners' memory. Those who can't be in time
 // are told at once.
 TEST(RequestForwarder, ALongQueueIsRefusedAtOnce) {
   AddRunners();
-  pool.SetOtherLoads({{EndpointId("decode1"), {9, Tokens(99000)}},
-                      {EndpointId("decode2"), {9, Tokens(99000)}}},
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
                      5, kStart);
   std::vector<std::unique_ptr<RequestForwarder>> waiting;
   ForwardStep step = WaitForRoom{};
