Compare prefill and decode loads as shares of time; no order overloads its donor

Cause: the load of prefill runners was counted in waiting prompts, of which two a runner are normal at two thirds of their capacity. Change: waiting prompts become a utilisation; smoothed loads have no bias towards zero in the first seconds; a stage gives a runner only if it stays below a limit.

--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -4,13 +4,29 @@
 
 namespace cassiausher {
 
+namespace {
+
+// Loads observed for a shorter time, about a second, say nothing.
+constexpr double kLeastWeight = 0.2;
+
+// Prompts wait for each other at a runner, so that L of them at each runner on
+// average mean that it works for L / (1 + L) of the time (M/M/1 queue).
+double Utilisation(int requests, int runners) {
+  return static_cast<double>(requests) / (requests + runners);
+}
+
+}  // namespace
+
 void StageBalancer::Smooth(const Loads& sample, Time now) {
-  // Starts at no load, so that a first sample at a peak is no imbalance.
   const double passed = ToSeconds(now - sampled_at_.value_or(now));
-  const double kept = std::exp(-passed / ToSeconds(options_.smoothing));
-  loads_.prefill = kept * loads_.prefill + (1 - kept) * sample.prefill;
-  loads_.decode = kept * loads_.decode + (1 - kept) * sample.decode;
+  const double kept =
+      weight_ * std::exp(-passed / ToSeconds(options_.smoothing));
+  const double added = 1 - std::exp(-passed / ToSeconds(options_.smoothing));
+  weight_ = kept + added;
   sampled_at_ = now;
+  if (weight_ <= 0) return;
+  loads_.prefill = (kept * loads_.prefill + added * sample.prefill) / weight_;
+  loads_.decode = (kept * loads_.decode + added * sample.decode) / weight_;
 }
 
 bool StageBalancer::Relieves(const Counts& counts, EndpointRole to) const {
@@ -18,13 +34,18 @@
   const int donors = to_decode ? counts.prefill : counts.decode;
   const int takers = to_decode ? counts.decode : counts.prefill;
   if (donors <= options_.least_runners) return false;
-  if (loads_.busier() < options_.least_load) return false;
   const double donor_load = to_decode ? loads_.prefill : loads_.decode;
   const double taker_load = to_decode ? loads_.decode : loads_.prefill;
+  const double taker_limit = to_decode ? options_.least_decode_overload
+                                       : options_.least_prefill_overload;
+  const double donor_limit =
+      to_decode ? options_.most_prefill_after : options_.most_decode_after;
+  if (taker_load < taker_limit) return false;
   const double donor_after = donor_load * donors / (donors - 1);
+  if (donor_after >= donor_limit) return false;
   const double taker_after = taker_load * takers / (takers + 1);
   const double after = std::fmax(donor_after, taker_after);
-  return after <= options_.benefit * loads_.busier();
+  return after <= options_.benefit * taker_load;
 }
 
 bool StageBalancer::HasSparePrefill(const Counts& counts) const {
@@ -68,7 +89,9 @@
   if (kv_capacity.value() <= 0) return std::nullopt;
   const double usable = static_cast<double>(kv_capacity.value()) *
                         options_.usable_memory * counts.decode;
-  Smooth({static_cast<double>(reading) / counts.prefill, memory / usable}, now);
+  Smooth({Utilisation(reading, counts.prefill), memory / usable}, now);
+
+  if (weight_ < kLeastWeight) return std::nullopt;
 
   const std::optional<EndpointRole> short_role = ShortRole(counts);
   if (short_role != short_role_) {
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -15,8 +15,14 @@
 namespace cassiausher {
 
 struct StageBalancerOptions {
-  /// Load of the busier stage below which nothing changes.
-  double least_load = 0.8;
+  /// Load of the busier stage below which nothing changes. Prompts wait for
+  /// long well before their runners work all the time.
+  double least_decode_overload = 0.8;
+  double least_prefill_overload = 0.7;
+  /// Load that a stage may have after it gave a runner. Less for prefill, where
+  /// the loss of one runner or a burst would make all streams late.
+  double most_decode_after = 0.8;
+  double most_prefill_after = 0.55;
   /// The busier stage's load must fall at least to this share of itself.
   double benefit = 0.86;
   /// How long the imbalance must last.
@@ -38,7 +44,7 @@
   double safe_prefill_share = 0.25;
   /// A prefill runner can be spared while the load of those that remain stays
   /// below this.
-  double most_spare_load = 0.5;
+  double most_spare_load = 0.4;
   /// Decode load from which a spared runner is of use.
   double least_decode_load = 0.35;
   /// Without any load, prefill runners beyond this share of all can be spared:
@@ -96,9 +102,12 @@
                                    EndpointRole from, Time now) const;
 
   StageBalancerOptions options_;
-  /// Requests at a prefill runner and share of a decode runner's memory, both
-  /// as means over the runners of the stage.
+  /// Share of the time that prefill runners work, and share of the decode
+  /// runners' memory in use.
   Loads loads_;
+  /// Weight of the samples in `loads_`; near 1 once they cover the time
+  /// constant.
+  double weight_ = 0;
   std::optional<Time> sampled_at_;
   /// Role that is short of runners, and since when.
   std::optional<EndpointRole> short_role_;
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -97,6 +97,20 @@
   }
 }
 
+// Pattern: all callers come back after a loss of power. Prompts wait for each
+// other for a while, and decode runners are nearly full.
+TEST(StageBalancer, WaitingPromptsTakeNoFullDecodeRunner) {
+  CHECK_FALSE(Run(Runners(4, 4, 2, 72000), kStart, Seconds(60)).has_value());
+}
+
+// Pattern: a burst fills both stages. The third prefill runner given away would
+// leave prompts waiting beyond the latency target.
+TEST(StageBalancer, ABurstTakesNoPrefillRunnerThatItNeeds) {
+  std::vector<RunnerLoad> runners = Runners(3, 6, 1, 75000);
+  runners[0].requests = 0;
+  CHECK_FALSE(Run(runners, kStart, Seconds(60)).has_value());
+}
+
 TEST(StageBalancer, AQuietServiceStays) {
   CHECK_FALSE(Run(Runners(3, 6, 0, 10000), kStart, Seconds(60)).has_value());
 }
