--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -33,8 +33,8 @@
 // elsewhere; a sound endpoint's slowest requests take five times the mean.
 constexpr int kSlowFactor = 6;
 constexpr Duration kShortestAnswerTimeout = Milliseconds(150);
-constexpr Duration kShortestPrefillTimeout = Milliseconds(500);
-constexpr Duration kLongestPrefillTimeout = Milliseconds(2000);
+constexpr Duration kShortestPrefillTimeout = Milliseconds(1200);
+constexpr Duration kLongestPrefillTimeout = Milliseconds(2500);
 // A resumable stream without an event for this long goes on elsewhere. Above
 // the pauses of a loaded engine, below what callers bear.
 constexpr Duration kFirstEventTimeout = Milliseconds(3000);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -299,6 +299,17 @@
   CHECK_TRUE(forwarder.Memory().Peak() > Tokens(15000));
 }
 
+// Pattern: all callers come back after a loss of power, and an instance that
+// has just started knows nothing of the prompts that wait. Reading one again
+// elsewhere would make the queue longer.
+TEST(RequestForwarder, APromptMayWaitBehindThoseOfOthers) {
+  AddRunners();
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  const ForwardStep step = forwarder.Start(kStart);
+  CHECK_TRUE(Call(step).kind == CallKind::kPrefill);
+  CHECK_TRUE(Call(step).answer_timeout > StreamFacts(false).latency_target);
+}
+
 // Pattern: a burst far beyond the runners' memory. Those who can't be in time
 // are told at once.
 TEST(RequestForwarder, ALongQueueIsRefusedAtOnce) {
