Split the operator's calls off the control node; one loop over consensus

Change: OperatorCalls; ReplicaHost runs on RaftHost, whose loop also sends what the coordinator proposes last (it waited for the next tick before); FormatError builds all bodies; registry.Ready() copies nothing; a check of body lengths that libcurl makes is gone. A control instance tells loads only to entry instances that take them from it.

--- a/main/configuration_service.cc
+++ b/main/configuration_service.cc
@@ -47,10 +47,10 @@
     votes = votes || (peer.voter && peer.instance == settings.instance);
   }
   if (!votes) return;
-  auto host = std::make_unique<ReplicaHost>(settings, context_.metrics, *this);
-  replica_ = std::move(host);
-  const std::string error = replica_->Start(
-      LogStorages().Create(kStorageName, settings.data_folder), now);
+  replica_ = std::make_unique<ReplicaHost>(settings, context_.metrics,
+                                           context_.main_context, *this);
+  const std::string error =
+      replica_->Start(LogStorages().Create(kStorageName, settings.data_folder));
   if (error.empty()) return;
   Log(LogLevel::kError, "log_storage_unusable", {{"error", error}});
   replica_.reset();
@@ -275,7 +275,7 @@
         malformed_.Add();
         return true;
       }
-      replica_->OnRaftMessage(message, now);
+      replica_->OnRaftMessage(message);
       return true;
     }
     case proto::Envelope::kConfiguration:
@@ -375,22 +375,6 @@
   DispatchFollower(MonotonicNow());
 }
 
-void ConfigurationService::PostPersisted(std::uint64_t batch) {
-  context_.post(LogPersisted{batch});
-}
-
-void ConfigurationService::PostPersistFailed() {
-  context_.post(LogPersistFailed{});
-}
-
-void ConfigurationService::OnPersisted(std::uint64_t batch, Time now) {
-  if (replica_ != nullptr) replica_->OnPersisted(batch, now);
-}
-
-void ConfigurationService::OnPersistFailed(Time now) {
-  if (replica_ != nullptr) replica_->OnPersistFailed(now);
-}
-
 // ---- Time and members ----------------------------------------------------
 
 void ConfigurationService::SetMembers(LiveMembers members,
--- a/main/configuration_service.h
+++ b/main/configuration_service.h
@@ -83,11 +83,6 @@
   void OnLedgerCommand(std::uint64_t command, bool committed,
                        const LedgerAnswer& answer) override;
   void OnStateApplied(const ReplicatedState& state) override;
-  void PostPersisted(std::uint64_t batch) override;
-  void PostPersistFailed() override;
-
-  void OnPersisted(std::uint64_t batch, Time now);
-  void OnPersistFailed(Time now);
 
  private:
   /// A change or command of this instance that waits for the leader's answer.
--- a/main/control_context.h
+++ b/main/control_context.h
@@ -2,6 +2,8 @@
 #ifndef MAIN_CONTROL_CONTEXT_H_
 #define MAIN_CONTROL_CONTEXT_H_
 
+#include <glib.h>
+
 #include <cstdint>
 #include <functional>
 
@@ -16,6 +18,7 @@
 struct ControlContext {
   const Settings& settings;
   Metrics& metrics;
+  GMainContext* main_context = nullptr;
   int serving_tasks = 0;
   /// Of this run of the process.
   Incarnation incarnation{0};
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -1,12 +1,12 @@
 #include "main/control_node.h"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
+#include "main/error_body.h"
 #include "main/load_messages.h"
 #include "platform/runner_calls.h"
 
@@ -18,9 +18,6 @@
 // meanwhile.
 constexpr Duration kPlacementPeriod = Milliseconds(25);
 constexpr Duration kSyncPeriod = Milliseconds(600);
-// Callers try another instance after a second.
-constexpr Duration kCallTimeout = Milliseconds(900);
-constexpr Duration kResendPeriod = Milliseconds(300);
 // An entry instance that hasn't followed for this long gets no updates.
 constexpr Duration kFollowerLifetime = Seconds(6);
 // A control instance is told to others only while it is heard from itself, so
@@ -32,23 +29,6 @@
 
 constexpr const char* kJson = "application/json";
 
-std::string ErrorBody(std::string_view code, std::string_view message) {
-  const nlohmann::json body = {
-      {"error", {{"code", code}, {"message", message}}}};
-  return body.dump();
-}
-
-proto::VersionedDocument ToProto(const VersionedDocument& document) {
-  proto::VersionedDocument message;
-  message.set_version(document.version.value());
-  message.set_document(document.document);
-  return message;
-}
-
-VersionedDocument FromProto(const proto::VersionedDocument& message) {
-  return {Revision(message.version()), message.document()};
-}
-
 }  // namespace
 
 ControlNode::ControlNode(NodeSettings settings, const ConfigurationCodec& codec,
@@ -68,7 +48,8 @@
             }),
       log_(settings_, metrics, context, *this),
       registry_({}),
-      stage_orders_(settings_.ip, metrics) {}
+      stage_orders_(settings_.ip, metrics),
+      operator_calls_(InstanceId(settings_.ip), &log_, &link_) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -81,7 +62,10 @@
                         .port = settings_.control->port},
       [this](HttpExchangePtr exchange) { OnCall(std::move(exchange)); },
       [](int, std::string_view message) {
-        return ErrorBody("limit", message);
+        return FormatError({.type = "limit",
+                            .code = "limit",
+                            .message = std::string(message),
+                            .not_run = true});
       });
   if (auto error = server_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
@@ -101,10 +85,7 @@
 
 void ControlNode::Shutdown() {
   if (log_.leading()) log_.TransferLeadership(BootTimeNow());
-  for (auto& [id, call] : calls_) {
-    call.exchange->Respond(503, kJson, ErrorBody("stopping", "instance stops"));
-  }
-  calls_.clear();
+  operator_calls_.Stop();
   server_->StopListening();
 }
 
@@ -121,9 +102,9 @@
     case ControlCallKind::kPutConfiguration:
       return OnPut(std::move(exchange));
     case ControlCallKind::kReadConfiguration:
-      return OnGet(std::move(exchange));
+      return operator_calls_.Read(std::move(exchange), BootTimeNow());
     case ControlCallKind::kUnknown:
-      exchange->Respond(404, kJson, ErrorBody("path", "no such call"));
+      RespondControlError(*exchange, 404, "path", "no such call");
   }
 }
 
@@ -135,7 +116,7 @@
     refused_heartbeats_.Add();
     Log(LogLevel::kWarning, "heartbeat_refused",
         {{"endpoint", id.value()}, {"findings", ToString(findings)}});
-    exchange.Respond(400, kJson, ErrorBody("heartbeat", ToString(findings)));
+    RespondControlError(exchange, 400, "heartbeat", ToString(findings));
     return;
   }
   const bool changed = registry_.Hear(*record, BootTimeNow());
@@ -174,105 +155,12 @@
     refused_changes_.Add();
     Log(LogLevel::kWarning, "configuration_refused",
         {{"findings", ToString(findings)}});
-    exchange->Respond(400, kJson,
-                      ErrorBody("configuration", ToString(findings)));
-    return;
-  }
-  const Time now = BootTimeNow();
-  const std::uint64_t id = next_call_++;
-  PendingCall& call = calls_[id];
-  call = {.exchange = std::move(exchange),
-          .started = now,
-          .document = {decoded->version, ""}};
-  call.document.document = call.exchange->body();
-  if (decoded->version <= log_.current().version) {
-    FinishSubmission(id);
-    return;
-  }
-  Forward(id, call, now);
-}
-
-void ControlNode::OnGet(HttpExchangePtr exchange) {
-  const Time now = BootTimeNow();
-  const std::uint64_t id = next_call_++;
-  PendingCall& call = calls_[id];
-  call = {.exchange = std::move(exchange), .started = now};
-  Forward(id, call, now);
-}
-
-// `call` may be finished by this.
-void ControlNode::Forward(std::uint64_t id, PendingCall& call, Time now) {
-  call.sent_at = now;
-  const InstanceId self(settings_.ip);
-  const bool is_read = call.document.version == Revision(0);
-  if (log_.leading()) {
-    const VersionedDocument document = call.document;
-    if (is_read) {
-      log_.ReadCurrent(self, id, now);
-    } else {
-      log_.Submit(self, id, document, now);
-    }
+    RespondControlError(*exchange, 400, "configuration", ToString(findings));
     return;
   }
-  const InstanceId leader = log_.leader();
-  if (leader.empty()) return;
-  proto::NodeMessage message;
-  if (is_read) {
-    message.mutable_read_current()->set_read(id);
-  } else {
-    auto* submit = message.mutable_submit_document();
-    submit->set_submission(id);
-    *submit->mutable_document() = ToProto(call.document);
-  }
-  link_.Send(leader, std::move(message));
-}
-
-void ControlNode::RetryCalls(Time now) {
-  std::vector<std::uint64_t> due;
-  for (const auto& [id, call] : calls_) {
-    const bool late = now - call.started >= kCallTimeout;
-    if (late || now - call.sent_at >= kResendPeriod) due.push_back(id);
-  }
-  for (const std::uint64_t id : due) {
-    const auto found = calls_.find(id);
-    if (found == calls_.end()) continue;
-    PendingCall& call = found->second;
-    if (call.exchange->finished()) {
-      calls_.erase(found);
-    } else if (now - call.started >= kCallTimeout) {
-      Log(LogLevel::kWarning, "control_call_unanswered",
-          {{"version", call.document.version.value()},
-           {"leader", log_.leader().value()}});
-      call.exchange->Respond(503, kJson,
-                             ErrorBody("no_quorum", "no leader answered"));
-      calls_.erase(found);
-    } else {
-      Forward(id, call, now);
-    }
-  }
-}
-
-void ControlNode::FinishSubmission(std::uint64_t id) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  Log(LogLevel::kInfo, "configuration_acknowledged",
-      {{"version", found->second.document.version.value()},
-       {"in_force", log_.current().version.value()}});
-  found->second.exchange->Respond(200, kJson, "{}");
-  calls_.erase(found);
-}
-
-void ControlNode::FinishRead(std::uint64_t id,
-                             const VersionedDocument& document) {
-  const auto found = calls_.find(id);
-  if (found == calls_.end()) return;
-  if (document.version == Revision(0)) {
-    found->second.exchange->Respond(503, kJson,
-                                    ErrorBody("none", "no configuration yet"));
-  } else {
-    found->second.exchange->Respond(200, kJson, document.document);
-  }
-  calls_.erase(found);
+  VersionedDocument document{decoded->version, std::string(exchange->body())};
+  operator_calls_.Submit(std::move(exchange), std::move(document),
+                         BootTimeNow());
 }
 
 // --- The replicated log ----------------------------------------------------
@@ -290,7 +178,9 @@
 
 void ControlNode::OnSubmitted(const InstanceId& origin,
                               std::uint64_t submission) {
-  if (origin.value() == settings_.ip) return FinishSubmission(submission);
+  if (origin.value() == settings_.ip) {
+    return operator_calls_.OnSubmitted(submission);
+  }
   proto::NodeMessage message;
   message.mutable_submit_result()->set_submission(submission);
   message.mutable_submit_result()->set_committed(true);
@@ -308,12 +198,14 @@
   }
   // An unserved read is sent again, to the next leader.
   if (!served) return;
-  if (origin.value() == settings_.ip) return FinishRead(read, log_.current());
+  if (origin.value() == settings_.ip) {
+    return operator_calls_.OnRead(read, log_.current());
+  }
   proto::NodeMessage message;
   auto* result = message.mutable_read_result();
   result->set_read(read);
   result->set_served(true);
-  *result->mutable_document() = ToProto(log_.current());
+  *result->mutable_document() = cassiausher::ToProto(log_.current());
   link_.Send(origin, std::move(message));
 }
 
@@ -346,7 +238,7 @@
                   FromProto(message.submit_document().document()), now);
       break;
     case proto::NodeMessage::kSubmitResult:
-      FinishSubmission(message.submit_result().submission());
+      operator_calls_.OnSubmitted(message.submit_result().submission());
       break;
     case proto::NodeMessage::kReadCurrent:
       if (!log_.leading()) break;
@@ -361,7 +253,9 @@
 }
 
 void ControlNode::OnReadResult(const proto::ReadResult& result) {
-  if (result.served()) FinishRead(result.read(), FromProto(result.document()));
+  if (!result.served()) return;
+  operator_calls_.OnRead(result.read(),
+                         cassiausher::FromProto(result.document()));
 }
 
 void ControlNode::OnFollow(const InstanceId& from,
@@ -426,14 +320,17 @@
     update->add_changing_endpoints(id.value());
   }
   if (log_.current().version > follower.configuration) {
-    *update->mutable_configuration() = ToProto(log_.current());
+    *update->mutable_configuration() = cassiausher::ToProto(log_.current());
   }
   update->add_control_instances(settings_.ip);
   for (const InstanceId& control : HeardControls()) {
     update->add_control_instances(control.value());
   }
-  // The receiver knows its own work better.
-  WriteLoads(LoadsWithout(to), update->mutable_loads());
+  // The receiver knows its own work better, and takes others' from one control
+  // instance only.
+  if (follower.wants_placements) {
+    WriteLoads(LoadsWithout(to), update->mutable_loads());
+  }
   follower.placed.clear();
   update->set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
   link_.Send(to, std::move(message));
@@ -531,14 +428,14 @@
   if (!configuration_.has_value()) return;
   const EndpointLoads loads = LoadsWithout(InstanceId());
   if (!stage_orders_.Plan(*configuration_, registry_, loads, now)) return;
-  confirming_read_ = next_call_++;
+  confirming_read_ = operator_calls_.NextNumber();
   log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
 }
 
 void ControlNode::Tick() {
   const Time now = BootTimeNow();
   log_.Tick(now);
-  RetryCalls(now);
+  operator_calls_.Retry(now);
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
   SyncControls(now);
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -18,6 +18,7 @@
 #include "main/configuration_log.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
+#include "main/operator_calls.h"
 #include "main/stage_orders.h"
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/serving_configuration.h"
@@ -57,15 +58,6 @@
     Time learned_at{};
     std::optional<Time> heard_at;
   };
-  /// A call of an operator that waits for the leader.
-  struct PendingCall {
-    HttpExchangePtr exchange;
-    Time started{};
-    Time sent_at{};
-    /// Set for a change, version 0 for a read.
-    VersionedDocument document;
-  };
-
   // ConfigurationLogDelegate.
   void SendToNode(const InstanceId& to,
                   const proto::NodeMessage& message) override;
@@ -79,10 +71,6 @@
   void OnHeartbeat(const EndpointId& id, HttpExchange& exchange);
   void OnDeparture(const EndpointId& id, HttpExchange& exchange);
   void OnPut(HttpExchangePtr exchange);
-  void OnGet(HttpExchangePtr exchange);
-  void Forward(std::uint64_t id, PendingCall& call, Time now);
-  void FinishSubmission(std::uint64_t id);
-  void FinishRead(std::uint64_t id, const VersionedDocument& document);
 
   // Messages between instances.
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
@@ -106,7 +94,6 @@
   void SyncControls(Time now);
   /// Plans orders to model runners while this instance leads.
   void BalanceStages(Time now);
-  void RetryCalls(Time now);
 
   NodeSettings settings_;
   const ConfigurationCodec& codec_;
@@ -121,6 +108,7 @@
   ConfigurationLog log_;
   EndpointRegistry registry_;
   StageOrders stage_orders_;
+  OperatorCalls operator_calls_;
   /// The configuration in force, decoded; null before the first.
   std::optional<ServingConfiguration> configuration_;
   /// Read that confirms leadership for a planned order; 0 for none.
@@ -131,8 +119,6 @@
   /// Control processes that sent their whole registry.
   std::set<InstanceId> synced_with_;
   std::map<InstanceId, std::uint64_t> control_incarnations_;
-  std::map<std::uint64_t, PendingCall> calls_;
-  std::uint64_t next_call_ = 1;
   Time next_sync_{};
   Time last_sync_{};
   std::unique_ptr<HttpServer> server_;
--- a/main/control_task.cc
+++ b/main/control_task.cc
@@ -88,6 +88,7 @@
       context_{
           .settings = settings_,
           .metrics = metrics,
+          .main_context = context(),
           .serving_tasks = serving_tasks,
           .incarnation = options_.incarnation,
           .send = [this](const InstanceId& peer,
@@ -402,14 +403,6 @@
   pools_.OnSessions(message, now);
 }
 
-void ControlTask::On(LogPersisted& message, Time now) {
-  configuration_.OnPersisted(message.batch, now);
-}
-
-void ControlTask::On(LogPersistFailed&, Time now) {
-  configuration_.OnPersistFailed(now);
-}
-
 void ControlTask::On(ShutdownRequested&, Time now) {
   leaving_ = true;
   UpdatePayload(now);
--- a/main/control_task.h
+++ b/main/control_task.h
@@ -81,8 +81,6 @@
   void On(RequestRowsGiven& message, Time now);
   void On(SessionsListed& message, Time now);
   void On(LoopbackEnvelope& message, Time now);
-  void On(LogPersisted& message, Time now);
-  void On(LogPersistFailed& message, Time now);
 
   void OnPeerMessage(std::string_view bytes);
   void OnEnvelope(const proto::Envelope& envelope, const InstanceId& sender,
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -6,6 +6,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "main/error_body.h"
 #include "main/load_messages.h"
 #include "platform/request_headers.h"
 #include "platform/runner_calls.h"
@@ -110,7 +111,13 @@
       {{"request", id.value()}, {"reason", reason}});
   HttpHeaders headers = {RetryAfterHeader(kRefusalRetryAfter)};
   if (closing_) headers.emplace_back("Connection", "close");
-  exchange.Respond(503, kJson, R"({"error":{"not_run":true}})", headers);
+  exchange.Respond(503, kJson,
+                   FormatError({.type = "unavailable",
+                                .code = "refused",
+                                .message = std::string(reason),
+                                .not_run = true,
+                                .retry_after = kRefusalRetryAfter}),
+                   headers);
 }
 
 void EntryNode::OnCaller(HttpExchangePtr exchange) {
@@ -130,7 +137,11 @@
     Log(LogLevel::kInfo, "route_unknown",
         {{"request", caller.id.value()},
          {"configuration", routes_->version().value()}});
-    exchange->Respond(404, kJson, R"({"error":{"code":"route_unknown"}})");
+    exchange->Respond(404, kJson,
+                      FormatError({.type = "invalid_request",
+                                   .code = "route_unknown",
+                                   .message = "no route for host and path",
+                                   .not_run = true}));
     return;
   }
   const ServiceId service = PickTarget(*route, random_.Unit()).service;
@@ -246,7 +257,7 @@
     pool_.SetChanging(EndpointId(id), now + kChangingLifetime);
   }
   const int others = static_cast<int>(update.entry_instances()) - 1;
-  if (from == load_source_ || load_source_.empty()) {
+  if (from == load_source_) {
     pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
   }
   for (const std::string& ip : update.control_instances()) {
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -8,6 +8,7 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
+#include "main/error_body.h"
 
 namespace cassiausher {
 namespace {
@@ -47,15 +48,17 @@
 }
 
 std::string RefusalBody(std::string_view reason, Duration retry_after) {
-  return fmt::format(
-      R"({{"error":{{"type":"refused","code":"unavailable","message":"{}","not_run":true,"retry_after_ms":{}}}}})",
-      reason, retry_after / Milliseconds(1));
+  return FormatError({.type = "unavailable",
+                      .code = "refused",
+                      .message = std::string(reason),
+                      .not_run = true,
+                      .retry_after = retry_after});
 }
 
 std::string FailureBody(std::string_view reason) {
-  return fmt::format(
-      R"({{"error":{{"type":"failed","code":"outcome_unknown","message":"{}","not_run":false}}}})",
-      reason);
+  return FormatError({.type = "unknown_outcome",
+                      .code = "failed",
+                      .message = std::string(reason)});
 }
 
 constexpr const char* kJson = "application/json";
@@ -275,13 +278,6 @@
     CallFailed(CallFailure::kBroken, "the stream ends inside an event");
     return;
   }
-  const bool short_body =
-      !exchange_->streaming() && answer_->body_bytes &&
-      *answer_->body_bytes != static_cast<std::int64_t>(body_.size());
-  if (short_body) {
-    CallFailed(CallFailure::kBroken, "the body has another length than told");
-    return;
-  }
   const int status = answer_->status;
   const bool server_error = status >= kServerError;
   DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
@@ -424,7 +420,6 @@
        {"status", status},
        {"reason", reason},
        {"calls", calls_},
-       {"unframed", answer_ && answer_->ends_with_connection},
        {"events", relayed_events_},
        {"prompt", facts_.prompt.value()},
        {"output", facts_.output.value()},
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -34,7 +34,8 @@
   const bool* closing = nullptr;
 };
 
-/// Logs and counts how requests end; shared by all of an instance.
+/// Lives until the caller has its answer or is gone. Belongs to the task of its
+/// entry instance.
 class ForwardedRequest : public HttpCallSink,
                          public std::enable_shared_from_this<ForwardedRequest> {
  public:
--- a/main/messages.h
+++ b/main/messages.h
@@ -104,19 +104,13 @@
 struct LoopbackEnvelope {
   proto::Envelope envelope;
 };
-/// From the storage task.
-struct LogPersisted {
-  std::uint64_t batch = 0;
-};
-struct LogPersistFailed {};
 
 using ControlMessage =
     std::variant<PlacementRequested, PlacementProgress, CancelNotConfirmed,
                  RequestOffered, EndpointAnnounced, DumpRequested,
                  StatementRequested, ShutdownRequested, LeaveRequested,
                  PeersChanged, RequestEnded, ClaimRequested, OutcomeReported,
-                 RequestRowsGiven, SessionsListed, LoopbackEnvelope,
-                 LogPersisted, LogPersistFailed>;
+                 RequestRowsGiven, SessionsListed, LoopbackEnvelope>;
 
 // ---- To a serving task ---------------------------------------------------
 
--- /dev/null
+++ b/main/operator_calls.cc
@@ -0,0 +1,143 @@
+#include "main/operator_calls.h"
+
+#include <utility>
+#include <vector>
+
+#include "core/log.h"
+#include "main/error_body.h"
+
+namespace cassiausher {
+namespace {
+
+// Callers try another instance after a second.
+constexpr Duration kCallTimeout = Milliseconds(900);
+constexpr Duration kResendPeriod = Milliseconds(300);
+constexpr int kUnavailable = 503;
+constexpr const char* kJson = "application/json";
+
+}  // namespace
+
+proto::VersionedDocument ToProto(const VersionedDocument& document) {
+  proto::VersionedDocument message;
+  message.set_version(document.version.value());
+  message.set_document(document.document);
+  return message;
+}
+
+VersionedDocument FromProto(const proto::VersionedDocument& message) {
+  return {Revision(message.version()), message.document()};
+}
+
+void RespondControlError(HttpExchange& exchange, int status,
+                         std::string_view code, std::string message) {
+  RespondError(exchange, {.status = status,
+                          .type = status == kUnavailable ? "unavailable"
+                                                         : "invalid_request",
+                          .code = code,
+                          .message = std::move(message)});
+}
+
+void OperatorCalls::Submit(HttpExchangePtr exchange, VersionedDocument document,
+                           Time now) {
+  const std::uint64_t number = NextNumber();
+  const bool in_force = document.version <= log_->current().version;
+  calls_[number] = {.exchange = std::move(exchange),
+                    .started = now,
+                    .document = std::move(document)};
+  if (in_force) {
+    OnSubmitted(number);
+  } else {
+    Ask(number, now);
+  }
+}
+
+void OperatorCalls::Read(HttpExchangePtr exchange, Time now) {
+  const std::uint64_t number = NextNumber();
+  calls_[number] = {.exchange = std::move(exchange), .started = now};
+  Ask(number, now);
+}
+
+void OperatorCalls::Ask(std::uint64_t number, Time now) {
+  Call& call = calls_.at(number);
+  call.sent_at = now;
+  const bool is_read = call.document.version == Revision(0);
+  if (log_->leading()) {
+    // The call may be finished, and erased, before these return.
+    const VersionedDocument document = call.document;
+    if (is_read) {
+      log_->ReadCurrent(self_, number, now);
+    } else {
+      log_->Submit(self_, number, document, now);
+    }
+    return;
+  }
+  const InstanceId leader = log_->leader();
+  if (leader.empty()) return;
+  proto::NodeMessage message;
+  if (is_read) {
+    message.mutable_read_current()->set_read(number);
+  } else {
+    auto* submit = message.mutable_submit_document();
+    submit->set_submission(number);
+    *submit->mutable_document() = ToProto(call.document);
+  }
+  link_->Send(leader, std::move(message));
+}
+
+void OperatorCalls::Retry(Time now) {
+  std::vector<std::uint64_t> due;
+  for (const auto& [number, call] : calls_) {
+    const bool late = now - call.started >= kCallTimeout;
+    if (late || now - call.sent_at >= kResendPeriod) due.push_back(number);
+  }
+  for (const std::uint64_t number : due) {
+    const auto found = calls_.find(number);
+    if (found == calls_.end()) continue;
+    const Call& call = found->second;
+    if (call.exchange->finished()) {
+      calls_.erase(found);
+    } else if (now - call.started >= kCallTimeout) {
+      Log(LogLevel::kWarning, "control_call_unanswered",
+          {{"version", call.document.version.value()},
+           {"leader", log_->leader().value()}});
+      RespondControlError(*call.exchange, kUnavailable, "no_quorum",
+                          "no leader answered");
+      calls_.erase(found);
+    } else {
+      Ask(number, now);
+    }
+  }
+}
+
+void OperatorCalls::Stop() {
+  for (auto& [number, call] : calls_) {
+    RespondControlError(*call.exchange, kUnavailable, "stopping",
+                        "the instance stops");
+  }
+  calls_.clear();
+}
+
+void OperatorCalls::OnSubmitted(std::uint64_t submission) {
+  const auto found = calls_.find(submission);
+  if (found == calls_.end()) return;
+  Log(LogLevel::kInfo, "configuration_acknowledged",
+      {{"version", found->second.document.version.value()},
+       {"in_force", log_->current().version.value()}});
+  found->second.exchange->Respond(200, kJson, "{}");
+  calls_.erase(found);
+}
+
+void OperatorCalls::OnRead(std::uint64_t read,
+                           const VersionedDocument& document) {
+  const auto found = calls_.find(read);
+  if (found == calls_.end()) return;
+  if (document.version == Revision(0)) {
+    RespondControlError(*found->second.exchange, kUnavailable, "none",
+                        "no configuration yet");
+  } else {
+    found->second.exchange->Respond(200, kJson, document.document);
+  }
+  calls_.erase(found);
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/operator_calls.h
@@ -0,0 +1,70 @@
+// Operators' calls at a control instance, each kept until the leader of the
+// replicated log has answered it.
+#ifndef MAIN_OPERATOR_CALLS_H_
+#define MAIN_OPERATOR_CALLS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "drivers/http_server.h"
+#include "main/configuration_log.h"
+#include "main/node_link.h"
+#include "servers/control/configuration_register.h"
+
+namespace cassiausher {
+
+proto::VersionedDocument ToProto(const VersionedDocument& document);
+VersionedDocument FromProto(const proto::VersionedDocument& message);
+
+/// Answers an outside call that failed at this instance.
+void RespondControlError(HttpExchange& exchange, int status,
+                         std::string_view code, std::string message);
+
+/// Belongs to the control node's task; log and link must outlive it.
+class OperatorCalls {
+ public:
+  OperatorCalls(InstanceId self, ConfigurationLog* log, NodeLink* link)
+      : self_(std::move(self)), log_(log), link_(link) {}
+
+  /// Answered once the document, or a higher version, is committed.
+  void Submit(HttpExchangePtr exchange, VersionedDocument document, Time now);
+  /// Answered with the configuration that is in force now.
+  void Read(HttpExchangePtr exchange, Time now);
+  /// Asks the leader again, and answers 503 to what took too long.
+  void Retry(Time now);
+  /// Answers 503 to all.
+  void Stop();
+
+  // The leader's answers; unknown numbers are ignored.
+  void OnSubmitted(std::uint64_t submission);
+  void OnRead(std::uint64_t read, const VersionedDocument& document);
+
+  /// A number that no call has, for reads of the instance itself.
+  std::uint64_t NextNumber() { return next_number_++; }
+
+ private:
+  struct Call {
+    HttpExchangePtr exchange;
+    Time started{};
+    Time sent_at{};
+    /// Set for a change, version 0 for a read.
+    VersionedDocument document;
+  };
+
+  /// May finish the call.
+  void Ask(std::uint64_t number, Time now);
+
+  InstanceId self_;
+  ConfigurationLog* log_;
+  NodeLink* link_;
+  std::map<std::uint64_t, Call> calls_;
+  std::uint64_t next_number_ = 1;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_OPERATOR_CALLS_H_
--- a/main/raft_host.cc
+++ b/main/raft_host.cc
@@ -82,6 +82,8 @@
   if (draining_) return;
   draining_ = true;
   for (;;) {
+    // May propose or read, which leads to more output.
+    delegate_.OnDispatched();
     RaftOutput output = raft_->TakeOutput();
     if (output.empty()) break;
     Dispatch(std::move(output));
--- a/main/raft_host.h
+++ b/main/raft_host.h
@@ -30,6 +30,9 @@
   virtual void OnCommitted(const LogEntry& entry) = 0;
   virtual void OnRead(const ReadResult& read) = 0;
   virtual void OnRoleChanged() = 0;
+  /// All of the above that was due has been called. Calls on raft() from here
+  /// are drained as well.
+  virtual void OnDispatched() {}
 };
 
 /// Random number for a new storage; not 0.
--- a/main/replica_host.cc
+++ b/main/replica_host.cc
@@ -1,10 +1,9 @@
 #include "main/replica_host.h"
 
-#include <boost/leaf/handle_errors.hpp>
 #include <utility>
 
 #include "core/log.h"
-#include "main/raft_host.h"
+#include "drivers/clock.h"
 
 namespace cassiausher {
 namespace {
@@ -27,31 +26,17 @@
 }  // namespace
 
 ReplicaHost::ReplicaHost(const Settings& settings, Metrics& metrics,
-                         ReplicaDelegate& delegate)
+                         GMainContext* context, ReplicaDelegate& delegate)
     : settings_(settings),
-      metrics_(metrics),
       delegate_(delegate),
       applied_(metrics.counter("log_entries_applied_total")),
       malformed_(metrics.counter("log_entries_malformed_total")),
+      host_(context, metrics, *this, MonotonicNow),
       coordinator_(&state_, {.lease = kConfigurationLease}) {}
 
 ReplicaHost::~ReplicaHost() = default;
 
-std::string ReplicaHost::Start(std::unique_ptr<LogStorage> storage, Time now) {
-  namespace leaf = boost::leaf;
-  StoredState stored;
-  const std::string error = leaf::try_handle_all(
-      [&]() -> leaf::result<std::string> {
-        BOOST_LEAF_ASSIGN(stored, storage->Load());
-        return std::string();
-      },
-      [](const StorageError& fault) { return ToString(fault); },
-      [] { return std::string("unknown storage error"); });
-  if (!error.empty()) return error;
-  for (const Finding& finding : stored.findings.items()) {
-    Log(LogLevel::kWarning, "log_repaired",
-        {{"place", finding.place}, {"what", finding.message}});
-  }
+std::string ReplicaHost::Start(std::unique_ptr<LogStorage> storage) {
   RaftOptions options;
   options.self = settings_.instance;
   options.new_storage = NewStorageNumber();
@@ -60,47 +45,23 @@
   for (const PeerSettings& peer : settings_.peers) {
     if (peer.voter) options.founders.insert(peer.instance);
   }
-  raft_ = std::make_unique<Raft>(options, stored, now);
-  storage_ = std::make_unique<StorageTask>(
-      std::move(storage), metrics_,
-      StorageEvents{
-          .persisted =
-              [this](std::uint64_t batch) { delegate_.PostPersisted(batch); },
-          .failed = [this] { delegate_.PostPersistFailed(); }});
-  storage_->Start();
-  Drain(now);
-  return {};
-}
-
-void ReplicaHost::OnRaftMessage(const proto::RaftMessage& message, Time now) {
-  raft_->Step(message, now);
-  Drain(now);
+  return host_.Start(std::move(options), std::move(storage));
 }
 
-void ReplicaHost::OnPersisted(std::uint64_t batch, Time now) {
-  for (auto it = after_sync_.begin();
-       it != after_sync_.end() && it->first <= batch;) {
-    for (const proto::RaftMessage& message : it->second) {
-      delegate_.SendRaft(message);
-    }
-    it = after_sync_.erase(it);
-  }
-  raft_->OnPersisted(batch, now);
-  Drain(now);
+void ReplicaHost::OnRaftMessage(const proto::RaftMessage& message) {
+  host_.Step(message);
 }
 
-void ReplicaHost::OnPersistFailed(Time now) {
-  raft_->OnPersistFailed(now);
-  Drain(now);
+void ReplicaHost::SendRaft(const proto::RaftMessage& message) {
+  delegate_.SendRaft(message);
 }
 
 void ReplicaHost::Tick(Time now) {
-  raft_->Tick(now);
   if (coordinator_.leading()) {
     if (now - last_read_ >= kQuorumReadPeriod) {
       last_read_ = now;
       reads_[next_read_] = now;
-      raft_->Read(next_read_++, now);
+      host_.raft().Read(next_read_++, now);
     }
     if (now - last_expiry_ >= kLedgerExpiryPeriod) {
       Propose(LedgerEntry(LedgerExpiry{now - last_expiry_}), now);
@@ -109,52 +70,22 @@
     ProposeLostHolders(now);
     coordinator_.Tick(now);
   }
-  Drain(now);
+  host_.Tick();
 }
 
-void ReplicaHost::Drain(Time now) {
-  // Applying an entry can lead to a proposal, which leads to more output.
-  if (draining_) return;
-  draining_ = true;
-  for (;;) {
-    RaftOutput output = raft_->TakeOutput();
-    const bool idle = output.empty();
-    if (!idle) Dispatch(std::move(output), now);
-    DispatchCoordinator(now);
-    if (idle) break;
-  }
+void ReplicaHost::OnDispatched() {
+  DispatchCoordinator(MonotonicNow());
   CompactIfDue();
-  draining_ = false;
 }
 
-void ReplicaHost::Dispatch(RaftOutput output, Time now) {
-  for (const proto::RaftMessage& message : output.messages) {
-    delegate_.SendRaft(message);
-  }
-  const std::vector<LogEntry> committed = std::move(output.committed);
-  const std::optional<Snapshot> install = std::move(output.install);
-  const std::vector<ReadResult> reads = std::move(output.reads);
-  const bool role_changed = output.role_changed;
-  if (output.batch != 0) {
-    after_sync_[output.batch] = std::move(output.messages_after_sync);
-    storage_->Persist(std::move(output));
-  } else {
-    for (const proto::RaftMessage& message : output.messages_after_sync) {
-      delegate_.SendRaft(message);
-    }
-  }
-  if (install.has_value()) Install(*install);
-  for (const LogEntry& entry : committed) Apply(entry, now);
-  for (const ReadResult& read : reads) {
-    const auto found = reads_.find(read.id);
-    if (found == reads_.end()) continue;
-    if (read.served) coordinator_.OnQuorumContact(found->second);
-    reads_.erase(found);
-  }
-  if (role_changed) OnRoleChanged(now);
+void ReplicaHost::OnRead(const ReadResult& read) {
+  const auto found = reads_.find(read.id);
+  if (found == reads_.end()) return;
+  if (read.served) coordinator_.OnQuorumContact(found->second);
+  reads_.erase(found);
 }
 
-void ReplicaHost::Install(const Snapshot& snapshot) {
+void ReplicaHost::OnInstall(const Snapshot& snapshot) {
   if (snapshot.data.empty()) return;
   const Findings findings = state_.Restore(snapshot.data);
   for (const Finding& finding : findings.items()) {
@@ -165,12 +96,13 @@
   delegate_.OnStateApplied(state_);
 }
 
-void ReplicaHost::OnRoleChanged(Time now) {
+void ReplicaHost::OnRoleChanged() {
+  const Raft& raft = host_.raft();
   Log(LogLevel::kInfo, "consensus_role",
-      {{"role", raft_->role() == RaftRole::kLeader ? "leader" : "follower"},
-       {"term", raft_->term()},
-       {"leader", raft_->leader().instance.value()}});
-  if (raft_->role() == RaftRole::kLeader) return;
+      {{"role", raft.role() == RaftRole::kLeader ? "leader" : "follower"},
+       {"term", raft.term()},
+       {"leader", raft.leader().instance.value()}});
+  if (raft.role() == RaftRole::kLeader) return;
   if (coordinator_.leading()) coordinator_.LoseLeadership();
   reads_.clear();
   // Their entries may still be committed; the askers repeat their commands,
@@ -178,31 +110,28 @@
   for (const auto& [index, command] : std::exchange(commands_, {})) {
     delegate_.OnLedgerCommand(command.command, false, {});
   }
-  DispatchCoordinator(now);
 }
 
-void ReplicaHost::Apply(const LogEntry& entry, Time now) {
+LedgerAnswer ReplicaHost::Apply(const LogEntry& entry, Time now) {
+  if (entry.kind != EntryKind::kData) return {};
+  const auto result = state_.ApplyBytes(entry.index, entry.data);
+  if (const auto* findings = std::get_if<Findings>(&result)) {
+    malformed_.Add();
+    Log(LogLevel::kError, "log_entry_malformed",
+        {{"index", entry.index}, {"what", findings->items().front().message}});
+    return {};
+  }
+  const Applied& applied = std::get<Applied>(result);
+  if (coordinator_.leading()) coordinator_.OnApplied(applied, now);
+  if (applied.kind != AppliedKind::kLedger) delegate_.OnStateApplied(state_);
+  return applied.ledger;
+}
+
+void ReplicaHost::OnCommitted(const LogEntry& entry) {
+  const Time now = MonotonicNow();
   applied_.Add();
   ++entries_since_compaction_;
-  const bool own_term =
-      raft_->role() == RaftRole::kLeader && entry.term == raft_->term();
-  LedgerAnswer answer;
-  if (entry.kind == EntryKind::kData) {
-    const auto result = state_.ApplyBytes(entry.index, entry.data);
-    if (const auto* findings = std::get_if<Findings>(&result)) {
-      malformed_.Add();
-      Log(LogLevel::kError, "log_entry_malformed",
-          {{"index", entry.index},
-           {"what", findings->items().front().message}});
-    } else {
-      const Applied& applied = std::get<Applied>(result);
-      answer = applied.ledger;
-      if (coordinator_.leading()) coordinator_.OnApplied(applied, now);
-      if (applied.kind != AppliedKind::kLedger) {
-        delegate_.OnStateApplied(state_);
-      }
-    }
-  }
+  const LedgerAnswer answer = Apply(entry, now);
   const auto pending = commands_.find(entry.index);
   if (pending != commands_.end()) {
     const PendingCommand command = pending->second;
@@ -210,12 +139,13 @@
     delegate_.OnLedgerCommand(command.command, command.term == entry.term,
                               answer);
   }
-  if (own_term && !coordinator_.leading()) {
-    last_expiry_ = now;
-    last_holders_ = now;
-    coordinator_.BecomeLeader(now);
-    coordinator_.SetMembers(members_, now);
-  }
+  const bool own_term =
+      raft().role() == RaftRole::kLeader && entry.term == raft().term();
+  if (!own_term || coordinator_.leading()) return;
+  last_expiry_ = now;
+  last_holders_ = now;
+  coordinator_.BecomeLeader(now);
+  coordinator_.SetMembers(members_, now);
 }
 
 void ReplicaHost::DispatchCoordinator(Time now) {
@@ -236,7 +166,7 @@
 
 void ReplicaHost::Propose(const StateEntry& entry, Time now) {
   // A refused proposal is repeated by its owner.
-  raft_->Propose(EncodeStateEntry(entry), now);
+  host_.raft().Propose(EncodeStateEntry(entry), now);
 }
 
 void ReplicaHost::SetMembers(LiveMembers members,
@@ -246,13 +176,13 @@
   started_ = std::move(started);
   if (!coordinator_.leading()) return;
   coordinator_.SetMembers(members_, now);
-  Drain(now);
+  host_.Drain();
 }
 
 void ReplicaHost::Submit(std::uint64_t submission, const Change& change,
                          Time now) {
   coordinator_.Submit(submission, change, now);
-  Drain(now);
+  host_.Drain();
 }
 
 void ReplicaHost::OnConfigurationMessage(const ConfigurationMessage& message,
@@ -264,31 +194,31 @@
   } else if (const auto* activated = std::get_if<Activated>(&message)) {
     coordinator_.OnActivated(*activated, now);
   }
-  Drain(now);
+  host_.Drain();
 }
 
 void ReplicaHost::ProposeLedger(std::uint64_t command, const LedgerEntry& entry,
                                 Time now) {
   const ProposeResult result =
-      raft_->Propose(EncodeStateEntry(StateEntry(entry)), now);
+      host_.raft().Propose(EncodeStateEntry(StateEntry(entry)), now);
   if (!result.accepted()) {
     delegate_.OnLedgerCommand(command, false, {});
     return;
   }
   commands_[result.index] = {command, result.term};
-  Drain(now);
+  host_.Drain();
 }
 
 void ReplicaHost::OnInstanceLost(const InstanceId& instance,
                                  Incarnation incarnation, Time now) {
   if (!coordinator_.leading()) return;
   Propose(LedgerEntry(LedgerInstanceLost{instance, incarnation}), now);
-  Drain(now);
+  host_.Drain();
 }
 
 void ReplicaHost::TransferLeadership(Time now) {
-  raft_->TransferLeadership(std::nullopt, now);
-  Drain(now);
+  host_.raft().TransferLeadership(std::nullopt, now);
+  host_.Drain();
 }
 
 void ReplicaHost::ProposeLostHolders(Time now) {
@@ -310,7 +240,7 @@
 void ReplicaHost::CompactIfDue() {
   if (entries_since_compaction_ < kEntriesPerSnapshot) return;
   entries_since_compaction_ = 0;
-  raft_->Compact(raft_->applied_index(), state_.Snapshot());
+  host_.raft().Compact(raft().applied_index(), state_.Snapshot());
 }
 
 }  // namespace cassiausher
--- a/main/replica_host.h
+++ b/main/replica_host.h
@@ -9,12 +9,11 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "core/time.h"
-#include "main/storage_task.h"
+#include "main/raft_host.h"
 #include "proto/gen/raft.pb.h"
 #include "servers/configuration/change_coordinator.h"
 #include "servers/configuration/replicated_state.h"
@@ -40,31 +39,25 @@
   virtual void OnLedgerCommand(std::uint64_t command, bool committed,
                                const LedgerAnswer& answer) = 0;
   virtual void OnStateApplied(const ReplicatedState& state) = 0;
-  /// From the storage task's thread: posts to the control task, which calls
-  /// OnPersisted or OnPersistFailed of the host.
-  virtual void PostPersisted(std::uint64_t batch) = 0;
-  virtual void PostPersistFailed() = 0;
 };
 
-class ReplicaHost {
+class ReplicaHost : private RaftHostDelegate {
  public:
-  ReplicaHost(const Settings& settings, Metrics& metrics,
+  ReplicaHost(const Settings& settings, Metrics& metrics, GMainContext* context,
               ReplicaDelegate& delegate);
-  ~ReplicaHost();
+  ~ReplicaHost() override;
 
   /// Opens the storage. Returns the error that keeps this instance from
   /// voting, empty on success.
-  std::string Start(std::unique_ptr<LogStorage> storage, Time now);
+  std::string Start(std::unique_ptr<LogStorage> storage);
 
-  void OnRaftMessage(const proto::RaftMessage& message, Time now);
-  void OnPersisted(std::uint64_t batch, Time now);
-  void OnPersistFailed(Time now);
+  void OnRaftMessage(const proto::RaftMessage& message);
   void Tick(Time now);
 
   bool leading() const { return coordinator_.leading(); }
   /// Empty if unknown.
-  InstanceId leader() const { return raft_->leader().instance; }
-  const Raft& raft() const { return *raft_; }
+  InstanceId leader() const { return raft().leader().instance; }
+  const Raft& raft() const { return host_.raft(); }
   const ReplicatedState& state() const { return state_; }
   const ChangeCoordinator& coordinator() const { return coordinator_; }
 
@@ -85,11 +78,16 @@
     Term term = 0;
   };
 
-  void Drain(Time now);
-  void Install(const Snapshot& snapshot);
-  void OnRoleChanged(Time now);
-  void Dispatch(RaftOutput output, Time now);
-  void Apply(const LogEntry& entry, Time now);
+  // RaftHostDelegate.
+  void SendRaft(const proto::RaftMessage& message) override;
+  void OnInstall(const Snapshot& snapshot) override;
+  void OnCommitted(const LogEntry& entry) override;
+  void OnRead(const ReadResult& read) override;
+  void OnRoleChanged() override;
+  void OnDispatched() override;
+
+  /// What the entry led to; nothing for one that holds no command.
+  LedgerAnswer Apply(const LogEntry& entry, Time now);
   void DispatchCoordinator(Time now);
   void Propose(const StateEntry& entry, Time now);
   /// Releases claims whose instance is gone. A death reported around a change
@@ -99,18 +97,14 @@
   void CompactIfDue();
 
   const Settings& settings_;
-  Metrics& metrics_;
   ReplicaDelegate& delegate_;
   Counter& applied_;
   Counter& malformed_;
-  std::unique_ptr<StorageTask> storage_;
-  std::unique_ptr<Raft> raft_;
+  RaftHost host_;
   ReplicatedState state_;
   ChangeCoordinator coordinator_;
   LiveMembers members_;
   std::map<InstanceId, Incarnation> started_;
-  /// Messages that wait for their batch to be durable.
-  std::map<std::uint64_t, std::vector<proto::RaftMessage>> after_sync_;
   /// Ledger commands by the index of their entry.
   std::map<LogIndex, PendingCommand> commands_;
   std::map<std::uint64_t, Time> reads_;
@@ -119,7 +113,6 @@
   Time last_expiry_{};
   Time last_holders_{};
   std::uint64_t entries_since_compaction_ = 0;
-  bool draining_ = false;
 };
 
 }  // namespace cassiausher
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -60,15 +60,12 @@
   for (const auto& [id, service] : configuration.services) {
     if (!service.engine.has_value()) continue;
     std::vector<RunnerLoad> runners;
-    for (const EndpointRecord& record : registry.ChangedSince(0)) {
-      if (record.service != id || record.state != EndpointLifecycle::kReady) {
+    for (const EndpointRecord* record : registry.Ready(id)) {
+      if (std::find(silent.begin(), silent.end(), record->id) != silent.end()) {
         continue;
       }
-      if (std::find(silent.begin(), silent.end(), record.id) != silent.end()) {
-        continue;
-      }
-      const auto load = loads.find(record.id);
-      RunnerLoad runner{.id = record.id, .role = record.role};
+      RunnerLoad runner{.id = record->id, .role = record->role};
+      const auto load = loads.find(record->id);
       if (load != loads.end()) {
         runner.requests = load->second.requests;
         runner.kv_tokens = load->second.memory.Peak();
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -42,6 +42,17 @@
   return changed;
 }
 
+std::vector<const EndpointRecord*> EndpointRegistry::Ready(
+    const ServiceId& service) const {
+  std::vector<const EndpointRecord*> ready;
+  for (const auto& [id, entry] : entries_) {
+    const EndpointRecord& record = entry.record;
+    if (record.service != service) continue;
+    if (record.state == EndpointLifecycle::kReady) ready.push_back(&record);
+  }
+  return ready;
+}
+
 std::vector<EndpointRecord> EndpointRegistry::HeardSince(Time since) const {
   std::vector<EndpointRecord> heard;
   for (const auto& [id, entry] : entries_) {
--- a/servers/control/endpoint_registry.h
+++ b/servers/control/endpoint_registry.h
@@ -39,6 +39,8 @@
   std::uint64_t revision() const { return revision_; }
   /// Records that changed after `revision`.
   std::vector<EndpointRecord> ChangedSince(std::uint64_t revision) const;
+  /// Endpoints of a service that take work. Valid until the next change.
+  std::vector<const EndpointRecord*> Ready(const ServiceId& service) const;
   /// Records heard of since `since`, changed or not.
   std::vector<EndpointRecord> HeardSince(Time since) const;
   /// Endpoints that are not departed and have been silent.
