Reserve room at a decode runner while the prompt is read

Cause: 150 to 270 ms pass between the choice of a runner with room and the stream's start there; on grown sites a third of a stream a runner was under way uncounted. Change: the forwarder reserves its room with the pool, which tells others at once; the stream goes there if there is still room.

--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -105,11 +105,13 @@
   // A new incarnation has nothing of what was observed before.
   if (entry.record.born == born) return;
   const int in_flight = entry.in_flight;
+  const int reserved = entry.reserved;
   const Tokens tokens = entry.in_flight_tokens;
   const MemoryForecast memory = entry.memory;
   entry = Entry(entry.record, seed);
   entry.changed_at = now;
   entry.in_flight = in_flight;
+  entry.reserved = reserved;
   entry.in_flight_tokens = tokens;
   entry.memory = memory;
 }
@@ -127,7 +129,7 @@
 void EndpointPool::Expire(Time now) {
   std::erase_if(entries_, [&](const auto& item) {
     return item.second.record.state == EndpointLifecycle::kDeparted &&
-           item.second.in_flight == 0 &&
+           item.second.in_flight == 0 && item.second.reserved == 0 &&
            now - item.second.changed_at >= options_.tombstone_lifetime;
   });
   std::erase_if(silent_, [&](const auto& item) {
@@ -231,11 +233,19 @@
     best_score = score;
   }
   if (best == nullptr) return std::nullopt;
+  for (const Entry* entry : with_room) {
+    if (entry->record.id == work.reserved_at) return Place(*entry, work, now);
+  }
   const bool is_model = work.role != EndpointRole::kPlain;
   if (is_model && with_room.size() > 2) best = Draw(with_room, work, now);
-  double occupancy = Occupancy(*best, work, now);
-  if (now < best->full_until) occupancy = std::max(occupancy, kOverFull);
-  return Placement{best->record, Expected(*best, work, now), occupancy};
+  return Place(*best, work, now);
+}
+
+Placement EndpointPool::Place(const Entry& entry, const WorkSpec& work,
+                              Time now) const {
+  double occupancy = Occupancy(entry, work, now);
+  if (now < entry.full_until) occupancy = std::max(occupancy, kOverFull);
+  return {entry.record, Expected(entry, work, now), occupancy};
 }
 
 EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
@@ -244,7 +254,7 @@
     return found == other_loads_.end() ? EndpointLoad{} : found->second;
   }
   // No control instance is heard; the others do as this instance does.
-  return {entry.in_flight * other_instances_,
+  return {(entry.in_flight + entry.reserved) * other_instances_,
           entry.memory.Scaled(other_instances_, 1)};
 }
 
@@ -260,7 +270,7 @@
                 static_cast<double>(work.kv_capacity.value());
   }
   if (work.slots > 0) {
-    const double used = entry.in_flight + 1 + other.requests;
+    const double used = entry.in_flight + entry.reserved + 1 + other.requests;
     occupancy = std::max(occupancy, used / work.slots);
   }
   return occupancy;
@@ -279,8 +289,9 @@
 EndpointLoads EndpointPool::OwnLoads() const {
   EndpointLoads loads;
   for (const auto& [id, entry] : entries_) {
-    if (entry.in_flight == 0) continue;
-    loads[id] = {entry.in_flight, entry.memory};
+    const int requests = entry.in_flight + entry.reserved;
+    if (requests == 0) continue;
+    loads[id] = {requests, entry.memory};
   }
   return loads;
 }
@@ -294,11 +305,27 @@
   ++found->second.in_flight;
   found->second.in_flight_tokens += TokensToRead(work);
   found->second.memory += work.memory;
-  if (work.role == EndpointRole::kDecode) {
+  if (work.role == EndpointRole::kDecode && work.reserved_at != id) {
     AddLoads({{id, {1, work.memory}}}, &placed_);
   }
 }
 
+void EndpointPool::Reserve(const EndpointId& id, const MemoryForecast& memory,
+                           bool known_to_others) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  ++found->second.reserved;
+  found->second.memory += memory;
+  if (!known_to_others) AddLoads({{id, {1, memory}}}, &placed_);
+}
+
+void EndpointPool::Release(const EndpointId& id, const MemoryForecast& memory) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  --found->second.reserved;
+  found->second.memory -= memory;
+}
+
 void EndpointPool::OnProgress(const EndpointId& id,
                               const MemoryForecast& memory, WorkSpec* work) {
   const auto found = entries_.find(id);
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -60,6 +60,9 @@
   int slots = 0;
   /// Endpoints not to be used.
   std::set<EndpointId> excluded;
+  /// Used if it has room; empty for none. Memory is reserved there, which the
+  /// other instances know.
+  EndpointId reserved_at;
 };
 
 struct Placement {
@@ -121,6 +124,11 @@
   std::optional<Placement> Pick(const WorkSpec& work, Time now);
 
   void OnStart(const EndpointId& id, const WorkSpec& work, Time now);
+  /// Counts a stream whose prompt is read meanwhile, so that no other takes the
+  /// room; ends with Release().
+  void Reserve(const EndpointId& id, const MemoryForecast& memory,
+               bool known_to_others);
+  void Release(const EndpointId& id, const MemoryForecast& memory);
   /// The work in progress now holds `memory`, which replaces what `work` says.
   void OnProgress(const EndpointId& id, const MemoryForecast& memory,
                   WorkSpec* work);
@@ -146,7 +154,10 @@
     EndpointRecord record;
     Time changed_at{};
     int in_flight = 0;
+    /// Streams whose prompt is still being read.
+    int reserved = 0;
     Tokens in_flight_tokens{0};
+    /// Of work in flight and of reservations.
     MemoryForecast memory;
     /// Another endpoint answered at the address; not used until then.
     Time misplaced_until{};
@@ -171,6 +182,7 @@
   bool IsSilent(const EndpointId& id, Time now) const;
   double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
   EndpointLoad OtherLoad(const Entry& entry, Time now) const;
+  Placement Place(const Entry& entry, const WorkSpec& work, Time now) const;
   const Entry* Draw(const std::vector<const Entry*>& candidates,
                     const WorkSpec& work, Time now);
 
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -87,6 +87,19 @@
   if (std::exchange(waiting_, false)) pool_->ChangeWaiting(-1);
 }
 
+void RequestForwarder::ReserveRoom(const EndpointId& endpoint,
+                                   const WorkSpec& work) {
+  pool_->Reserve(endpoint, work.memory, work.reserved_at == endpoint);
+  room_ = {endpoint, work.memory};
+}
+
+EndpointId RequestForwarder::ReleaseRoom() {
+  const auto room = std::exchange(room_, std::nullopt);
+  if (!room.has_value()) return {};
+  pool_->Release(room->endpoint, room->memory);
+  return room->endpoint;
+}
+
 bool RequestForwarder::MayWait(Time now) const {
   // A longer queue is told at once to come back.
   const bool queue_is_long = pool_->waiting() >= kMostWaiting;
@@ -150,6 +163,7 @@
 }
 
 ForwardStep RequestForwarder::GiveUp(std::string_view reason) {
+  ReleaseRoom();
   if (relayed_) return BreakOff{reason};
   if (runs_ > 0) return Fail{502, reason};
   return Refuse{reason, RetryAfter()};
@@ -190,6 +204,7 @@
 std::optional<ForwardStep> RequestForwarder::ChooseModelCall(Time now) {
   WorkSpec decode = Work(EndpointRole::kDecode);
   decode.prompt_is_read = true;
+  decode.reserved_at = ReleaseRoom();
   const auto runner = pool_->Pick(decode, now);
   const bool full = runner.has_value() && runner->occupancy > FullOccupancy();
   // A stream that began goes on whatever the load: its caller has a part of it.
@@ -200,7 +215,10 @@
   }
   StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
-    if (auto prefill = ChoosePrefill(now)) return *prefill;
+    if (auto prefill = ChoosePrefill(now)) {
+      ReserveRoom(runner->endpoint.id, decode);
+      return *prefill;
+    }
   }
   // A runner that reads a prompt itself holds up its other streams beyond the
   // pauses that their callers bear, so this is for want of prefill runners.
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -113,7 +113,10 @@
  public:
   RequestForwarder(RequestFacts facts, EndpointPool* pool, RetryBudget* budget)
       : facts_(std::move(facts)), pool_(pool), budget_(budget) {}
-  ~RequestForwarder() { StopWaiting(); }
+  ~RequestForwarder() {
+    StopWaiting();
+    ReleaseRoom();
+  }
   RequestForwarder(const RequestForwarder&) = delete;
   RequestForwarder& operator=(const RequestForwarder&) = delete;
 
@@ -152,6 +155,9 @@
   bool MayWait(Time now) const;
   double FullOccupancy() const;
   void StopWaiting();
+  void ReserveRoom(const EndpointId& endpoint, const WorkSpec& work);
+  /// Returns where room was reserved, empty for nowhere.
+  EndpointId ReleaseRoom();
   Duration RetryAfter() const;
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason);
@@ -176,6 +182,12 @@
   /// Calls that reached an endpoint and count against the retry budget.
   int arrivals_ = 0;
   int calls_ = 0;
+  /// Where the stream will run, while its prompt is read.
+  struct Room {
+    EndpointId endpoint;
+    MemoryForecast memory;
+  };
+  std::optional<Room> room_;
   bool relayed_ = false;
   Tokens written_{0};
   /// Counted in the pool's waiting requests.
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -182,6 +182,35 @@
   STRCMP_EQUAL("a", PickId(Stream(), kStart).c_str());
 }
 
+// Pattern: a burst; hundreds of milliseconds pass while prompts are read, and
+// the room meant for them must not be given to others.
+TEST(EndpointPool, ReservedRoomIsTakenAndToldOnce) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.Merge(Decoder("b"), kStart);
+  WorkSpec stream = Stream();
+  pool.Reserve(EndpointId("a"), stream.memory, false);
+  LONGS_EQUAL(1, pool.TakePlaced()[EndpointId("a")].requests);
+  LONGS_EQUAL(7000, pool.OwnLoads()[EndpointId("a")].memory.Now().value());
+  STRCMP_EQUAL("b", PickId(stream, kStart).c_str());
+  // Its own stream finds the room, whatever came to other runners.
+  pool.Release(EndpointId("a"), stream.memory);
+  stream.reserved_at = EndpointId("a");
+  pool.AddOtherLoads({{EndpointId("a"), {1, Hold(20000)}}});
+  STRCMP_EQUAL("a", PickId(stream, kStart).c_str());
+  pool.OnStart(EndpointId("a"), stream, kStart);
+  CHECK_TRUE(pool.TakePlaced().empty());
+}
+
+// The runner filled up meanwhile, or left.
+TEST(EndpointPool, ReservedRoomThatIsGoneIsLookedForElsewhere) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.Merge(Decoder("b"), kStart);
+  WorkSpec stream = Stream();
+  stream.reserved_at = EndpointId("a");
+  pool.SetOtherLoads({{EndpointId("a"), {9, Hold(99000)}}}, 5, kStart);
+  STRCMP_EQUAL("b", PickId(stream, kStart).c_str());
+}
+
 TEST(EndpointPool, PlacedStreamsAreToldOnce) {
   pool.Merge(Decoder("a"), kStart);
   pool.OnStart(EndpointId("a"), Stream(), kStart);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -310,6 +310,26 @@
   CHECK_TRUE(Call(step).answer_timeout > StreamFacts(false).latency_target);
 }
 
+// Pattern: a burst; each stream holds its room while its prompt is read, and
+// gives it back however it ends.
+TEST(RequestForwarder, RoomIsHeldWhileThePromptIsRead) {
+  AddRunners();
+  {
+    RequestForwarder forwarder = Make(StreamFacts(false));
+    forwarder.Start(kStart);
+    LONGS_EQUAL(1, pool.OwnLoads().size());
+    const ForwardStep run =
+        forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+    CHECK_TRUE(pool.OwnLoads().empty());
+    CHECK_TRUE(Call(run).work.reserved_at == Call(run).endpoint.id);
+  }
+  {
+    RequestForwarder abandoned = Make(StreamFacts(false));
+    abandoned.Start(kStart);
+  }
+  CHECK_TRUE(pool.OwnLoads().empty());
+}
+
 // Pattern: a burst far beyond the runners' memory. Those who can't be in time
 // are told at once.
 TEST(RequestForwarder, ALongQueueIsRefusedAtOnce) {
