Keep memory free by the spread of answers; tell prompts at once

Cause: one share of memory was kept free whatever is known of answers. Change: a runner is full where twice the standard deviation of what its streams may hold beyond the forecast is left; placements at prefill runners are told as well.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -278,7 +278,13 @@
   // Its next Follow tells everything.
   if (sender == followers_.end()) return;
   const EndpointLoads placed = ReadLoads(placements.added());
-  AddLoads(placed, &sender->second.loads);
+  EndpointLoads lasting = placed;
+  // Prompts are read before their sender's next Follow.
+  std::erase_if(lasting, [this](const auto& item) {
+    const EndpointRecord* record = registry_.Find(item.first);
+    return record != nullptr && record->role == EndpointRole::kPrefill;
+  });
+  AddLoads(lasting, &sender->second.loads);
   for (auto& [instance, follower] : followers_) {
     if (instance == from || !follower.wants_placements) continue;
     AddLoads(placed, &follower.placed);
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -163,7 +163,9 @@
     facts.handle_lifetime = spec.engine->handle_lifetime;
     facts.kv_capacity = spec.engine->kv_capacity;
     facts.slots = spec.engine->slots;
-    facts.output = answers_[service].Expect(caller.output);
+    const AnswerEstimate& answers = answers_[service];
+    facts.output = answers.Expect(caller.output);
+    facts.output_deviation = answers.Deviation();
     facts.tokens_per_event = spec.engine->tokens_per_event;
     facts.small_route = shares_[service].IsSmall(route->name, now);
     shares_[service].OnRequest(route->name, now);
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -282,8 +282,8 @@
   const bool server_error = status >= kServerError;
   DropCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
   if (exchange_->streaming()) {
-    context_.answers->Observe(
-        Tokens(relayed_events_ * facts_.tokens_per_event));
+    context_.answers->Observe(Tokens(relayed_events_ * facts_.tokens_per_event),
+                              facts_.output);
     exchange_->EndStream();
   } else {
     RespondWhole();
--- a/servers/entry/answer_estimate.cc
+++ b/servers/entry/answer_estimate.cc
@@ -1,5 +1,6 @@
 #include "servers/entry/answer_estimate.h"
 
+#include <algorithm>
 #include <cmath>
 #include <cstdint>
 
@@ -8,14 +9,24 @@
 
 // Some fifty answers count.
 constexpr double kNewestWeight = 0.02;
+constexpr int kLeastObserved = 20;
 
 }  // namespace
 
-void AnswerEstimate::Observe(Tokens answer) {
+void AnswerEstimate::Observe(Tokens answer, Tokens expected) {
   const auto seen = static_cast<double>(answer.value());
   if (seen <= 0) return;
   mean_ =
       mean_ <= 0 ? seen : (1 - kNewestWeight) * mean_ + kNewestWeight * seen;
+  const auto error = static_cast<double>((answer - expected).value());
+  // The first few weigh alike, so that one of them doesn't decide.
+  const double weight = std::max(kNewestWeight, 1.0 / ++observed_);
+  squared_error_ = (1 - weight) * squared_error_ + weight * error * error;
+}
+
+std::optional<Tokens> AnswerEstimate::Deviation() const {
+  if (observed_ < kLeastObserved) return std::nullopt;
+  return Tokens(static_cast<std::int64_t>(std::sqrt(squared_error_)));
 }
 
 Tokens AnswerEstimate::Expect(Tokens told) const {
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -191,7 +191,8 @@
   }
   const double occupancy = Occupancy(entry, work, now);
   score += kOccupancyUs * occupancy;
-  if (occupancy > kFullOccupancy || now < entry.full_until) score += kFullUs;
+  if (occupancy > work.full_occupancy || now < entry.full_until)
+    score += kFullUs;
   score += Memory(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortUs;
@@ -305,7 +306,7 @@
   ++found->second.in_flight;
   found->second.in_flight_tokens += TokensToRead(work);
   found->second.memory += work.memory;
-  if (work.role == EndpointRole::kDecode && work.reserved_at != id) {
+  if (work.role != EndpointRole::kPlain && work.reserved_at != id) {
     AddLoads({{id, {1, work.memory}}}, &placed_);
   }
 }
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -38,10 +38,10 @@
   std::uint64_t random_seed = 1;
 };
 
-/// Expected share of a runner's memory above which it counts as full. Below 1,
-/// since estimates of answers are often too short, others' loads are a fraction
-/// of a second old, and a runner out of memory reads a request anew.
-inline constexpr double kFullOccupancy = 0.84;
+/// Forecast share of a runner's memory above which it counts as full, as long
+/// as nothing is known of how far answers differ from what is expected. Below
+/// 1, since a runner out of memory reads a request anew.
+inline constexpr double kDefaultFullOccupancy = 0.84;
 
 /// Work that is placed on an endpoint.
 struct WorkSpec {
@@ -56,6 +56,8 @@
   MemoryForecast memory;
   /// Memory of a runner; 0 if it doesn't bound what is placed.
   Tokens kv_capacity{0};
+  /// Share of the memory above which a runner is full.
+  double full_occupancy = kDefaultFullOccupancy;
   /// Requests that a runner runs at once; 0 if it doesn't bound what is placed.
   int slots = 0;
   /// Endpoints not to be used.
@@ -113,7 +115,7 @@
   void AddOtherLoads(const EndpointLoads& placed);
   /// What this instance has in progress.
   EndpointLoads OwnLoads() const;
-  /// Streams that this instance placed on decode runners since the last call.
+  /// What this instance placed on model runners since the last call.
   EndpointLoads TakePlaced() { return std::exchange(placed_, {}); }
   void Expire(Time now);
 
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -1,6 +1,7 @@
 #include "servers/entry/request_forwarder.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cassiausher {
@@ -13,9 +14,13 @@
 // A prompt is read at another prefill runner this often before the decode
 // runner reads it.
 constexpr int kMostPrefillFailures = 2;
-// In place of kFullOccupancy for requests of small routes, which find room
-// where others don't.
-constexpr double kFullForSmallRoutes = 1.0;
+// Standard deviations of what the streams of a runner hold beyond the forecast
+// that are kept free.
+constexpr double kFreeDeviations = 2;
+constexpr double kLeastFullOccupancy = 0.7;
+constexpr double kMostFullOccupancy = 0.92;
+// Requests of small routes find room where others don't.
+constexpr double kSmallRouteBonus = 0.15;
 // Tokens from one point of a memory forecast to the next, as a share of a
 // runner's memory; the same on all instances, since forecasts are added up.
 constexpr std::int64_t kForecastStepDivisor = 64;
@@ -73,6 +78,7 @@
           .prompt = facts_.has_engine ? facts_.prompt : Tokens(0),
           .memory = Memory(),
           .kv_capacity = facts_.kv_capacity,
+          .full_occupancy = FullOccupancy(),
           .slots = facts_.slots,
           .excluded = tried_};
 }
@@ -80,7 +86,17 @@
 ForwardStep RequestForwarder::OnWaited(Time now) { return Next(now); }
 
 double RequestForwarder::FullOccupancy() const {
-  return facts_.small_route ? kFullForSmallRoutes : kFullOccupancy;
+  if (!facts_.output_deviation.has_value()) return kDefaultFullOccupancy;
+  const auto capacity = static_cast<double>(facts_.kv_capacity.value());
+  const auto stream =
+      static_cast<double>((facts_.prompt + facts_.output).value());
+  if (capacity <= 0 || stream <= 0) return kDefaultFullOccupancy;
+  // Deviations of streams are independent, so they grow with the root of their
+  // number.
+  const double spread = static_cast<double>(facts_.output_deviation->value()) *
+                        std::sqrt(capacity / stream);
+  return std::clamp(1 - kFreeDeviations * spread / capacity,
+                    kLeastFullOccupancy, kMostFullOccupancy);
 }
 
 void RequestForwarder::StopWaiting() {
@@ -206,7 +222,9 @@
   decode.prompt_is_read = true;
   decode.reserved_at = ReleaseRoom();
   const auto runner = pool_->Pick(decode, now);
-  const bool full = runner.has_value() && runner->occupancy > FullOccupancy();
+  const double bonus = facts_.small_route ? kSmallRouteBonus : 0;
+  const double limit = std::min(1.0, decode.full_occupancy + bonus);
+  const bool full = runner.has_value() && runner->occupancy > limit;
   // A stream that began goes on whatever the load: its caller has a part of it.
   if (full && !kv_source_.has_value() && runs_ == 0) {
     if (!MayWait(now)) return GiveUp("no runner has room");
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -32,6 +32,8 @@
   Tokens prompt{0};
   /// Expected size of the answer.
   Tokens output{0};
+  /// How far answers differ from that; null if unknown.
+  std::optional<Tokens> output_deviation;
   int tokens_per_event = 1;
   /// Memory of one runner.
   Tokens kv_capacity{0};
@@ -153,6 +155,8 @@
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether waiting for room can still keep the latency target.
   bool MayWait(Time now) const;
+  /// Share of a runner's memory that placement uses, so that streams which
+  /// grow beyond what is expected still fit.
   double FullOccupancy() const;
   void StopWaiting();
   void ReserveRoom(const EndpointId& endpoint, const WorkSpec& work);
--- a/tests/entry/answer_estimate_test.cc
+++ b/tests/entry/answer_estimate_test.cc
@@ -14,15 +14,25 @@
 }
 
 TEST(AnswerEstimate, DrawsEstimatesTowardsWhatWasSeen) {
-  for (int i = 0; i < 100; ++i) estimate.Observe(Tokens(4000));
+  for (int i = 0; i < 100; ++i) estimate.Observe(Tokens(4000), Tokens(4000));
   LONGS_EQUAL(4000, estimate.Expect(Tokens(0)).value());
   LONGS_EQUAL(4000, estimate.Expect(Tokens(4000)).value());
   LONGS_EQUAL(2000, estimate.Expect(Tokens(1000)).value());
   LONGS_EQUAL(8000, estimate.Expect(Tokens(16000)).value());
 }
 
+// Runners keep memory free for answers that grow beyond what was expected: too
+// little makes them preempt streams, too much turns callers away.
+TEST(AnswerEstimate, KnowsHowFarAnswersDiffer) {
+  CHECK_FALSE(estimate.Deviation().has_value());
+  for (int i = 0; i < 100; ++i) {
+    estimate.Observe(Tokens(i % 2 == 0 ? 3000 : 5000), Tokens(4000));
+  }
+  LONGS_EQUAL(1000, estimate.Deviation()->value());
+}
+
 TEST(AnswerEstimate, AnEmptyAnswerSaysNothing) {
-  estimate.Observe(Tokens(0));
+  estimate.Observe(Tokens(0), Tokens(100));
   LONGS_EQUAL(700, estimate.Expect(Tokens(700)).value());
 }
 
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -211,6 +211,26 @@
   STRCMP_EQUAL("b", PickId(stream, kStart).c_str());
 }
 
+// Pattern: two prefill runners are left. Instances that don't hear of each
+// other's prompts send them all to the same one.
+TEST(EndpointPool, PromptsOfOthersCountAtOnce) {
+  EndpointRecord first = Decoder("a");
+  EndpointRecord second = Decoder("b");
+  first.role = second.role = EndpointRole::kPrefill;
+  pool.Merge(first, kStart);
+  pool.Merge(second, kStart);
+  pool.SetOtherLoads({{EndpointId("b"), {1, Hold(2000)}}}, 5, kStart);
+  WorkSpec prompt{.service = ServiceId("model"),
+                  .role = EndpointRole::kPrefill,
+                  .prompt = Tokens(5000),
+                  .memory = Hold(5000)};
+  STRCMP_EQUAL("a", PickId(prompt, kStart).c_str());
+  pool.AddOtherLoads({{EndpointId("a"), {1, Hold(5000)}}});
+  STRCMP_EQUAL("b", PickId(prompt, kStart).c_str());
+  pool.OnStart(EndpointId("b"), prompt, kStart);
+  LONGS_EQUAL(5000, pool.TakePlaced()[EndpointId("b")].memory.Now().value());
+}
+
 TEST(EndpointPool, PlacedStreamsAreToldOnce) {
   pool.Merge(Decoder("a"), kStart);
   pool.OnStart(EndpointId("a"), Stream(), kStart);
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -310,6 +310,20 @@
   CHECK_TRUE(Call(step).answer_timeout > StreamFacts(false).latency_target);
 }
 
+// Pattern: a burst where answers are hard to foresee. A runner with few large
+// streams needs a larger share of its memory free.
+TEST(RequestForwarder, FreeMemoryFollowsWhatIsUnknownOfAnswers) {
+  AddRunners();
+  pool.SetOtherLoads({{EndpointId("decode1"), {8, Hold(80000)}},
+                      {EndpointId("decode2"), {8, Hold(80000)}}},
+                     5, kStart);
+  RequestFacts facts = StreamFacts(false);
+  facts.output_deviation = Tokens(500);
+  CHECK_TRUE(Is<StartCall>(Make(facts).Start(kStart)));
+  facts.output_deviation = Tokens(4000);
+  CHECK_TRUE(Is<WaitForRoom>(Make(facts).Start(kStart)));
+}
+
 // Pattern: a burst; each stream holds its room while its prompt is read, and
 // gives it back however it ends.
 TEST(RequestForwarder, RoomIsHeldWhileThePromptIsRead) {
