Make up for lost prefill runners after 2 s; pass undelivered orders on

The smoothed load was one of runners that were gone, the order came at 33.6 s, went to a zone that had just been cut off, and its runner was taken for changing for 20 s. Change: the work of a stage is smoothed, not its load, so that the load follows the runners at once; a lack of prefill runners is acted on after 2 s; an order without a connection after 500 ms is given up, and another runner is asked.

--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -13,35 +13,49 @@
 constexpr Duration kSettleTime = Seconds(5);
 // A confirmation that took longer says nothing of now.
 constexpr Duration kConfirmTime = Milliseconds(500);
+// A runner that takes no connection for so long is cut off; one that gives no
+// answer may carry the order out later.
+constexpr Duration kConnectTime = Milliseconds(500);
+constexpr Duration kAnswerTime = Seconds(5);
 // A runner ends its streams first; one that takes longer refused the order.
 constexpr Duration kChangeTime = Seconds(20);
 
-// Logs the answer to one order.
-class OrderSink : public HttpCallSink {
+}  // namespace
+
+// Logs the answer to one order and keeps what became of it.
+class StageOrders::Delivery : public HttpCallSink {
  public:
-  explicit OrderSink(EndpointId endpoint) : endpoint_(std::move(endpoint)) {}
+  explicit Delivery(Planned planned) : planned_(std::move(planned)) {}
 
   void OnHeaders(int status, SoupMessageHeaders*) override { status_ = status; }
   void OnBody(std::string_view) override {}
-  void OnDone(std::string_view error, bool) override {
+  void OnDone(std::string_view error, bool sent) override {
+    done_ = true;
+    sent_ = sent;
     Log(LogLevel::kInfo, "stage_order_answered",
-        {{"endpoint", endpoint_.value()},
+        {{"endpoint", planned_.order.endpoint.value()},
          {"status", status_},
+         {"sent", sent},
          {"error", error}});
-    delete this;
   }
 
+  const Planned& planned() const { return planned_; }
+  bool done() const { return done_; }
+  bool sent() const { return sent_; }
+
  private:
-  EndpointId endpoint_;
+  Planned planned_;
   int status_ = 0;
+  bool done_ = false;
+  bool sent_ = false;
 };
 
-}  // namespace
-
 StageOrders::StageOrders(std::string holder, Metrics& metrics)
     : holder_(std::move(holder)),
       sent_(metrics.counter("stage_orders_total")) {}
 
+StageOrders::~StageOrders() = default;
+
 void StageOrders::OnLeading(Time now) {
   if (!leading_since_.has_value()) leading_since_ = now;
 }
@@ -55,6 +69,7 @@
                        const EndpointRegistry& registry,
                        const EndpointLoads& loads, Time now) {
   planned_.reset();
+  FollowDelivery(now);
   const bool settled = leading_since_ && now - *leading_since_ >= kSettleTime;
   const std::vector<EndpointId> silent = registry.Silent(now);
   for (const auto& [id, service] : configuration.services) {
@@ -75,7 +90,8 @@
     StageBalancer& balancer =
         balancers_.try_emplace(id, StageBalancerOptions{}).first->second;
     const auto order = balancer.Step(runners, service.engine->kv_capacity, now);
-    if (!settled || !order.has_value() || planned_.has_value()) continue;
+    if (!settled || !order.has_value()) continue;
+    if (planned_.has_value() || delivery_ != nullptr) continue;
     planned_ = {*order, *registry.Find(order->endpoint), &balancer, now};
   }
   return planned_.has_value();
@@ -93,9 +109,30 @@
        {"role", Name(planned.order.role)},
        {"sequence", planned.endpoint.sequence},
        {"term", term}});
-  client_.Start(
+  delivery_ = std::make_unique<Delivery>(planned);
+  delivery_started_ = now;
+  delivery_call_ = client_.Start(
       BuildStageOrder(planned.endpoint, planned.order.role, holder_, term),
-      new OrderSink(planned.order.endpoint));
+      delivery_.get());
+}
+
+void StageOrders::FollowDelivery(Time now) {
+  if (delivery_ == nullptr) return;
+  const Duration passed = now - delivery_started_;
+  const bool sent =
+      delivery_->done() ? delivery_->sent() : client_.WasSent(delivery_call_);
+  const bool over =
+      delivery_->done() || passed >= (sent ? kAnswerTime : kConnectTime);
+  if (!over) return;
+  client_.Cancel(delivery_call_);
+  const Planned planned = delivery_->planned();
+  delivery_.reset();
+  if (sent) return;
+  Log(LogLevel::kWarning, "stage_order_undelivered",
+      {{"endpoint", planned.order.endpoint.value()},
+       {"after_ms", ToMilliseconds(passed)}});
+  changes_.erase(planned.order.endpoint);
+  planned.balancer->NotDelivered(planned.order);
 }
 
 std::vector<EndpointId> StageOrders::Changing(const EndpointRegistry& registry,
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,6 +25,7 @@
 class StageOrders {
  public:
   StageOrders(std::string holder, Metrics& metrics);
+  ~StageOrders();
 
   /// The instance leads since `now`. Orders wait until those of the leader
   /// before have lapsed.
@@ -50,6 +52,10 @@
     StageBalancer* balancer = nullptr;
     Time planned_at{};
   };
+  class Delivery;
+
+  /// Ends an order that doesn't reach its runner or gets no answer.
+  void FollowDelivery(Time now);
 
   std::string holder_;
   Counter& sent_;
@@ -57,6 +63,10 @@
   std::optional<Time> leading_since_;
   std::map<ServiceId, StageBalancer> balancers_;
   std::optional<Planned> planned_;
+  /// The order under way; null for none.
+  std::unique_ptr<Delivery> delivery_;
+  HttpClient::CallId delivery_call_ = 0;
+  Time delivery_started_{};
   struct Change {
     EndpointRole to = EndpointRole::kDecode;
     Time since{};
--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -11,13 +11,13 @@
 
 // Prompts wait for each other at a runner, so that L of them at each runner on
 // average mean that it works for L / (1 + L) of the time (M/M/1 queue).
-double Utilisation(int requests, int runners) {
-  return static_cast<double>(requests) / (requests + runners);
+double Utilisation(double requests, int runners) {
+  return requests / (requests + runners);
 }
 
 }  // namespace
 
-void StageBalancer::Smooth(const Loads& sample, Time now) {
+void StageBalancer::Smooth(const Work& sample, Time now) {
   const double passed = ToSeconds(now - sampled_at_.value_or(now));
   const double kept =
       weight_ * std::exp(-passed / ToSeconds(options_.smoothing));
@@ -25,8 +25,9 @@
   weight_ = kept + added;
   sampled_at_ = now;
   if (weight_ <= 0) return;
-  loads_.prefill = (kept * loads_.prefill + added * sample.prefill) / weight_;
-  loads_.decode = (kept * loads_.decode + added * sample.decode) / weight_;
+  work_.prompts = (kept * work_.prompts + added * sample.prompts) / weight_;
+  work_.kv_tokens =
+      (kept * work_.kv_tokens + added * sample.kv_tokens) / weight_;
 }
 
 bool StageBalancer::Relieves(const Counts& counts, EndpointRole to) const {
@@ -71,25 +72,32 @@
   return std::nullopt;
 }
 
+Duration StageBalancer::Hold(const Counts& counts,
+                             EndpointRole short_role) const {
+  if (short_role == EndpointRole::kPrefill) return options_.prefill_hold;
+  return HasSparePrefill(counts) ? options_.spare_hold : options_.hold;
+}
+
 std::optional<StageOrder> StageBalancer::Step(
     const std::vector<RunnerLoad>& runners, Tokens kv_capacity, Time now) {
   Counts counts;
-  int reading = 0;
-  double memory = 0;
+  Work work;
   for (const RunnerLoad& runner : runners) {
     if (runner.role == EndpointRole::kPrefill) {
       ++counts.prefill;
-      reading += runner.requests;
+      work.prompts += runner.requests;
     } else if (runner.role == EndpointRole::kDecode) {
       ++counts.decode;
-      memory += static_cast<double>(runner.kv_tokens.value());
+      work.kv_tokens += static_cast<double>(runner.kv_tokens.value());
     }
   }
   if (counts.prefill == 0 || counts.decode == 0) return std::nullopt;
   if (kv_capacity.value() <= 0) return std::nullopt;
   const double usable = static_cast<double>(kv_capacity.value()) *
                         options_.usable_memory * counts.decode;
-  Smooth({Utilisation(reading, counts.prefill), memory / usable}, now);
+  Smooth(work, now);
+  loads_ = {Utilisation(work_.prompts, counts.prefill),
+            work_.kv_tokens / usable};
 
   if (weight_ < kLeastWeight) return std::nullopt;
 
@@ -99,9 +107,7 @@
     short_since_ = now;
   }
   if (!short_role.has_value()) return std::nullopt;
-  const Duration hold =
-      HasSparePrefill(counts) ? options_.spare_hold : options_.hold;
-  if (now - short_since_ < hold) return std::nullopt;
+  if (now - short_since_ < Hold(counts, *short_role)) return std::nullopt;
   if (ordered_at_ && now - *ordered_at_ < options_.pause) return std::nullopt;
   const EndpointRole from = *short_role == EndpointRole::kDecode
                                 ? EndpointRole::kPrefill
@@ -130,6 +136,11 @@
   return StageOrder{idlest->id, to};
 }
 
+void StageBalancer::NotDelivered(const StageOrder& order) {
+  // The runner itself is passed over for its own pause.
+  if (runner_ordered_at_.contains(order.endpoint)) ordered_at_.reset();
+}
+
 void StageBalancer::Ordered(const StageOrder& order, Time now) {
   ordered_at_ = now;
   runner_ordered_at_[order.endpoint] = now;
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -25,8 +25,10 @@
   double most_prefill_after = 0.55;
   /// The busier stage's load must fall at least to this share of itself.
   double benefit = 0.86;
-  /// How long the imbalance must last.
+  /// How long the imbalance must last. Shorter for a lack of prefill runners,
+  /// which makes every stream late.
   Duration hold = Seconds(4);
+  Duration prefill_hold = Seconds(2);
   /// Time constant of the smoothed loads.
   Duration smoothing = Seconds(4);
   /// From one order of a service to the next; longer than a change takes.
@@ -79,6 +81,8 @@
   std::optional<StageOrder> Step(const std::vector<RunnerLoad>& runners,
                                  Tokens kv_capacity, Time now);
   void Ordered(const StageOrder& order, Time now);
+  /// The order didn't reach its runner; another one may be asked.
+  void NotDelivered(const StageOrder& order);
 
  private:
   struct Loads {
@@ -92,7 +96,13 @@
     int decode = 0;
   };
 
-  void Smooth(const Loads& sample, Time now);
+  struct Work {
+    double prompts = 0;
+    double kv_tokens = 0;
+  };
+
+  void Smooth(const Work& sample, Time now);
+  Duration Hold(const Counts& counts, EndpointRole short_role) const;
   /// Whether moving a runner to `to` would ease a lasting overload.
   bool Relieves(const Counts& counts, EndpointRole to) const;
   bool HasSparePrefill(const Counts& counts) const;
@@ -105,7 +115,10 @@
   /// Share of the time that prefill runners work, and share of the decode
   /// runners' memory in use.
   Loads loads_;
-  /// Weight of the samples in `loads_`; near 1 once they cover the time
+  /// Smoothed work of each stage, from which the loads follow as soon as its
+  /// runners change.
+  Work work_;
+  /// Weight of the samples in `work_`; near 1 once they cover the time
   /// constant.
   double weight_ = 0;
   std::optional<Time> sampled_at_;
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -111,6 +111,27 @@
   CHECK_FALSE(Run(runners, kStart, Seconds(60)).has_value());
 }
 
+// Pattern: the runners of a service are replaced one after the other, and those
+// that come read fewer prompts. One prefill runner is left for all.
+TEST(StageBalancer, ALossOfPrefillRunnersIsMadeUpForSoon) {
+  CHECK_FALSE(Run(Runners(3, 6, 1, 40000), kStart, Seconds(20)).has_value());
+  const Time lost = kStart + Seconds(20);
+  const auto order = Run(Runners(1, 8, 12, 30000), lost, Milliseconds(3500));
+  CHECK_TRUE(order.has_value());
+  CHECK_TRUE(order->role == EndpointRole::kPrefill);
+}
+
+// Pattern: a zone is cut off while its runner is ordered to change.
+TEST(StageBalancer, AnOrderThatIsNotDeliveredGoesToAnotherRunner) {
+  const auto runners = Runners(1, 8, 12, 30000);
+  const auto first = Run(runners, kStart, Seconds(10));
+  CHECK_TRUE(first.has_value());
+  balancer.NotDelivered(*first);
+  const auto second = Run(runners, kStart + Seconds(10), Seconds(1));
+  CHECK_TRUE(second.has_value());
+  CHECK_TRUE(second->endpoint != first->endpoint);
+}
+
 TEST(StageBalancer, AQuietServiceStays) {
   CHECK_FALSE(Run(Runners(3, 6, 0, 10000), kStart, Seconds(60)).has_value());
 }
