--- a/main/configuration_service.cc
+++ b/main/configuration_service.cc
@@ -40,7 +40,7 @@
                  .follow_interval = kFollowInterval}),
       active_(std::make_shared<Configuration>()) {}
 
-void ConfigurationService::Start(Time now) {
+void ConfigurationService::Start() {
   const Settings& settings = context_.settings;
   bool votes = false;
   for (const PeerSettings& peer : settings.peers) {
--- a/main/configuration_service.h
+++ b/main/configuration_service.h
@@ -39,7 +39,7 @@
 
   /// Opens the log if this instance votes. An instance whose log can't be
   /// opened serves without voting.
-  void Start(Time now);
+  void Start();
   /// `members`: live by data centre. `reachable`: those this instance can
   /// reach. `started`: incarnation at the start of each live instance's run.
   void SetMembers(LiveMembers members, std::set<InstanceId> reachable,
--- a/main/control_task.cc
+++ b/main/control_task.cc
@@ -134,7 +134,7 @@
                         peer.public_key);
   }
   StartMembership(now);
-  configuration_.Start(now);
+  configuration_.Start();
   timer_ = AddTimer(kTickPeriod, [this] { Tick(); });
 }
 
