Count sent bytes by kind of message and log announced versions

Change: NodeLink counts peer_kind_bytes_sent_total, with the counter that cassiausherd had (SentBytesByKind, one copy).

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -331,6 +331,8 @@
   if (log_.current().version > follower.configuration) {
     *update->mutable_configuration() = cassiausher::ToProto(log_.current());
   }
+  update->mutable_notice()->set_newest_version(log_.current().version.value());
+  update->mutable_notice()->set_held_version(log_.current().version.value());
   update->add_control_instances(settings_.ip);
   for (const InstanceId& control : LiveControls()) {
     update->add_control_instances(control.value());
--- a/main/control_task.cc
+++ b/main/control_task.cc
@@ -115,6 +115,7 @@
                       std::function<void(std::vector<Row>)> callback) {
                  CollectRows(table, std::move(callback));
                }),
+      sent_by_kind_(metrics),
       mailbox_(context(),
                [this](ControlMessage& message) { Handle(message); }) {}
 
@@ -277,23 +278,10 @@
   envelope.set_sender(settings_.instance.value());
   envelope.set_incarnation(options_.incarnation.value());
   const std::string bytes = envelope.SerializeAsString();
-  SentCounter(envelope).Add(bytes.size());
+  sent_by_kind_.Add(envelope, bytes.size());
   transport_->Send(peer, bytes);
 }
 
-Counter& ControlTask::SentCounter(const proto::Envelope& envelope) {
-  Counter*& counter = sent_by_kind_[envelope.body_case()];
-  if (counter == nullptr) {
-    const auto* field =
-        proto::Envelope::descriptor()->FindFieldByNumber(envelope.body_case());
-    const std::string kind =
-        field == nullptr ? "none" : std::string(field->name());
-    counter = &context_.metrics.counter(
-        fmt::format("peer_kind_bytes_sent_total{{kind=\"{}\"}}", kind));
-  }
-  return *counter;
-}
-
 void ControlTask::OnPeerMessage(std::string_view bytes) {
   proto::Envelope envelope;
   if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
--- a/main/control_task.h
+++ b/main/control_task.h
@@ -20,6 +20,7 @@
 #include "main/messages.h"
 #include "main/pool_service.h"
 #include "main/query_service.h"
+#include "main/sent_bytes_by_kind.h"
 #include "proto/gen/control.pb.h"
 #include "servers/membership/membership.h"
 #include "servers/routing/account_limits.h"
@@ -86,7 +87,6 @@
   void OnEnvelope(const proto::Envelope& envelope, const InstanceId& sender,
                   Time now);
   void Send(const InstanceId& peer, proto::Envelope& envelope);
-  Counter& SentCounter(const proto::Envelope& envelope);
 
   void StartMembership(Time now);
   void DispatchMembership(Time now);
@@ -130,8 +130,7 @@
   std::map<InstanceId, std::uint64_t> incarnations_;
   std::map<std::uint64_t, Gather> gathers_;
   std::uint64_t next_gather_ = 1;
-  /// Bytes sent to peers by kind of message.
-  std::map<int, Counter*> sent_by_kind_;
+  SentBytesByKind<proto::Envelope> sent_by_kind_;
   bool members_changed_ = true;
   bool leaving_ = false;
   std::atomic<bool> handed_over_{false};
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -145,7 +145,8 @@
   if (route == nullptr) {
     Log(LogLevel::kInfo, "route_unknown",
         {{"request", caller.id.value()},
-         {"configuration", routes_->version().value()}});
+         {"configuration", routes_->version().value()},
+         {"newest_known", newest_version_.value()}});
     exchange->Respond(404, kJson,
                       FormatError({.type = "invalid_request",
                                    .code = "route_unknown",
@@ -275,9 +276,19 @@
   for (const std::string& ip : update.control_instances()) {
     controls_[InstanceId(ip)].last_known_at = now;
   }
+  OnNotice(from, update.notice());
   if (update.has_configuration()) OnConfiguration(update.configuration());
 }
 
+void EntryNode::OnNotice(const InstanceId& from,
+                         const proto::ConfigurationNotice& notice) {
+  const Revision newest(notice.newest_version());
+  if (newest <= newest_version_) return;
+  newest_version_ = newest;
+  Log(LogLevel::kInfo, "configuration_announced",
+      {{"version", newest.value()}, {"control", from.value()}});
+}
+
 void EntryNode::OnConfiguration(const proto::VersionedDocument& message) {
   const Revision version(message.version());
   if (routes_ != nullptr && version <= routes_->version()) return;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -71,6 +71,8 @@
 
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
   void OnUpdate(const InstanceId& from, const proto::Update& update);
+  void OnNotice(const InstanceId& from,
+                const proto::ConfigurationNotice& notice);
   void OnConfiguration(const proto::VersionedDocument& message);
   void SendFollowMessages(Time now);
   void Tick();
@@ -86,6 +88,8 @@
   EndpointPool pool_;
   Random random_;
   std::shared_ptr<const RouteTable> routes_;
+  /// Highest version that a control instance named.
+  Revision newest_version_{0};
   std::map<InstanceId, Control> controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
--- a/main/node_link.cc
+++ b/main/node_link.cc
@@ -20,6 +20,7 @@
       incarnation_(incarnation),
       malformed_(metrics.counter("node_messages_malformed_total")),
       stale_(metrics.counter("node_messages_stale_total")),
+      sent_by_kind_(metrics),
       handler_(std::move(handler)),
       transport_(
           PeerTransportOptions{
@@ -39,7 +40,9 @@
   }
   message.set_sender(settings_.ip);
   message.set_incarnation(incarnation_);
-  transport_.Send(to, message.SerializeAsString());
+  const std::string bytes = message.SerializeAsString();
+  sent_by_kind_.Add(message, bytes.size());
+  transport_.Send(to, bytes);
 }
 
 void NodeLink::Disconnect(const InstanceId& instance) {
--- a/main/node_link.h
+++ b/main/node_link.h
@@ -13,6 +13,7 @@
 #include "core/time.h"
 #include "drivers/peer_transport.h"
 #include "main/node_settings.h"
+#include "main/sent_bytes_by_kind.h"
 #include "proto/gen/node.pb.h"
 
 namespace cassiausher {
@@ -42,6 +43,7 @@
   std::uint64_t incarnation_;
   Counter& malformed_;
   Counter& stale_;
+  SentBytesByKind<proto::NodeMessage> sent_by_kind_;
   Handler handler_;
   /// Highest incarnation of each sender; messages with a lower one are stale.
   std::map<InstanceId, std::uint64_t> incarnations_;
