--- /dev/null
+++ b/tests/main/node_roles_test.cc
@@ -0,0 +1,232 @@
+// Guards against control instances that send the configuration again with each
+// change of the registry, and against entry instances that answer by a version
+// which they know is not the newest. Real sockets on loopback; each instance
+// has an address of its own in 127.0.0.0/8.
+#include <CppUTest/TestHarness.h>
+#include <stdlib.h>
+
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/metrics.h"
+#include "drivers/http_client.h"
+#include "main/control_node.h"
+#include "main/entry_node.h"
+#include "main/node_link.h"
+#include "modules/file_log/register_types.h"
+#include "platform/configuration_document.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr std::uint16_t kPeerPort = 21930;
+constexpr std::uint16_t kHttpPort = 21931;
+constexpr std::uint16_t kReadinessPort = 21932;
+constexpr const char* kNodeIp = "127.0.20.1";
+constexpr const char* kPeerIp = "127.0.20.2";
+
+NodeSettings SettingsOf(const std::string& ip) {
+  NodeSettings settings;
+  settings.instance = ip;
+  settings.ip = ip;
+  settings.data_centre = DataCentreId("dc1");
+  settings.peer_port = kPeerPort;
+  return settings;
+}
+
+std::string RouteText(int number) {
+  const std::string name = std::to_string(number);
+  return R"({"name":"r)" + name + R"(","host":"a.example","path-prefix":"/)" +
+         name + R"(/","kind":"safe","timeout-ms":600,"service":"s"})";
+}
+
+/// A document with the given number of routes, /0/ and following.
+std::string Document(int version, int routes) {
+  std::string text = R"({"version":)" + std::to_string(version) +
+                     R"(,"services":[{"name":"s"}],"routes":[)";
+  for (int i = 0; i < routes; ++i) {
+    if (i > 0) text += ',';
+    text += RouteText(i);
+  }
+  return text + "]}";
+}
+
+std::string Heartbeat(int endpoint) {
+  return R"({"service":"s","address":"10.9.0.)" + std::to_string(endpoint) +
+         R"(:80","zone":"dc1","slots":4,"state":"ready","seq":1})";
+}
+
+struct Response : HttpCallSink {
+  void OnHeaders(int code, SoupMessageHeaders* headers) override {
+    status = code;
+    const char* value = soup_message_headers_get_one(headers, "Retry-After");
+    if (value != nullptr) retry_after = value;
+  }
+  void OnBody(std::string_view) override {}
+  void OnDone(std::string_view, bool) override { done = true; }
+
+  int status = 0;
+  std::string retry_after;
+  bool done = false;
+};
+
+// Another instance that the node under test talks to.
+struct Peer {
+  explicit Peer(const std::string& ip)
+      : settings(SettingsOf(ip)),
+        link(settings, 1, metrics,
+             [this](const InstanceId&, const proto::NodeMessage& message) {
+               if (on_message) on_message(message);
+             }) {}
+
+  NodeSettings settings;
+  Metrics metrics;
+  std::function<void(const proto::NodeMessage&)> on_message;
+  NodeLink link;
+};
+
+}  // namespace
+
+TEST_GROUP(NodeRoles) {
+  GMainContext* context = nullptr;
+  std::string folder;
+  Metrics metrics;
+  ConfigurationDocumentCodec codec;
+  // Members, since a failed check doesn't destroy the locals of a test.
+  std::unique_ptr<HttpClient> client;
+  std::unique_ptr<Peer> peer;
+  std::unique_ptr<ControlNode> control;
+  std::unique_ptr<EntryNode> entry;
+  Response response;
+
+  void setup() override {
+    context = g_main_context_new();
+    g_main_context_push_thread_default(context);
+    client = std::make_unique<HttpClient>();
+    peer = std::make_unique<Peer>(kPeerIp);
+    STRCMP_EQUAL("", peer->link.Listen(context).c_str());
+    char name[] = "/tmp/cassiausher-node-XXXXXX";
+    folder = mkdtemp(name);
+  }
+
+  void teardown() override {
+    client.reset();
+    peer.reset();
+    control.reset();
+    entry.reset();
+    std::filesystem::remove_all(folder);
+    g_main_context_pop_thread_default(context);
+    g_main_context_unref(context);
+  }
+
+  // Runs the loop until `done` or 10 s have passed.
+  bool RunUntil(const std::function<bool()>& done) {
+    const gint64 deadline = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
+    while (!done()) {
+      if (g_get_monotonic_time() > deadline) return false;
+      if (!g_main_context_iteration(context, FALSE)) g_usleep(1000);
+    }
+    return true;
+  }
+
+  void RunFor(Duration duration) {
+    const gint64 end = g_get_monotonic_time() + duration.count();
+    RunUntil([end] { return g_get_monotonic_time() >= end; });
+  }
+
+  int Call(const std::string& method, const std::string& path,
+           const std::string& body) {
+    response = {};
+    client->Start({.method = method,
+                   .url = std::string("http://") + kNodeIp + ":" +
+                          std::to_string(kHttpPort) + path,
+                   .headers = {{"Host", "a.example"}},
+                   .body = body,
+                   .new_connection = true},
+                  &response);
+    CHECK_TRUE(RunUntil([&] { return response.done; }));
+    return response.status;
+  }
+
+  void StartControl() {
+    static const bool registered = (RegisterFileLog(), true);
+    CHECK_TRUE(registered);
+    NodeSettings settings = SettingsOf(kNodeIp);
+    settings.control = SocketAddress{kNodeIp, kHttpPort};
+    settings.seeds = {SocketAddress{kNodeIp, kHttpPort}};
+    settings.first_start = true;
+    settings.data_folder = folder;
+    control = std::make_unique<ControlNode>(settings, codec, metrics, context);
+    STRCMP_EQUAL("", control->Start().c_str());
+  }
+
+  void StartEntry() {
+    NodeSettings settings = SettingsOf(kNodeIp);
+    settings.callers = SocketAddress{kNodeIp, kHttpPort};
+    settings.readiness = SocketAddress{kNodeIp, kReadinessPort};
+    settings.seeds = {SocketAddress{kPeerIp, kHttpPort}};
+    entry = std::make_unique<EntryNode>(settings, codec, metrics, context);
+    STRCMP_EQUAL("", entry->Start().c_str());
+  }
+};
+
+// Incident inc1: while endpoints registered and left, every change of the
+// registry sent the whole document to every entry instance that didn't have it
+// yet, which filled the links and the memory of the control instances.
+TEST(NodeRoles, ChangesOfTheRegistryDoNotSendTheDocumentAgain) {
+  constexpr int kRoutes = 1300;
+  constexpr int kEndpoints = 20;
+  StartControl();
+  std::size_t received_bytes = 0;
+  int answers = 0;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    received_bytes += message.ByteSizeLong();
+    if (message.has_update()) ++answers;
+  };
+  const std::string document = Document(1, kRoutes);
+  CHECK_TRUE(
+      RunUntil([&] { return Call("PUT", "/api/config", document) == 200; }));
+  // The entry instance names no version and doesn't follow up, as on a link
+  // that is full.
+  CHECK_TRUE(RunUntil([&] {
+    if (answers > 0) return true;
+    proto::NodeMessage follow;
+    follow.mutable_follow();
+    peer->link.Send(InstanceId(kNodeIp), follow);
+    RunFor(Milliseconds(100));
+    return answers > 0;
+  }));
+  RunFor(Milliseconds(300));
+  received_bytes = 0;
+  for (int i = 1; i <= kEndpoints; ++i) {
+    const std::string path = "/api/instances/e" + std::to_string(i);
+    LONGS_EQUAL(200, Call("PUT", path, Heartbeat(i)));
+  }
+  RunFor(Milliseconds(300));
+  CHECK_TRUE(received_bytes < document.size());
+}
+
+// Incident inc1: a route of a confirmed change was answered 404 by an entry
+// instance that hadn't received the change.
+TEST(NodeRoles, UnknownRouteIsNotRejectedWhileANewerVersionIsKnown) {
+  StartEntry();
+  bool applied = false;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    if (!message.has_follow()) return;
+    applied |= message.follow().configuration_version() == 1;
+    proto::NodeMessage answer;
+    auto* update = answer.mutable_update();
+    update->set_registry_epoch(1);
+    update->mutable_configuration()->set_version(1);
+    update->mutable_configuration()->set_document(Document(1, 1));
+    update->mutable_notice()->set_newest_version(2);
+    update->mutable_notice()->set_confirmed_ms_ago(0);
+    peer->link.Send(InstanceId(kNodeIp), answer);
+  };
+  CHECK_TRUE(RunUntil([&] { return applied; }));
+  LONGS_EQUAL(503, Call("GET", "/1/", ""));
+  CHECK_FALSE(response.retry_after.empty());
+}
