Let entry instances fetch the configuration, and bound what is sent to them

Cause: each change of the registry of endpoints made every control instance send an Update to every entry instance, and each Update carried the whole document while the entry instance's last Follow named an older version. With 1,300 routes (280 KB), 24 endpoints leaving and six control instances, an entry instance with a link of 10 Mbit/s got the document dozens of times; the rest waited in the send queues of the control instances, up to 20,000 messages a peer, until five of six were killed for memory. Since each Follow asked for more, the links stayed full 12 s after all instances had the newest version.

FollowerUpdates takes this part out of ControlNode, ConfigurationClient out of EntryNode; HashText moves to core/ and replaces the second rank of LoadSource.

Why this works: the traffic of a change is one copy for each entry instance, whatever else changes meanwhile, and the memory for an entry instance whose link is full is bounded.

--- /dev/null
+++ b/main/configuration_client.cc
@@ -0,0 +1,96 @@
+#include "main/configuration_client.h"
+
+#include <utility>
+
+#include "core/compression.h"
+#include "core/log.h"
+#include "main/node_messages.h"
+
+namespace cassiausher {
+namespace {
+
+// Control instances accept no larger document from an operator.
+constexpr std::size_t kMaxDocumentBytes = std::size_t{8} << 20;
+
+}  // namespace
+
+ConfigurationClient::ConfigurationClient(const NodeSettings& settings,
+                                         const ConfigurationCodec& codec,
+                                         NodeLink* link)
+    : codec_(codec),
+      link_(link),
+      fetcher_({.self = InstanceId(settings.ip),
+                .data_centre = settings.data_centre}) {}
+
+Revision ConfigurationClient::version() const {
+  return routes_ == nullptr ? Revision(0) : routes_->version();
+}
+
+void ConfigurationClient::OnNotice(const InstanceId& from,
+                                   const DataCentreId& data_centre,
+                                   const proto::ConfigurationNotice& notice,
+                                   Time now) {
+  const Revision newest(notice.newest_version());
+  if (newest > newest_) {
+    newest_ = newest;
+    Log(LogLevel::kInfo, "configuration_announced",
+        {{"version", newest.value()}, {"control", from.value()}});
+  }
+  fetcher_.OnSource(from, data_centre, Revision(notice.held_version()), now);
+  SendRequest(now);
+}
+
+void ConfigurationClient::OnChunk(const InstanceId& from,
+                                  const proto::ConfigurationChunk& chunk,
+                                  Time now) {
+  const auto document =
+      fetcher_.OnChunk(from, {.version = Revision(chunk.version()),
+                              .offset = chunk.offset(),
+                              .total_size = chunk.total_size(),
+                              .data = chunk.data()});
+  if (document.has_value()) {
+    const auto text = Decompress(document->compressed, kMaxDocumentBytes);
+    if (text.has_value()) {
+      Apply(document->version, *text);
+    } else {
+      fetcher_.Reject(document->version);
+      Log(LogLevel::kError, "configuration_unreadable",
+          {{"version", document->version.value()},
+           {"findings", "can't be decompressed"}});
+    }
+  }
+  SendRequest(now);
+}
+
+void ConfigurationClient::OnDocument(const proto::VersionedDocument& message) {
+  Apply(Revision(message.version()), message.document());
+}
+
+void ConfigurationClient::Apply(Revision version, std::string_view document) {
+  if (routes_ != nullptr && version <= routes_->version()) return;
+  Findings findings;
+  auto configuration = codec_.Decode(document, &findings);
+  if (!configuration.has_value()) {
+    fetcher_.Reject(version);
+    Log(LogLevel::kError, "configuration_unreadable",
+        {{"version", version.value()}, {"findings", ToString(findings)}});
+    return;
+  }
+  routes_ = std::make_shared<const RouteTable>(std::move(*configuration));
+  Log(LogLevel::kInfo, "configuration_applied",
+      {{"version", version.value()},
+       {"newest_known", newest_.value()},
+       {"routes", routes_->configuration().routes.size()}});
+}
+
+void ConfigurationClient::SendRequest(Time now) {
+  const auto request = fetcher_.NextRequest(version(), now);
+  if (!request.has_value()) return;
+  proto::NodeMessage message;
+  auto* fetch = message.mutable_fetch_configuration();
+  fetch->set_version(request->version.value());
+  fetch->set_offset(request->offset);
+  link_->Send(request->source, std::move(message));
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/configuration_client.h
@@ -0,0 +1,53 @@
+// The configuration of an entry instance: fetched from the control instances,
+// and decoded.
+#ifndef MAIN_CONFIGURATION_CLIENT_H_
+#define MAIN_CONFIGURATION_CLIENT_H_
+
+#include <memory>
+#include <string_view>
+
+#include "core/time.h"
+#include "main/node_link.h"
+#include "main/node_settings.h"
+#include "proto/gen/node.pb.h"
+#include "servers/control/serving_configuration.h"
+#include "servers/entry/configuration_fetcher.h"
+
+namespace cassiausher {
+
+/// Used on the entry node's task only; `codec` and `link` must outlive it.
+class ConfigurationClient {
+ public:
+  ConfigurationClient(const NodeSettings& settings,
+                      const ConfigurationCodec& codec, NodeLink* link);
+
+  // Messages of control instances.
+  void OnNotice(const InstanceId& from, const DataCentreId& data_centre,
+                const proto::ConfigurationNotice& notice, Time now);
+  void OnChunk(const InstanceId& from, const proto::ConfigurationChunk& chunk,
+               Time now);
+  /// A whole document, from a control instance that doesn't deliver chunks.
+  void OnDocument(const proto::VersionedDocument& message);
+  /// Sends the request that is due, if any.
+  void SendRequest(Time now);
+
+  /// Null before the first configuration.
+  const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
+  /// 0 before the first configuration.
+  Revision version() const;
+  Revision newest() const { return newest_; }
+
+ private:
+  void Apply(Revision version, std::string_view document);
+
+  const ConfigurationCodec& codec_;
+  NodeLink* link_;
+  ConfigurationFetcher fetcher_;
+  /// Highest version that a control instance named.
+  Revision newest_{0};
+  std::shared_ptr<const RouteTable> routes_;
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_CONFIGURATION_CLIENT_H_
--- a/main/configuration_log.h
+++ b/main/configuration_log.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,11 @@
   /// Empty if unknown.
   InstanceId leader() const;
   const VersionedDocument& current() const { return register_.current(); }
+  /// When a quorum last confirmed that this leader's current() was the newest;
+  /// empty if this instance doesn't lead.
+  std::optional<Time> ConfirmedAt() const {
+    return host_->raft().QuorumConfirmedAt();
+  }
 
   /// Leader only. Answered by OnSubmitted(); not at all if the proposal is
   /// refused or leadership is lost.
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -7,20 +7,14 @@
 #include "drivers/clock.h"
 #include "drivers/task.h"
 #include "main/error_body.h"
-#include "main/load_messages.h"
+#include "main/node_messages.h"
 #include "platform/runner_calls.h"
 
 namespace cassiausher {
 namespace {
 
 constexpr Duration kTickPeriod = Milliseconds(100);
-// Placements are forwarded in batches; a runner's memory hardly changes within
-// this period.
-constexpr Duration kPlacementPeriod = Milliseconds(25);
 constexpr Duration kSyncPeriod = Milliseconds(600);
-// A follower in this file is an entry instance that sends Follow, not a Raft
-// follower. One that hasn't sent Follow for this long gets no updates.
-constexpr Duration kFollowerLifetime = Seconds(6);
 // A control instance is advertised to others only while its own messages
 // arrive, so that one that has gone isn't advertised forever.
 constexpr Duration kAdvertisedTtl = Seconds(10);
@@ -51,7 +45,14 @@
       log_(settings_, metrics, context, *this),
       registry_({}),
       stage_orders_(settings_.ip, metrics),
-      operator_calls_(InstanceId(settings_.ip), &log_, &link_) {}
+      operator_calls_(InstanceId(settings_.ip), &log_, &link_),
+      followers_({.settings = &settings_,
+                  .incarnation = incarnation_,
+                  .registry = &registry_,
+                  .stage_orders = &stage_orders_,
+                  .log = &log_,
+                  .newest = &newest_},
+                 metrics, &link_) {}
 
 ControlNode::~ControlNode() = default;
 
@@ -71,8 +72,8 @@
       });
   if (auto error = server_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
-  placement_timer_ =
-      AddTimer(context_, kPlacementPeriod, [this] { SendPlacements(); });
+  batch_timer_ = AddTimer(context_, FollowerUpdates::kBatchPeriod,
+                          [this] { followers_.SendBatches(BootTimeNow()); });
   return {};
 }
 
@@ -145,7 +146,7 @@
   proto::Sync sync;
   *sync.add_records() = cassiausher::ToProto(record);
   for (const InstanceId& control : KnownControls()) SendSync(control, sync);
-  UpdateFollowers();
+  followers_.OnChange(BootTimeNow());
 }
 
 void ControlNode::OnPut(HttpExchangePtr exchange) {
@@ -175,7 +176,8 @@
 void ControlNode::OnConfiguration(const VersionedDocument& document) {
   Findings findings;
   configuration_ = codec_.Decode(document.document, &findings);
-  UpdateFollowers();
+  newest_.Learn(document.version, std::nullopt);
+  followers_.OnChange(BootTimeNow());
 }
 
 void ControlNode::OnSubmitted(const InstanceId& origin,
@@ -195,7 +197,7 @@
     confirming_read_ = 0;
     if (!served) return;
     stage_orders_.Send(log_.term(), BootTimeNow());
-    UpdateFollowers();
+    followers_.OnChange(BootTimeNow());
     return;
   }
   // A read that wasn't served is sent again, to the next leader.
@@ -221,10 +223,14 @@
       log_.OnRaft(message.raft());
       break;
     case proto::NodeMessage::kFollow:
-      OnFollow(from, message.follow());
+      followers_.OnFollow(from, Incarnation(message.incarnation()),
+                          message.follow(), LiveControls(), now);
       break;
     case proto::NodeMessage::kPlacements:
-      OnPlacements(from, message.placements());
+      followers_.OnPlacements(from, message.placements());
+      break;
+    case proto::NodeMessage::kFetchConfiguration:
+      OnFetch(from, message.fetch_configuration());
       break;
     case proto::NodeMessage::kSync: {
       std::uint64_t& known = control_incarnations_[from];
@@ -260,95 +266,25 @@
                          cassiausher::FromProto(result.document()));
 }
 
-void ControlNode::OnFollow(const InstanceId& from,
-                           const proto::Follow& follow) {
-  const auto [found, added] = followers_.try_emplace(from);
-  Follower& follower = found->second;
-  if (added) Log(LogLevel::kInfo, "follower_found", {{"from", from.value()}});
-  follower.heard_at = BootTimeNow();
-  follower.configuration = Revision(follow.configuration_version());
-  follower.registry_revision =
-      follow.registry_epoch() == incarnation_ ? follow.registry_revision() : 0;
-  follower.loads = ReadLoads(follow.loads());
-  follower.wants_placements = follow.wants_placements();
-  SendUpdate(from, follower);
-}
-
-void ControlNode::OnPlacements(const InstanceId& from,
-                               const proto::Placements& placements) {
-  const auto sender = followers_.find(from);
-  // Its next Follow carries its whole load.
-  if (sender == followers_.end()) return;
-  const EndpointLoads placed = ReadLoads(placements.added());
-  EndpointLoads lasting = placed;
-  // Prefill load isn't kept: prompts are processed before the sender's next
-  // Follow.
-  std::erase_if(lasting, [this](const auto& item) {
-    const EndpointRecord* record = registry_.Find(item.first);
-    return record != nullptr && record->role == EndpointRole::kPrefill;
-  });
-  AddLoads(lasting, &sender->second.loads);
-  for (auto& [instance, follower] : followers_) {
-    if (instance == from || !follower.wants_placements) continue;
-    AddLoads(placed, &follower.placed);
-  }
-}
-
-void ControlNode::SendPlacements() {
-  for (auto& [instance, follower] : followers_) {
-    if (follower.placed.empty()) continue;
-    proto::NodeMessage message;
-    WriteLoads(follower.placed, message.mutable_placements()->mutable_added());
-    follower.placed.clear();
-    link_.Send(instance, std::move(message));
-  }
-}
-
-EndpointLoads ControlNode::LoadsExcept(const InstanceId& excluded) const {
-  EndpointLoads loads;
-  for (const auto& [instance, follower] : followers_) {
-    if (instance != excluded) AddLoads(follower.loads, &loads);
-  }
-  return loads;
-}
-
-void ControlNode::SendUpdate(const InstanceId& to, Follower& follower) {
+void ControlNode::OnFetch(const InstanceId& from,
+                          const proto::FetchConfiguration& fetch) {
+  if (log_.current().version == Revision(0)) return;
+  const DocumentChunk chunk = documents_.ChunkAt(
+      log_.current(), Revision(fetch.version()), fetch.offset());
   proto::NodeMessage message;
-  proto::Update* update = message.mutable_update();
-  update->set_registry_epoch(incarnation_);
-  update->set_registry_revision(registry_.revision());
-  for (const EndpointRecord& record :
-       registry_.ChangedSince(follower.registry_revision)) {
-    *update->add_records() = cassiausher::ToProto(record);
-  }
-  for (const EndpointId& id : registry_.Silent(BootTimeNow())) {
-    update->add_silent_endpoints(id.value());
-  }
-  for (const EndpointId& id :
-       stage_orders_.ChangingEndpoints(registry_, BootTimeNow())) {
-    update->add_changing_endpoints(id.value());
-  }
-  if (log_.current().version > follower.configuration) {
-    *update->mutable_configuration() = cassiausher::ToProto(log_.current());
-  }
-  update->mutable_notice()->set_newest_version(log_.current().version.value());
-  update->mutable_notice()->set_held_version(log_.current().version.value());
-  update->add_control_instances(settings_.ip);
-  for (const InstanceId& control : LiveControls()) {
-    update->add_control_instances(control.value());
-  }
-  // The receiver knows its own load better, and takes the load of others from
-  // one control instance only.
-  if (follower.wants_placements) {
-    WriteLoads(LoadsExcept(to), update->mutable_loads());
-  }
-  follower.placed.clear();
-  update->set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
-  link_.Send(to, std::move(message));
+  auto* answer = message.mutable_configuration_chunk();
+  answer->set_version(chunk.version.value());
+  answer->set_offset(chunk.offset);
+  answer->set_total_size(chunk.total_size);
+  answer->set_data(std::string(chunk.data));
+  link_.Send(from, std::move(message));
 }
 
-void ControlNode::UpdateFollowers() {
-  for (auto& [instance, follower] : followers_) SendUpdate(instance, follower);
+void ControlNode::OnNotice(const proto::ConfigurationNotice& notice, Time now) {
+  const Revision version(notice.newest_version());
+  if (newest_.Learn(version, ConfirmedAt(notice, now))) {
+    followers_.OnChange(now);
+  }
 }
 
 std::vector<InstanceId> ControlNode::KnownControls() const {
@@ -382,7 +318,6 @@
 void ControlNode::SendSync(const InstanceId& to, const proto::Sync& sync) {
   proto::NodeMessage message;
   *message.mutable_sync() = sync;
-  message.mutable_sync()->set_wants_registry(!synced_with_.contains(to));
   link_.Send(to, std::move(message));
 }
 
@@ -400,7 +335,8 @@
     }
     changed |= registry_.Update(record, now);
   }
-  if (changed) UpdateFollowers();
+  if (changed) followers_.OnChange(now);
+  OnNotice(sync.notice(), now);
   AddControls(sync.control_instances());
   if (sync.has_members()) log_.OnMembers(sync.members());
   if (sync.whole_registry()) synced_with_.insert(from);
@@ -426,7 +362,13 @@
   if (auto members = log_.Members()) {
     sync.set_allocated_members(members.release());
   }
-  for (const InstanceId& control : KnownControls()) SendSync(control, sync);
+  WriteNotice(newest_, log_.current().version, now, sync.mutable_notice());
+  for (const InstanceId& control : KnownControls()) {
+    // Asked for here only: with each change, the whole registry would be sent
+    // again and again while the answer is on its way.
+    sync.set_wants_registry(!synced_with_.contains(control));
+    SendSync(control, sync);
+  }
   last_sync_ = now;
 }
 
@@ -437,7 +379,7 @@
     stage_orders_.OnFollowing();
   }
   if (!configuration_.has_value()) return;
-  const EndpointLoads loads = LoadsExcept(InstanceId());
+  const EndpointLoads loads = followers_.Loads();
   if (!stage_orders_.Plan(*configuration_, registry_, loads, now)) return;
   confirming_read_ = operator_calls_.NextId();
   log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
@@ -446,18 +388,14 @@
 void ControlNode::Tick() {
   const Time now = BootTimeNow();
   log_.Tick(now);
+  newest_.Learn(log_.current().version, log_.ConfirmedAt());
   operator_calls_.Retry(now);
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
   SyncControls(now);
   BalanceStages(now);
   registry_.Expire(now);
-  std::erase_if(followers_, [&](const auto& item) {
-    if (now - item.second.heard_at < kFollowerLifetime) return false;
-    Log(LogLevel::kWarning, "follower_lost", {{"from", item.first.value()}});
-    link_.Disconnect(item.first);
-    return true;
-  });
+  followers_.Expire(now);
   std::set<InstanceId> seeds;
   for (const SocketAddress& seed : settings_.seeds) {
     seeds.insert(InstanceId(seed.ip));
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -16,11 +16,14 @@
 #include "core/time.h"
 #include "drivers/http_server.h"
 #include "main/configuration_log.h"
+#include "main/follower_updates.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
 #include "main/operator_calls.h"
 #include "main/stage_orders.h"
+#include "servers/control/document_store.h"
 #include "servers/control/endpoint_registry.h"
+#include "servers/control/newest_version.h"
 #include "servers/control/serving_configuration.h"
 
 namespace cassiausher {
@@ -41,17 +44,6 @@
   void Shutdown();
 
  private:
-  /// An entry instance and the state it last reported.
-  struct Follower {
-    Time heard_at{};
-    Revision configuration{0};
-    std::uint64_t registry_revision = 0;
-    /// Load of its requests in progress.
-    EndpointLoads loads;
-    bool wants_placements = false;
-    /// Placements of the other entry instances that it hasn't been sent yet.
-    EndpointLoads placed;
-  };
   /// Another control instance.
   struct ControlPeer {
     /// When the settings or another instance named it, or its last Sync
@@ -75,20 +67,14 @@
 
   // Messages between instances.
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
-  void OnFollow(const InstanceId& from, const proto::Follow& follow);
-  void OnPlacements(const InstanceId& from,
-                    const proto::Placements& placements);
+  void OnFetch(const InstanceId& from, const proto::FetchConfiguration& fetch);
   void OnSync(const InstanceId& from, const proto::Sync& sync);
+  void OnNotice(const proto::ConfigurationNotice& notice, Time now);
   void OnReadResult(const proto::ReadResult& result);
   void AddControls(const google::protobuf::RepeatedPtrField<std::string>&);
   std::vector<InstanceId> KnownControls() const;
   std::vector<InstanceId> LiveControls() const;
 
-  void SendUpdate(const InstanceId& to, Follower& follower);
-  /// Sum of the followers' loads, except that of `excluded`.
-  EndpointLoads LoadsExcept(const InstanceId& excluded) const;
-  void UpdateFollowers();
-  void SendPlacements();
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
   void Tick();
@@ -115,7 +101,10 @@
   std::optional<ServingConfiguration> configuration_;
   /// Id of the read that confirms leadership for a planned order; 0 for none.
   std::uint64_t confirming_read_ = 0;
-  std::map<InstanceId, Follower> followers_;
+  /// The newest configuration that this or another control instance knows of.
+  NewestVersion newest_;
+  DocumentStore documents_{DocumentStoreOptions{}};
+  FollowerUpdates followers_;
   /// Seeds, and control instances learned from others.
   std::map<InstanceId, ControlPeer> controls_;
   /// Control instances that sent their whole registry since they started.
@@ -125,7 +114,7 @@
   Time last_sync_{};
   std::unique_ptr<HttpServer> server_;
   GSourcePtr timer_;
-  GSourcePtr placement_timer_;
+  GSourcePtr batch_timer_;
 };
 
 }  // namespace cassiausher
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -1,10 +1,10 @@
 #include "main/entry_node.h"
 
 #include <algorithm>
-#include <functional>
 #include <set>
 #include <utility>
 
+#include "core/hash.h"
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/error_body.h"
@@ -18,7 +18,7 @@
 constexpr Duration kTickPeriod = Milliseconds(500);
 // Interval between batches of placements. Shorter than the prefill of a prompt,
 // so that other instances learn of a request while it still loads the endpoint.
-constexpr Duration kPlacementPeriod = Milliseconds(25);
+constexpr Duration kBatchPeriod = Milliseconds(25);
 constexpr Duration kExpiryPeriod = Seconds(5);
 // A control instance that sent no update and was named by no seed list or
 // update for this long is dropped.
@@ -50,7 +50,6 @@
 EntryNode::EntryNode(NodeSettings settings, const ConfigurationCodec& codec,
                      Metrics& metrics, GMainContext* context)
     : settings_(std::move(settings)),
-      codec_(codec),
       metrics_(metrics),
       context_(context),
       link_(settings_, static_cast<std::uint64_t>(g_get_real_time()), metrics,
@@ -59,6 +58,7 @@
             }),
       pool_({.data_centre = settings_.data_centre,
              .random_seed = static_cast<std::uint64_t>(g_get_real_time())}),
+      configuration_(settings_, codec, &link_),
       random_(static_cast<std::uint64_t>(g_get_real_time())),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
@@ -92,8 +92,10 @@
       format_error_body);
   if (auto error = readiness_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
-  placement_timer_ =
-      AddTimer(context_, kPlacementPeriod, [this] { SendPlacements(); });
+  batch_timer_ = AddTimer(context_, kBatchPeriod, [this] {
+    SendPlacements();
+    configuration_.SendRequest(BootTimeNow());
+  });
   SendFollowMessages(BootTimeNow());
   return {};
 }
@@ -107,7 +109,8 @@
 }
 
 bool EntryNode::Ready() const {
-  return routes_ != nullptr && pool_.HasEndpoints() && !on_done_;
+  return configuration_.routes() != nullptr && pool_.HasEndpoints() &&
+         !on_done_;
 }
 
 // --- Callers ---------------------------------------------------------------
@@ -128,34 +131,44 @@
                    headers);
 }
 
+std::string_view EntryNode::RefusalReason(Time now) const {
+  const bool stopping =
+      closing_connections_ && now - shutdown_started_ >= kShutdownAcceptPeriod;
+  if (stopping) return "the instance stops";
+  if (configuration_.routes() == nullptr) return "no configuration yet";
+  return {};
+}
+
+void EntryNode::AnswerUnknownRoute(HttpExchange& exchange,
+                                   const RequestId& id) {
+  Log(LogLevel::kInfo, "route_unknown",
+      {{"request", id.value()},
+       {"configuration", configuration_.version().value()},
+       {"newest_known", configuration_.newest().value()}});
+  exchange.Respond(404, kJson,
+                   FormatError({.type = "invalid_request",
+                                .code = "route_unknown",
+                                .message = "no route for host and path",
+                                .not_run = true}));
+}
+
 void EntryNode::OnCallerRequest(HttpExchangePtr exchange) {
   received_.Add();
   const Time now = BootTimeNow();
   CallerHeaders caller = ReadCallerHeaders(*exchange);
-  if (closing_connections_ &&
-      now - shutdown_started_ >= kShutdownAcceptPeriod) {
-    Refuse(*exchange, caller.id, "the instance stops");
+  const std::string_view reason = RefusalReason(now);
+  if (!reason.empty()) {
+    Refuse(*exchange, caller.id, reason);
     return;
   }
-  if (routes_ == nullptr) {
-    Refuse(*exchange, caller.id, "no configuration yet");
-    return;
-  }
-  const Route* route = routes_->Find(caller.host, exchange->path());
+  const std::shared_ptr<const RouteTable> routes = configuration_.routes();
+  const Route* route = routes->Find(caller.host, exchange->path());
   if (route == nullptr) {
-    Log(LogLevel::kInfo, "route_unknown",
-        {{"request", caller.id.value()},
-         {"configuration", routes_->version().value()},
-         {"newest_known", newest_version_.value()}});
-    exchange->Respond(404, kJson,
-                      FormatError({.type = "invalid_request",
-                                   .code = "route_unknown",
-                                   .message = "no route for host and path",
-                                   .not_run = true}));
+    AnswerUnknownRoute(*exchange, caller.id);
     return;
   }
   const ServiceId service = PickTarget(*route, random_.Unit()).service;
-  const ServiceSpec& spec = routes_->configuration().services.at(service);
+  const ServiceSpec& spec = routes->configuration().services.at(service);
   const Duration timeout =
       std::min(caller.timeout.value_or(route->timeout), route->timeout);
   RequestFacts facts{.kind = route->kind,
@@ -189,7 +202,7 @@
                                   .closing = &closing_connections_};
   auto request = std::make_shared<ForwardedRequest>(
       context, std::move(exchange), std::move(caller), std::move(facts), *route,
-      routes_->version());
+      routes->version());
   const std::uint64_t number = next_request_++;
   requests_[number] = request;
   open_.Set(static_cast<std::int64_t>(requests_.size()));
@@ -233,6 +246,14 @@
     pool_.AddOtherLoads(ReadLoads(message.placements().added()));
     return;
   }
+  if (message.has_changes()) {
+    OnChanges(from, message.changes());
+    return;
+  }
+  if (message.has_configuration_chunk()) {
+    configuration_.OnChunk(from, message.configuration_chunk(), BootTimeNow());
+    return;
+  }
   Log(LogLevel::kWarning, "message_unknown", {{"from", from.value()}});
 }
 
@@ -243,32 +264,19 @@
   control.last_known_at = now;
   control.registry_epoch = update.registry_epoch();
   control.registry_revision = update.registry_revision();
+  control.last_received = update.number();
+  control.data_centre = DataCentreId(update.data_centre());
   control.entry_instances = update.entry_instances();
   if (!std::exchange(control.connected, true)) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
   }
-  for (const proto::EndpointRecord& message : update.records()) {
-    EndpointRecord record;
-    if (!FromProto(message, &record)) {
-      Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
-      continue;
-    }
-    Log(LogLevel::kInfo, "endpoint_learned",
-        {{"endpoint", record.id.value()},
-         {"state", Name(record.state)},
-         {"role", Name(record.role)},
-         {"sequence", record.sequence},
-         {"control", from.value()}});
-    pool_.Merge(record, now);
-  }
+  MergeRecords(from, update.records(), now);
   std::set<EndpointId> silent;
   for (const std::string& id : update.silent_endpoints()) {
     silent.insert(EndpointId(id));
   }
   pool_.SetSilent(from.value(), std::move(silent), now);
-  for (const std::string& id : update.changing_endpoints()) {
-    pool_.SetChanging(EndpointId(id), now + kRoleChangeLifetime);
-  }
+  SetChangingEndpoints(update.changing_endpoints(), now);
   const int others = static_cast<int>(update.entry_instances()) - 1;
   if (from == load_source_) {
     pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
@@ -276,33 +284,51 @@
   for (const std::string& ip : update.control_instances()) {
     controls_[InstanceId(ip)].last_known_at = now;
   }
-  OnNotice(from, update.notice());
-  if (update.has_configuration()) OnConfiguration(update.configuration());
+  if (update.has_configuration()) {
+    configuration_.OnDocument(update.configuration());
+  }
+  configuration_.OnNotice(from, DataCentreId(update.data_centre()),
+                          update.notice(), now);
 }
 
-void EntryNode::OnNotice(const InstanceId& from,
-                         const proto::ConfigurationNotice& notice) {
-  const Revision newest(notice.newest_version());
-  if (newest <= newest_version_) return;
-  newest_version_ = newest;
-  Log(LogLevel::kInfo, "configuration_announced",
-      {{"version", newest.value()}, {"control", from.value()}});
+void EntryNode::OnChanges(const InstanceId& from,
+                          const proto::Changes& changes) {
+  const auto found = controls_.find(from);
+  // Without the Update that this follows, its number means nothing.
+  const bool follows_update =
+      found != controls_.end() &&
+      found->second.registry_epoch == changes.registry_epoch();
+  if (!follows_update) return;
+  const Time now = BootTimeNow();
+  found->second.last_received = changes.number();
+  MergeRecords(from, changes.records(), now);
+  SetChangingEndpoints(changes.changing_endpoints(), now);
+  configuration_.OnNotice(from, found->second.data_centre, changes.notice(),
+                          now);
 }
 
-void EntryNode::OnConfiguration(const proto::VersionedDocument& message) {
-  const Revision version(message.version());
-  if (routes_ != nullptr && version <= routes_->version()) return;
-  Findings findings;
-  auto configuration = codec_.Decode(message.document(), &findings);
-  if (!configuration.has_value()) {
-    Log(LogLevel::kError, "configuration_unreadable",
-        {{"version", version.value()}, {"findings", ToString(findings)}});
-    return;
+void EntryNode::MergeRecords(const InstanceId& from,
+                             const EndpointRecords& records, Time now) {
+  for (const proto::EndpointRecord& message : records) {
+    EndpointRecord record;
+    if (!FromProto(message, &record)) {
+      Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
+      continue;
+    }
+    Log(LogLevel::kInfo, "endpoint_learned",
+        {{"endpoint", record.id.value()},
+         {"state", Name(record.state)},
+         {"role", Name(record.role)},
+         {"sequence", record.sequence},
+         {"control", from.value()}});
+    pool_.Merge(record, now);
+  }
+}
+
+void EntryNode::SetChangingEndpoints(const EndpointNames& names, Time now) {
+  for (const std::string& name : names) {
+    pool_.SetChanging(EndpointId(name), now + kRoleChangeLifetime);
   }
-  routes_ = std::make_shared<const RouteTable>(std::move(*configuration));
-  Log(LogLevel::kInfo, "configuration_applied",
-      {{"version", version.value()},
-       {"routes", routes_->configuration().routes.size()}});
 }
 
 void EntryNode::SendFollowMessages(Time now) {
@@ -323,11 +349,11 @@
     }
     proto::NodeMessage message;
     proto::Follow* follow = message.mutable_follow();
-    if (routes_ != nullptr) {
-      follow->set_configuration_version(routes_->version().value());
-    }
+    follow->set_configuration_version(configuration_.version().value());
+    follow->set_fetches_configuration(true);
     follow->set_registry_epoch(control.registry_epoch);
     follow->set_registry_revision(control.registry_revision);
+    follow->set_last_received(control.last_received);
     WriteLoads(loads, follow->mutable_loads());
     follow->set_wants_placements(instance == load_source_);
     link_.Send(instance, std::move(message));
@@ -338,11 +364,11 @@
 // own order and keeps its choice while other control instances come and go.
 InstanceId EntryNode::LoadSource() const {
   InstanceId best;
-  std::size_t best_rank = 0;
+  std::uint64_t best_rank = 0;
   for (const auto& [instance, control] : controls_) {
     if (!control.connected) continue;
-    const std::size_t rank =
-        std::hash<std::string>{}(settings_.ip + ' ' + instance.value());
+    const std::uint64_t rank =
+        HashText(instance.value(), HashText(settings_.ip, 0));
     if (!best.empty() && rank <= best_rank) continue;
     best = instance;
     best_rank = rank;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -16,6 +16,7 @@
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
+#include "main/configuration_client.h"
 #include "main/forwarded_request.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
@@ -43,13 +44,20 @@
   void Shutdown(std::function<void()> on_done);
 
  private:
+  using EndpointRecords =
+      google::protobuf::RepeatedPtrField<proto::EndpointRecord>;
+  using EndpointNames = google::protobuf::RepeatedPtrField<std::string>;
+
   /// A control instance and the revision of its registry that was last
   /// received.
   struct Control {
     Time last_known_at{};
     Time last_update_at{};
+    DataCentreId data_centre;
     std::uint64_t registry_epoch = 0;
     std::uint64_t registry_revision = 0;
+    /// Highest number of the messages received from that process.
+    std::uint64_t last_received = 0;
     /// Number of entry instances that follow this control instance.
     std::uint32_t entry_instances = 1;
     bool connected = false;
@@ -64,32 +72,33 @@
   void SendPlacements();
 
   void OnCallerRequest(HttpExchangePtr exchange);
+  /// The reason to refuse every request for now; empty if there is none.
+  std::string_view RefusalReason(Time now) const;
   void Refuse(HttpExchange& exchange, const RequestId& id,
               std::string_view reason);
+  void AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id);
   RetryBudget& BudgetOf(const ServiceId& service);
   bool Ready() const;
 
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
   void OnUpdate(const InstanceId& from, const proto::Update& update);
-  void OnNotice(const InstanceId& from,
-                const proto::ConfigurationNotice& notice);
-  void OnConfiguration(const proto::VersionedDocument& message);
+  void OnChanges(const InstanceId& from, const proto::Changes& changes);
+  void MergeRecords(const InstanceId& from, const EndpointRecords& records,
+                    Time now);
+  void SetChangingEndpoints(const EndpointNames& names, Time now);
   void SendFollowMessages(Time now);
   void Tick();
   void AdvanceShutdown(Time now);
   std::uint32_t EntryInstanceCount() const;
 
   NodeSettings settings_;
-  const ConfigurationCodec& codec_;
   Metrics& metrics_;
   GMainContext* context_;
   NodeLink link_;
   HttpClient client_;
   EndpointPool pool_;
   Random random_;
-  std::shared_ptr<const RouteTable> routes_;
-  /// Highest version that a control instance named.
-  Revision newest_version_{0};
+  ConfigurationClient configuration_;
   std::map<InstanceId, Control> controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
@@ -103,7 +112,7 @@
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> readiness_;
   GSourcePtr timer_;
-  GSourcePtr placement_timer_;
+  GSourcePtr batch_timer_;
   InstanceId load_source_;
   Time next_expiry_{};
   /// Set by Shutdown().
--- /dev/null
+++ b/main/follower_updates.cc
@@ -0,0 +1,174 @@
+#include "main/follower_updates.h"
+
+#include <utility>
+
+#include "core/log.h"
+#include "main/node_messages.h"
+
+namespace cassiausher {
+namespace {
+
+// A follower that hasn't sent Follow for this long gets no updates.
+constexpr Duration kFollowerLifetime = Seconds(6);
+
+}  // namespace
+
+void FollowerUpdates::OnFollow(const InstanceId& from, Incarnation incarnation,
+                               const proto::Follow& follow,
+                               const std::vector<InstanceId>& controls,
+                               Time now) {
+  const auto [found, added] = followers_.try_emplace(from);
+  Follower& follower = found->second;
+  if (added) Log(LogLevel::kInfo, "follower_found", {{"from", from.value()}});
+  follower.heard_at = now;
+  if (std::exchange(follower.incarnation, incarnation) != incarnation) {
+    follower.window.Reset();
+  }
+  follower.configuration = Revision(follow.configuration_version());
+  follower.fetches_configuration = follow.fetches_configuration();
+  follower.loads = ReadLoads(follow.loads());
+  follower.wants_placements = follow.wants_placements();
+  if (follow.registry_epoch() == state_.incarnation) {
+    follower.registry_revision = follow.registry_revision();
+    follower.window.OnAcknowledged(follow.last_received());
+  } else {
+    follower.registry_revision = 0;
+  }
+  if (!follower.window.IsOpen(now)) {
+    withheld_.Add();
+    return;
+  }
+  proto::NodeMessage message;
+  *message.mutable_update() = MakeUpdate(from, follower, controls, now);
+  message.mutable_update()->set_number(
+      follower.window.OnSend(message.ByteSizeLong(), now));
+  follower.placed.clear();
+  link_->Send(from, std::move(message));
+}
+
+proto::Update FollowerUpdates::MakeUpdate(
+    const InstanceId& to, const Follower& follower,
+    const std::vector<InstanceId>& controls, Time now) const {
+  proto::Update update;
+  update.set_registry_epoch(state_.incarnation);
+  update.set_registry_revision(state_.registry->revision());
+  update.set_data_centre(state_.settings->data_centre.value());
+  for (const EndpointRecord& record :
+       state_.registry->ChangedSince(follower.registry_revision)) {
+    *update.add_records() = cassiausher::ToProto(record);
+  }
+  for (const EndpointId& id : state_.registry->Silent(now)) {
+    update.add_silent_endpoints(id.value());
+  }
+  for (const EndpointId& id :
+       state_.stage_orders->ChangingEndpoints(*state_.registry, now)) {
+    update.add_changing_endpoints(id.value());
+  }
+  const VersionedDocument& current = state_.log->current();
+  WriteNotice(*state_.newest, current.version, now, update.mutable_notice());
+  const bool needs_document = !follower.fetches_configuration &&
+                              current.version > follower.configuration;
+  if (needs_document) {
+    *update.mutable_configuration() = cassiausher::ToProto(current);
+  }
+  update.add_control_instances(state_.settings->ip);
+  for (const InstanceId& control : controls) {
+    update.add_control_instances(control.value());
+  }
+  // The receiver knows its own load better, and takes the load of others from
+  // one control instance only.
+  if (follower.wants_placements) {
+    WriteLoads(LoadsExcept(to), update.mutable_loads());
+  }
+  update.set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
+  return update;
+}
+
+void FollowerUpdates::OnPlacements(const InstanceId& from,
+                                   const proto::Placements& placements) {
+  const auto sender = followers_.find(from);
+  // Its next Follow carries its whole load.
+  if (sender == followers_.end()) return;
+  const EndpointLoads placed = ReadLoads(placements.added());
+  EndpointLoads lasting = placed;
+  // Prefill load isn't kept: prompts are processed before the sender's next
+  // Follow.
+  std::erase_if(lasting, [this](const auto& item) {
+    const EndpointRecord* record = state_.registry->Find(item.first);
+    return record != nullptr && record->role == EndpointRole::kPrefill;
+  });
+  AddLoads(lasting, &sender->second.loads);
+  for (auto& [instance, follower] : followers_) {
+    if (instance == from || !follower.wants_placements) continue;
+    AddLoads(placed, &follower.placed);
+  }
+}
+
+void FollowerUpdates::OnChange(Time now) {
+  changed_ = true;
+  if (now - changes_sent_at_ >= kBatchPeriod) SendChanges(now);
+}
+
+void FollowerUpdates::SendBatches(Time now) {
+  if (changed_) SendChanges(now);
+  for (auto& [instance, follower] : followers_) {
+    if (follower.placed.empty()) continue;
+    proto::NodeMessage message;
+    WriteLoads(follower.placed, message.mutable_placements()->mutable_added());
+    follower.placed.clear();
+    // The next Update has the whole loads.
+    if (!follower.window.IsOpen(now)) {
+      withheld_.Add();
+      continue;
+    }
+    link_->Send(instance, std::move(message));
+  }
+}
+
+void FollowerUpdates::SendChanges(Time now) {
+  changed_ = false;
+  changes_sent_at_ = now;
+  proto::NodeMessage message;
+  proto::Changes* changes = message.mutable_changes();
+  changes->set_registry_epoch(state_.incarnation);
+  for (const EndpointRecord& record :
+       state_.registry->ChangedSince(sent_revision_)) {
+    *changes->add_records() = cassiausher::ToProto(record);
+  }
+  sent_revision_ = state_.registry->revision();
+  for (const EndpointId& id :
+       state_.stage_orders->ChangingEndpoints(*state_.registry, now)) {
+    changes->add_changing_endpoints(id.value());
+  }
+  WriteNotice(*state_.newest, state_.log->current().version, now,
+              changes->mutable_notice());
+  const std::size_t bytes = message.ByteSizeLong();
+  for (auto& [instance, follower] : followers_) {
+    // The next Update repeats the records.
+    if (!follower.window.IsOpen(now)) {
+      withheld_.Add();
+      continue;
+    }
+    changes->set_number(follower.window.OnSend(bytes, now));
+    link_->Send(instance, message);
+  }
+}
+
+void FollowerUpdates::Expire(Time now) {
+  std::erase_if(followers_, [&](const auto& item) {
+    if (now - item.second.heard_at < kFollowerLifetime) return false;
+    Log(LogLevel::kWarning, "follower_lost", {{"from", item.first.value()}});
+    link_->Disconnect(item.first);
+    return true;
+  });
+}
+
+EndpointLoads FollowerUpdates::LoadsExcept(const InstanceId& excluded) const {
+  EndpointLoads loads;
+  for (const auto& [instance, follower] : followers_) {
+    if (instance != excluded) AddLoads(follower.loads, &loads);
+  }
+  return loads;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/main/follower_updates.h
@@ -0,0 +1,110 @@
+// What a control instance sends to the entry instances that follow it: an
+// Update in answer to each Follow, Changes in between, and the placements of
+// other entry instances.
+//
+// The traffic doesn't grow with the rate of changes or the size of the
+// configuration: changes of one batch period are sent together, a document is
+// fetched by its receiver, and the data on its way to one entry instance is
+// bounded.
+#ifndef MAIN_FOLLOWER_UPDATES_H_
+#define MAIN_FOLLOWER_UPDATES_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "main/configuration_log.h"
+#include "main/load_messages.h"
+#include "main/node_link.h"
+#include "main/node_settings.h"
+#include "main/stage_orders.h"
+#include "proto/gen/node.pb.h"
+#include "servers/control/endpoint_registry.h"
+#include "servers/control/newest_version.h"
+#include "servers/control/send_window.h"
+
+namespace cassiausher {
+
+/// The state that updates report; owned by the control node.
+struct ControlState {
+  const NodeSettings* settings = nullptr;
+  std::uint64_t incarnation = 0;
+  const EndpointRegistry* registry = nullptr;
+  const StageOrders* stage_orders = nullptr;
+  const ConfigurationLog* log = nullptr;
+  const NewestVersion* newest = nullptr;
+};
+
+/// Used on the control node's task only. A follower here is an entry instance
+/// that sends Follow, not a Raft follower.
+class FollowerUpdates {
+ public:
+  FollowerUpdates(ControlState state, Metrics& metrics, NodeLink* link)
+      : state_(state),
+        link_(link),
+        withheld_(metrics.counter("follower_messages_withheld_total")) {}
+
+  /// Answers with an Update; `controls` are the control instances to name.
+  /// `incarnation` is that of the sending process.
+  void OnFollow(const InstanceId& from, Incarnation incarnation,
+                const proto::Follow& follow,
+                const std::vector<InstanceId>& controls, Time now);
+  void OnPlacements(const InstanceId& from,
+                    const proto::Placements& placements);
+
+  /// The registry or the configuration has changed, or a stage order was sent.
+  /// Changes are sent at once, or with those of the batch period.
+  void OnChange(Time now);
+  /// Sends what has gathered. Call every kBatchPeriod.
+  void SendBatches(Time now);
+  /// Drops followers that haven't sent Follow for a while.
+  void Expire(Time now);
+
+  /// Work of all followers.
+  EndpointLoads Loads() const { return LoadsExcept(InstanceId()); }
+
+  /// Placements and changes are sent in batches; a runner's memory hardly
+  /// changes within this period.
+  static constexpr Duration kBatchPeriod = Milliseconds(25);
+
+ private:
+  /// An entry instance and the state that it last reported.
+  struct Follower {
+    Time heard_at{};
+    Incarnation incarnation{0};
+    Revision configuration{0};
+    bool fetches_configuration = false;
+    std::uint64_t registry_revision = 0;
+    /// Load of its requests in progress.
+    EndpointLoads loads;
+    bool wants_placements = false;
+    /// Placements of the other entry instances that it hasn't been sent yet.
+    EndpointLoads placed;
+    SendWindow window{SendWindowOptions{}};
+  };
+
+  /// Sum of the followers' loads, except that of `excluded`.
+  EndpointLoads LoadsExcept(const InstanceId& excluded) const;
+  proto::Update MakeUpdate(const InstanceId& to, const Follower& follower,
+                           const std::vector<InstanceId>& controls,
+                           Time now) const;
+  void SendChanges(Time now);
+
+  ControlState state_;
+  NodeLink* link_;
+  /// Messages that weren't sent because the follower has yet to acknowledge
+  /// earlier ones.
+  Counter& withheld_;
+  std::map<InstanceId, Follower> followers_;
+  /// Something has changed since the last Changes.
+  bool changed_ = false;
+  /// Revision of the registry that the last Changes covered.
+  std::uint64_t sent_revision_ = 0;
+  Time changes_sent_at_{};
+};
+
+}  // namespace cassiausher
+
+#endif  // MAIN_FOLLOWER_UPDATES_H_
--- a/main/operator_calls.cc
+++ b/main/operator_calls.cc
@@ -5,6 +5,7 @@
 
 #include "core/log.h"
 #include "main/error_body.h"
+#include "main/node_messages.h"
 
 namespace cassiausher {
 namespace {
@@ -17,17 +18,6 @@
 
 }  // namespace
 
-proto::VersionedDocument ToProto(const VersionedDocument& document) {
-  proto::VersionedDocument message;
-  message.set_version(document.version.value());
-  message.set_document(document.document);
-  return message;
-}
-
-VersionedDocument FromProto(const proto::VersionedDocument& message) {
-  return {Revision(message.version()), message.document()};
-}
-
 void RespondControlError(HttpExchange& exchange, int status,
                          std::string_view code, std::string message) {
   RespondError(exchange, {.status = status,
--- a/main/operator_calls.h
+++ b/main/operator_calls.h
@@ -17,9 +17,6 @@
 
 namespace cassiausher {
 
-proto::VersionedDocument ToProto(const VersionedDocument& document);
-VersionedDocument FromProto(const proto::VersionedDocument& message);
-
 /// Answers an HTTP call that failed at this instance.
 void RespondControlError(HttpExchange& exchange, int status,
                          std::string_view code, std::string message);
--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -6,7 +6,7 @@
   g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3 curl
   libboost1.81-dev libsoup-3.0-dev libcurl4-openssl-dev glib-networking libzmq3-dev cppzmq-dev libprotobuf-dev
   libdocopt-dev libfmt-dev libcpputest-dev nlohmann-json3-dev librapidcheck-dev
-  libxxhash-dev tao-pegtl-dev
+  libxxhash-dev libzstd-dev tao-pegtl-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -218,6 +218,10 @@
   }
   /// Leader only: index of the last entry known to be durable at `member`.
   LogIndex MatchIndex(const ReplicaId& member) const;
+  /// Latest time at which a quorum followed this leader. Everything committed
+  /// until then has been delivered. Empty if this replica doesn't lead, or if
+  /// that isn't known yet.
+  std::optional<Time> QuorumConfirmedAt() const;
   /// Leader only: time since the last reply of each other member.
   std::map<ReplicaId, Duration> TimeSinceLastReply() const;
 
--- a/servers/consensus/raft_election.cc
+++ b/servers/consensus/raft_election.cc
@@ -57,6 +57,19 @@
   return active >= configuration().Quorum();
 }
 
+std::optional<Time> Raft::QuorumConfirmedAt() const {
+  if (role_ != RaftRole::kLeader || !CommittedInOwnTerm()) return std::nullopt;
+  if (delivered_index_ < hard_state_.commit) return std::nullopt;
+  std::vector<Time> contacts;
+  for (const ReplicaId& voter : configuration().voters) {
+    const auto found = progress_.find(voter);
+    const bool self = found == progress_.end();
+    contacts.push_back(self ? now_ : found->second.last_reply);
+  }
+  std::ranges::sort(contacts, std::greater<>());
+  return contacts[configuration().Quorum() - 1];
+}
+
 bool Raft::CommittedInOwnTerm() const {
   return log_.TermAt(hard_state_.commit) == term();
 }
--- a/servers/membership/member_table.cc
+++ b/servers/membership/member_table.cc
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash.h"
+
 namespace cassiausher {
 
 namespace {
@@ -18,10 +20,6 @@
 
 }  // namespace
 
-std::uint64_t HashText(std::string_view text, std::uint64_t seed) {
-  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
-}
-
 const Member* MemberTable::Find(const InstanceId& id) const {
   const auto found = members_.find(id);
   return found == members_.end() ? nullptr : &found->second;
--- a/servers/membership/member_table.h
+++ b/servers/membership/member_table.h
@@ -53,8 +53,6 @@
 inline constexpr std::size_t kRosterBuckets = 16;
 using RosterBuckets = std::array<std::uint32_t, kRosterBuckets>;
 
-std::uint64_t HashText(std::string_view text, std::uint64_t seed);
-
 /// Not thread safe. The hashes cover live members only, since instances remove
 /// dead ones at different times.
 class MemberTable {
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -6,6 +6,8 @@
 #include <tuple>
 #include <utility>
 
+#include "core/hash.h"
+
 namespace cassiausher {
 
 namespace {
--- a/servers/ownership/electorate.cc
+++ b/servers/ownership/electorate.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash.h"
+
 namespace cassiausher {
 
 OwnershipView ViewOf(const std::vector<MemberRow>& rows,
--- a/servers/ownership/ownership.cc
+++ b/servers/ownership/ownership.cc
@@ -4,6 +4,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "core/hash.h"
+
 namespace cassiausher {
 
 namespace {
