Refuse instead of rejecting while a newer configuration may exist

Cause: an entry instance answered by the configuration that it had, without knowing whether it was the newest.

Why this works: 404 now needs a confirmation that is younger than the time within which a change must be in force (2 s), whatever delays the document.

--- a/main/configuration_client.cc
+++ b/main/configuration_client.cc
@@ -20,7 +20,8 @@
     : codec_(codec),
       link_(link),
       fetcher_({.self = InstanceId(settings.ip),
-                .data_centre = settings.data_centre}) {}
+                .data_centre = settings.data_centre}),
+      freshness_({}) {}
 
 Revision ConfigurationClient::version() const {
   return routes_ == nullptr ? Revision(0) : routes_->version();
@@ -31,8 +32,7 @@
                                    const proto::ConfigurationNotice& notice,
                                    Time now) {
   const Revision newest(notice.newest_version());
-  if (newest > newest_) {
-    newest_ = newest;
+  if (freshness_.OnNotice(newest, ConfirmedAt(notice, now), now)) {
     Log(LogLevel::kInfo, "configuration_announced",
         {{"version", newest.value()}, {"control", from.value()}});
   }
@@ -77,9 +77,10 @@
     return;
   }
   routes_ = std::make_shared<const RouteTable>(std::move(*configuration));
+  freshness_.OnApplied(version);
   Log(LogLevel::kInfo, "configuration_applied",
       {{"version", version.value()},
-       {"newest_known", newest_.value()},
+       {"newest_known", freshness_.newest().value()},
        {"routes", routes_->configuration().routes.size()}});
 }
 
--- a/main/configuration_client.h
+++ b/main/configuration_client.h
@@ -1,5 +1,5 @@
 // The configuration of an entry instance: fetched from the control instances,
-// and decoded.
+// decoded, and known to be current or not.
 #ifndef MAIN_CONFIGURATION_CLIENT_H_
 #define MAIN_CONFIGURATION_CLIENT_H_
 
@@ -12,6 +12,7 @@
 #include "proto/gen/node.pb.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/configuration_fetcher.h"
+#include "servers/entry/configuration_freshness.h"
 
 namespace cassiausher {
 
@@ -35,7 +36,7 @@
   const std::shared_ptr<const RouteTable>& routes() const { return routes_; }
   /// 0 before the first configuration.
   Revision version() const;
-  Revision newest() const { return newest_; }
+  const ConfigurationFreshness& freshness() const { return freshness_; }
 
  private:
   void Apply(Revision version, std::string_view document);
@@ -43,8 +44,7 @@
   const ConfigurationCodec& codec_;
   NodeLink* link_;
   ConfigurationFetcher fetcher_;
-  /// Highest version that a control instance named.
-  Revision newest_{0};
+  ConfigurationFreshness freshness_;
   std::shared_ptr<const RouteTable> routes_;
 };
 
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -136,15 +136,24 @@
       closing_connections_ && now - shutdown_started_ >= kShutdownAcceptPeriod;
   if (stopping) return "the instance stops";
   if (configuration_.routes() == nullptr) return "no configuration yet";
+  if (configuration_.freshness().IsOverdue(now)) {
+    return "a newer configuration is in force";
+  }
   return {};
 }
 
-void EntryNode::AnswerUnknownRoute(HttpExchange& exchange,
-                                   const RequestId& id) {
+void EntryNode::AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
+                                   Time now) {
+  // The route may belong to a newer configuration, so 404, which is final,
+  // would be wrong.
+  if (configuration_.freshness().MayBeOutdated(now)) {
+    Refuse(exchange, id, "the route is unknown here and may be new");
+    return;
+  }
   Log(LogLevel::kInfo, "route_unknown",
       {{"request", id.value()},
        {"configuration", configuration_.version().value()},
-       {"newest_known", configuration_.newest().value()}});
+       {"newest_known", configuration_.freshness().newest().value()}});
   exchange.Respond(404, kJson,
                    FormatError({.type = "invalid_request",
                                 .code = "route_unknown",
@@ -164,7 +173,7 @@
   const std::shared_ptr<const RouteTable> routes = configuration_.routes();
   const Route* route = routes->Find(caller.host, exchange->path());
   if (route == nullptr) {
-    AnswerUnknownRoute(*exchange, caller.id);
+    AnswerUnknownRoute(*exchange, caller.id, now);
     return;
   }
   const ServiceId service = PickTarget(*route, random_.Unit()).service;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -76,7 +76,8 @@
   std::string_view RefusalReason(Time now) const;
   void Refuse(HttpExchange& exchange, const RequestId& id,
               std::string_view reason);
-  void AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id);
+  void AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
+                          Time now);
   RetryBudget& BudgetOf(const ServiceId& service);
   bool Ready() const;
 
