Take in Changes before the first Update of a control process

Cause: the first message on a new connection between instances is dropped, so an entry instance often has no Update of a control process when its first Changes arrives, and ignored that.

Change: Changes are absolute, so they are taken in whatever process the last Update came from; only their number is left out. The data centre moves into the notice, which both messages carry.

--- a/main/configuration_client.cc
+++ b/main/configuration_client.cc
@@ -28,7 +28,6 @@
 }
 
 void ConfigurationClient::OnNotice(const InstanceId& from,
-                                   const DataCentreId& data_centre,
                                    const proto::ConfigurationNotice& notice,
                                    Time now) {
   const Revision newest(notice.newest_version());
@@ -36,7 +35,8 @@
     Log(LogLevel::kInfo, "configuration_announced",
         {{"version", newest.value()}, {"control", from.value()}});
   }
-  fetcher_.OnSource(from, data_centre, Revision(notice.held_version()), now);
+  fetcher_.OnSource(from, DataCentreId(notice.data_centre()),
+                    Revision(notice.held_version()), now);
   SendRequest(now);
 }
 
--- a/main/configuration_client.h
+++ b/main/configuration_client.h
@@ -23,7 +23,7 @@
                       const ConfigurationCodec& codec, NodeLink* link);
 
   // Messages of control instances.
-  void OnNotice(const InstanceId& from, const DataCentreId& data_centre,
+  void OnNotice(const InstanceId& from,
                 const proto::ConfigurationNotice& notice, Time now);
   void OnChunk(const InstanceId& from, const proto::ConfigurationChunk& chunk,
                Time now);
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -274,7 +274,6 @@
   control.registry_epoch = update.registry_epoch();
   control.registry_revision = update.registry_revision();
   control.last_received = update.number();
-  control.data_centre = DataCentreId(update.data_centre());
   control.entry_instances = update.entry_instances();
   if (!std::exchange(control.connected, true)) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
@@ -296,24 +295,21 @@
   if (update.has_configuration()) {
     configuration_.OnDocument(update.configuration());
   }
-  configuration_.OnNotice(from, DataCentreId(update.data_centre()),
-                          update.notice(), now);
+  configuration_.OnNotice(from, update.notice(), now);
 }
 
 void EntryNode::OnChanges(const InstanceId& from,
                           const proto::Changes& changes) {
+  const Time now = BootTimeNow();
   const auto found = controls_.find(from);
-  // Without the Update that this follows, its number means nothing.
-  const bool follows_update =
+  // The number counts the messages of one process.
+  const bool same_process =
       found != controls_.end() &&
       found->second.registry_epoch == changes.registry_epoch();
-  if (!follows_update) return;
-  const Time now = BootTimeNow();
-  found->second.last_received = changes.number();
+  if (same_process) found->second.last_received = changes.number();
   MergeRecords(from, changes.records(), now);
   SetChangingEndpoints(changes.changing_endpoints(), now);
-  configuration_.OnNotice(from, found->second.data_centre, changes.notice(),
-                          now);
+  configuration_.OnNotice(from, changes.notice(), now);
 }
 
 void EntryNode::MergeRecords(const InstanceId& from,
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -53,7 +53,6 @@
   struct Control {
     Time last_known_at{};
     Time last_update_at{};
-    DataCentreId data_centre;
     std::uint64_t registry_epoch = 0;
     std::uint64_t registry_revision = 0;
     /// Highest number of the messages received from that process.
--- a/main/follower_updates.cc
+++ b/main/follower_updates.cc
@@ -52,7 +52,6 @@
   proto::Update update;
   update.set_registry_epoch(state_.incarnation);
   update.set_registry_revision(state_.registry->revision());
-  update.set_data_centre(state_.settings->data_centre.value());
   for (const EndpointRecord& record :
        state_.registry->ChangedSince(follower.registry_revision)) {
     *update.add_records() = cassiausher::ToProto(record);
@@ -64,8 +63,8 @@
        state_.stage_orders->ChangingEndpoints(*state_.registry, now)) {
     update.add_changing_endpoints(id.value());
   }
+  SetNotice(now, update.mutable_notice());
   const VersionedDocument& current = state_.log->current();
-  WriteNotice(*state_.newest, current.version, now, update.mutable_notice());
   const bool needs_document = !follower.fetches_configuration &&
                               current.version > follower.configuration;
   if (needs_document) {
@@ -84,6 +83,12 @@
   return update;
 }
 
+void FollowerUpdates::SetNotice(Time now,
+                                proto::ConfigurationNotice* notice) const {
+  WriteNotice(*state_.newest, state_.log->current().version, now, notice);
+  notice->set_data_centre(state_.settings->data_centre.value());
+}
+
 void FollowerUpdates::OnPlacements(const InstanceId& from,
                                    const proto::Placements& placements) {
   const auto sender = followers_.find(from);
@@ -140,8 +145,7 @@
        state_.stage_orders->ChangingEndpoints(*state_.registry, now)) {
     changes->add_changing_endpoints(id.value());
   }
-  WriteNotice(*state_.newest, state_.log->current().version, now,
-              changes->mutable_notice());
+  SetNotice(now, changes->mutable_notice());
   const std::size_t bytes = message.ByteSizeLong();
   for (auto& [instance, follower] : followers_) {
     // The next Update repeats the records.
--- a/main/follower_updates.h
+++ b/main/follower_updates.h
@@ -90,6 +90,7 @@
   proto::Update MakeUpdate(const InstanceId& to, const Follower& follower,
                            const std::vector<InstanceId>& controls,
                            Time now) const;
+  void SetNotice(Time now, proto::ConfigurationNotice* notice) const;
   void SendChanges(Time now);
 
   ControlState state_;
