Bound the replicated log and appends on their way by bytes

What callers could have seen: control instances killed for memory, or a full disk, with large configurations.

Cause: a leader had up to 16 appends under way to each follower and kept 32 to 64 entries in the log, whatever their size. With documents of 4 MB, which an operator may send, that is 64 MB a follower, 256 MB of log in memory (the limit is 256 MB) and 128 MB on disk (the disk has 128 MB).

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -10,8 +10,9 @@
 namespace cassiausher {
 namespace {
 
-// Bounds the log on disk, whose entries are whole documents.
+// Bound the log on disk and in memory, whose entries are whole documents.
 constexpr int kEntriesPerSnapshot = 32;
+constexpr std::size_t kBytesPerSnapshot = std::size_t{8} << 20;
 constexpr std::size_t kMaxEntryBytes = std::size_t{8} << 20;
 constexpr Duration kHeartbeat = Milliseconds(200);
 constexpr Duration kElectionTimeoutMin = Milliseconds(900);
@@ -145,6 +146,7 @@
 
 void ConfigurationLog::OnCommitted(const LogEntry& entry) {
   ++entries_since_compaction_;
+  bytes_since_compaction_ += entry.data.size();
   VersionedDocument document;
   const bool has_document = entry.kind == EntryKind::kData;
   if (has_document && !Decode(entry.data, &document)) {
@@ -175,8 +177,11 @@
 }
 
 void ConfigurationLog::Compact() {
-  if (entries_since_compaction_ < kEntriesPerSnapshot) return;
+  const bool due = entries_since_compaction_ >= kEntriesPerSnapshot ||
+                   bytes_since_compaction_ >= kBytesPerSnapshot;
+  if (!due) return;
   entries_since_compaction_ = 0;
+  bytes_since_compaction_ = 0;
   host_->raft().Compact(host_->raft().applied_index(),
                         Encode(register_.current()));
 }
--- a/main/configuration_log.h
+++ b/main/configuration_log.h
@@ -3,6 +3,7 @@
 #ifndef MAIN_CONFIGURATION_LOG_H_
 #define MAIN_CONFIGURATION_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -108,6 +109,7 @@
   std::map<std::uint64_t, Waiter> reads_;
   std::uint64_t next_read_ = 1;
   int entries_since_compaction_ = 0;
+  std::size_t bytes_since_compaction_ = 0;
   /// The replica is to be replaced by one with an empty log.
   bool reset_due_ = false;
 };
--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -591,9 +591,11 @@
       Snapshot{index, *log_.TermAt(index), at->second, std::move(state)});
   configurations_.erase(configurations_.begin(), at);
   output_.save_snapshot = *snapshot_;
+  LogIndex base = log_.IndexBefore(index, options_.bytes_kept_after_compaction);
   if (index > options_.entries_kept_after_compaction) {
-    log_.CompactTo(index - options_.entries_kept_after_compaction);
+    base = std::max(base, index - options_.entries_kept_after_compaction);
   }
+  log_.CompactTo(base);
   return true;
 }
 
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -17,6 +17,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "proto/gen/raft.pb.h"
+#include "servers/consensus/inflight_appends.h"
 #include "servers/consensus/log_storage.h"
 #include "servers/consensus/raft_log.h"
 #include "servers/consensus/raft_types.h"
@@ -48,6 +49,9 @@
   std::size_t max_append_bytes = 64 * 1024;
   /// Maximum unacknowledged appends per follower.
   std::size_t max_inflight = 16;
+  /// No further append is sent to a follower while its unacknowledged appends
+  /// hold at least this much data.
+  std::size_t max_inflight_bytes = std::size_t{4} * 1024 * 1024;
   std::size_t snapshot_chunk_bytes = 256 * 1024;
   /// Larger snapshots from a leader are rejected as malformed.
   std::size_t max_snapshot_bytes = std::size_t{512} * 1024 * 1024;
@@ -57,6 +61,8 @@
   /// Entries before the compacted index that stay in memory, so that a follower
   /// slightly behind needs no snapshot.
   std::size_t entries_kept_after_compaction = 256;
+  /// Fewer are kept if they hold more data than this.
+  std::size_t bytes_kept_after_compaction = std::size_t{4} * 1024 * 1024;
   /// The leader replaces an unresponsive voter by a replica of the same
   /// instance that has no configuration: an instance that returned with an
   /// empty disk.
@@ -243,8 +249,7 @@
     /// For kProbe and kSnapshot: a message is in flight; the next one is sent
     /// after its reply or at the next heartbeat.
     bool awaiting_reply = false;
-    /// Last index of each append in flight, ascending.
-    std::deque<LogIndex> inflight;
+    InflightAppends inflight;
     /// Highest heartbeat round the member replied to.
     std::uint64_t round = 0;
     Time last_reply{};
@@ -317,6 +322,7 @@
   // Replication on the leader.
   void Broadcast(SendReason reason);
   void SendAppends(const ReplicaId& to, Progress& progress, SendReason reason);
+  bool HasRoomInFlight(const Progress& progress) const;
   void SendAppend(const ReplicaId& to, LogIndex next,
                   const std::vector<LogEntry>& entries);
   void SendSnapshotChunk(const ReplicaId& to, Progress& progress);
--- a/servers/consensus/raft_log.cc
+++ b/servers/consensus/raft_log.cc
@@ -37,6 +37,17 @@
   return result;
 }
 
+LogIndex RaftLog::IndexBefore(LogIndex last, std::size_t max_bytes) const {
+  std::size_t bytes = 0;
+  LogIndex index = last;
+  while (index > base_index_) {
+    bytes += At(index).data.size();
+    if (bytes > max_bytes) break;
+    --index;
+  }
+  return index;
+}
+
 void RaftLog::Append(LogEntry entry) {
   CheckInvariant(entry.index == LastIndex() + 1, "log indexes are consecutive");
   CheckInvariant(entry.term >= LastTerm(), "log terms never decrease");
--- a/servers/consensus/raft_log.h
+++ b/servers/consensus/raft_log.h
@@ -30,6 +30,10 @@
   /// least one.
   std::vector<LogEntry> Slice(LogIndex first, std::size_t max_bytes) const;
 
+  /// Lowest index such that the entries after it, up to `last`, hold at most
+  /// `max_bytes` of data.
+  LogIndex IndexBefore(LogIndex last, std::size_t max_bytes) const;
+
   void Append(LogEntry entry);
   void TruncateFrom(LogIndex first_removed);
   /// Removes the entries up to and including `index`, which must be in memory.
--- a/servers/consensus/raft_replication.cc
+++ b/servers/consensus/raft_replication.cc
@@ -9,6 +9,15 @@
 #include "servers/consensus/raft.h"
 
 namespace cassiausher {
+namespace {
+
+std::size_t DataBytes(const std::vector<LogEntry>& entries) {
+  std::size_t bytes = 0;
+  for (const LogEntry& entry : entries) bytes += entry.data.size();
+  return bytes;
+}
+
+}  // namespace
 
 // --- Leader ----------------------------------------------------------------
 
@@ -38,12 +47,11 @@
     return;
   }
   bool sent = false;
-  while (progress.next <= log_.LastIndex() &&
-         progress.inflight.size() < options_.max_inflight) {
+  while (progress.next <= log_.LastIndex() && HasRoomInFlight(progress)) {
     const auto entries = log_.Slice(progress.next, options_.max_append_bytes);
     SendAppend(to, progress.next, entries);
     progress.next = entries.back().index + 1;
-    progress.inflight.push_back(entries.back().index);
+    progress.inflight.Add(entries.back().index, DataBytes(entries));
     sent = true;
   }
   if (!sent && reason != SendReason::kEntries) {
@@ -51,6 +59,11 @@
   }
 }
 
+bool Raft::HasRoomInFlight(const Progress& progress) const {
+  return progress.inflight.count() < options_.max_inflight &&
+         progress.inflight.bytes() < options_.max_inflight_bytes;
+}
+
 void Raft::SendAppend(const ReplicaId& to, LogIndex next,
                       const std::vector<LogEntry>& entries) {
   proto::RaftMessage message = NewMessage(to);
@@ -70,7 +83,7 @@
                  "a snapshot covers the compacted entries");
   progress.state = Replication::kSnapshot;
   progress.awaiting_reply = false;
-  progress.inflight.clear();
+  progress.inflight.Clear();
   progress.snapshot = snapshot_;
   progress.snapshot_offset = 0;
 }
@@ -132,16 +145,13 @@
           : log_.LastIndexWithTermAtMost(reply.hint_term(), hint);
   progress.state = Replication::kProbe;
   progress.awaiting_reply = false;
-  progress.inflight.clear();
+  progress.inflight.Clear();
   progress.next = std::max(progress.match, agreed) + 1;
 }
 
 void Raft::OnMatch(const ReplicaId& from, Progress& progress, LogIndex match) {
   if (match > progress.match) progress.match = match;
-  while (!progress.inflight.empty() &&
-         progress.inflight.front() <= progress.match) {
-    progress.inflight.pop_front();
-  }
+  progress.inflight.OnMatch(progress.match);
   const bool probe_acknowledged =
       progress.state == Replication::kProbe && match + 1 >= progress.next;
   const bool snapshot_installed = progress.state == Replication::kSnapshot &&
@@ -150,7 +160,7 @@
     progress.state = Replication::kPipeline;
     progress.awaiting_reply = false;
     progress.snapshot.reset();
-    progress.inflight.clear();
+    progress.inflight.Clear();
     progress.next = progress.match + 1;
   }
   progress.next = std::max(progress.next, progress.match + 1);
--- a/tests/consensus/group.h
+++ b/tests/consensus/group.h
@@ -37,13 +37,14 @@
   }
 
   void Start(const std::string& name, std::uint64_t storage) {
-    RaftOptions options{.self = InstanceId(name),
-                        .new_storage_id = storage,
-                        .initial_voters = initial_voters_,
-                        .seed = std::hash<std::string>{}(name) + storage,
-                        .snapshot_chunk_bytes = 4,
-                        .entries_kept_after_compaction = 0,
-                        .replace_same_instance = replace_same_instance};
+    RaftOptions options{
+        .self = InstanceId(name),
+        .new_storage_id = storage,
+        .initial_voters = initial_voters_,
+        .seed = std::hash<std::string>{}(name) + storage,
+        .snapshot_chunk_bytes = 4,
+        .entries_kept_after_compaction = entries_kept_after_compaction,
+        .replace_same_instance = replace_same_instance};
     nodes[name] = {std::make_unique<Raft>(options, StoredState{}, now)};
   }
 
@@ -98,6 +99,7 @@
 
   std::map<std::string, GroupNode> nodes;
   bool replace_same_instance = false;
+  std::size_t entries_kept_after_compaction = 0;
   std::set<std::string> disconnected;
   std::set<std::string> paused;
   /// Called with each message before it is delivered or dropped.
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -228,3 +228,66 @@
               static_cast<double>(messages) / kSeconds, leader);
   CHECK(leader < kTargetBytesPerSecond);
 }
+
+// Guards against an instance without contact to a quorum that vouches for its
+// configuration as the newest.
+TEST(Raft, OnlyALeaderInContactWithAQuorumIsConfirmed) {
+  group.Run(Seconds(3));
+  const std::string leader = group.Leader();
+  CHECK(!group.At(Follower()).QuorumConfirmedAt().has_value());
+  CHECK(group.At(leader).QuorumConfirmedAt().value() >=
+        group.now - Milliseconds(200));
+  const Time isolated_at = group.now;
+  group.disconnected = {leader};
+  group.Run(Milliseconds(800));
+  const auto confirmed_at = group.At(leader).QuorumConfirmedAt();
+  CHECK(!confirmed_at.has_value() || *confirmed_at <= isolated_at);
+  group.Run(Seconds(2));
+  CHECK(!group.At(leader).QuorumConfirmedAt().has_value());
+}
+
+// Guards against a leader whose memory grows with the size of the entries that
+// an unreachable follower hasn't acknowledged (beside incident inc1).
+TEST(Raft, AppendsOnTheirWayAreBoundedInBytes) {
+  constexpr std::size_t kEntryBytes = 1000 * 1000;
+  const RaftOptions defaults;
+  group.Run(Seconds(3));
+  const std::string silent = Follower();
+  std::size_t sent = 0;
+  group.observer = [&](const proto::RaftMessage& message) {
+    if (message.to().instance() == silent) sent += message.ByteSizeLong();
+  };
+  group.disconnected = {silent};
+  for (std::size_t i = 0; i < defaults.max_inflight; ++i) {
+    group.LeaderRaft().Propose(std::string(kEntryBytes, 'x'), group.now);
+    group.Settle();
+  }
+  CHECK(sent < defaults.max_inflight_bytes + 2 * kEntryBytes);
+  group.observer = nullptr;
+  group.disconnected.clear();
+  group.Run(Seconds(2));
+  LONGS_EQUAL(group.LeaderRaft().last_index(), group.At(silent).last_index());
+}
+
+// Guards against a log whose memory grows with the size of its entries: only
+// their number was bounded (beside incident inc1).
+TEST(Raft, EntriesKeptAfterCompactionAreBoundedInBytes) {
+  constexpr std::size_t kEntryBytes = 1000 * 1000;
+  constexpr int kEntries = 20;
+  const RaftOptions defaults;
+  group.entries_kept_after_compaction = kEntries;
+  group.Start("a", 2);
+  group.Start("b", 2);
+  group.Start("c", 2);
+  group.Run(Seconds(3));
+  for (int i = 0; i < kEntries; ++i) {
+    group.LeaderRaft().Propose(std::string(kEntryBytes, 'x'), group.now);
+    group.Settle();
+  }
+  Raft& leader = group.LeaderRaft();
+  CHECK(leader.Compact(leader.applied_index(), "state"));
+  const std::uint64_t kept =
+      leader.last_index() + 1 - leader.first_kept_index();
+  CHECK(kept * kEntryBytes <= defaults.bytes_kept_after_compaction);
+  CHECK(kept > 0);
+}
