Take the retries of a failover when it is decided

Cause: RequestForwarder looked at the retry budget for the two calls of a failover (prompt and second run) without taking them. Other requests of the instance use the budget while the prompt is prefilled; without a retry left, the second run was given up and the caller's stream aborted. The same pattern: a server error of a model endpoint was taken for retryable with one retry left, although the retry takes two calls; and neither decision looked at the limit of calls of a request.

Change: TakeFailOver and TakeServerErrorRetry take all retries that one more run needs (RetryBudget::TryRetries), and Issue() uses those first. A prompt that stalls while a begun stream moves is ended only if the retries for another try are there.

Why this works: what the decision counts on can't be used by others.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -195,7 +195,7 @@
   }
   const bool failed = status >= kServerError;
   if (failed && !exchange_->streaming() &&
-      forwarder_.CanRetryServerError(BootTimeNow())) {
+      forwarder_.TakeServerErrorRetry(BootTimeNow())) {
     FailCall(CallFailure::kServerError, fmt::format("status {}", status));
     return;
   }
@@ -388,7 +388,7 @@
     return;
   }
   if (sent && progress_deadline_.has_value() && now >= *progress_deadline_) {
-    if (!forwarder_.CanFailOver(now)) {
+    if (!forwarder_.TakeFailOver(now)) {
       progress_deadline_ = now + kProgressRecheck;
       return ArmTimer();
     }
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -160,20 +160,40 @@
   return Next(now);
 }
 
-bool RequestForwarder::CanFailOver(Time now) const {
-  if (current_ == CallKind::kPrefill) return true;
-  // Resuming a stream needs a prefill call and a run.
-  const double calls = facts_.has_engine ? 2 : 1;
+int RequestForwarder::CallsPerRun() const {
+  // A model run needs a prefill call before it.
+  return facts_.has_engine ? 2 : 1;
+}
+
+bool RequestForwarder::HasAnotherRun() const {
   return IsRetryable() && runs_ + 1 < facts_.attempts &&
-         budget_->Remaining(now) >= calls &&
+         calls_ + CallsPerRun() <= kMaxCalls &&
          pool_->ReadyCount(facts_.service) > 1;
 }
 
-bool RequestForwarder::CanRetryServerError(Time now) const {
-  return IsRetryable() && runs_ + 1 < facts_.attempts &&
-         budget_->Remaining(now) >= 1 &&
-         pool_->ReadyCount(facts_.service) > 1 &&
-         facts_.deadline - now > kMinAnswerTimeout;
+bool RequestForwarder::ReserveRetries(Time now) {
+  const int missing = std::max(0, CallsPerRun() - reserved_retries_);
+  if (!budget_->TryRetries(missing, now)) return false;
+  reserved_retries_ += missing;
+  return true;
+}
+
+bool RequestForwarder::TakeRetry(Time now) {
+  if (reserved_retries_ == 0) return budget_->TryRetry(now);
+  --reserved_retries_;
+  return true;
+}
+
+bool RequestForwarder::TakeFailOver(Time now) {
+  const bool is_prefill = current_ == CallKind::kPrefill;
+  if (is_prefill && !relayed_) return true;
+  // The caller of a stream that has begun would be cut off without a retry.
+  return (is_prefill || HasAnotherRun()) && ReserveRetries(now);
+}
+
+bool RequestForwarder::TakeServerErrorRetry(Time now) {
+  return HasAnotherRun() && facts_.deadline - now > kMinAnswerTimeout &&
+         ReserveRetries(now);
 }
 
 ForwardStep RequestForwarder::OnDeadline() {
@@ -275,7 +295,7 @@
   // The first prefill call and the first run are part of every request; only
   // calls after a failed one that reached its endpoint are retries.
   const bool is_retry = failed_calls_sent_ > 0;
-  if (is_retry && !budget_->TryRetry(now)) {
+  if (is_retry && !TakeRetry(now)) {
     return GiveUp("the retry budget is spent");
   }
   ++calls_;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -128,7 +128,7 @@
   ForwardStep OnWaitElapsed(Time now);
   ForwardStep OnPrefillDone(KvSource source, Time now);
   /// The current call failed. A server error may be relayed to the caller
-  /// instead; see CanRetryServerError().
+  /// instead; see TakeServerErrorRetry().
   ForwardStep OnCallFailed(CallFailure failure, Time now);
   ForwardStep OnDeadline();
   /// A part of the response was sent to the caller.
@@ -138,12 +138,15 @@
   /// KV memory that the request is expected to hold on its runner.
   MemoryForecast Memory() const;
 
-  /// Whether a call that makes no progress can be ended and continued at
-  /// another endpoint. If not, the call is kept despite its endpoint's silence.
-  bool CanFailOver(Time now) const;
-  /// Whether a server error can be retried at another endpoint. If not, it is
-  /// relayed to the caller.
-  bool CanRetryServerError(Time now) const;
+  /// Whether a call that makes no progress is to be ended and continued at
+  /// another endpoint. If so, the retries for that are taken, and
+  /// OnCallFailed() must follow. If not, the call is kept despite its
+  /// endpoint's silence.
+  bool TakeFailOver(Time now);
+  /// Whether a server error is to be retried at another endpoint. If so, the
+  /// retries for that are taken, and OnCallFailed() must follow. If not, the
+  /// error is relayed to the caller.
+  bool TakeServerErrorRetry(Time now);
   /// Returns and clears a handle that no run has used and that may still hold
   /// memory.
   std::optional<KvSource> TakeUnusedHandle();
@@ -151,6 +154,15 @@
  private:
   /// Whether the request may run more than once.
   bool IsRetryable() const;
+  /// Calls that one more run takes.
+  int CallsPerRun() const;
+  /// Whether another run may follow a failure of the current one.
+  bool HasAnotherRun() const;
+  /// Takes the retries for one more run. All are taken at the decision, since
+  /// other requests use the budget while the prompt is prefilled again.
+  bool ReserveRetries(Time now);
+  /// Takes a reserved retry, or else one from the budget.
+  bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
@@ -191,6 +203,8 @@
   /// takes a retry from the budget.
   int failed_calls_sent_ = 0;
   int calls_ = 0;
+  /// Taken from the budget and not used yet.
+  int reserved_retries_ = 0;
   /// Decode runner of the stream while its prompt is prefilled.
   struct Reservation {
     EndpointId endpoint;
--- a/servers/routing/retry_budget.cc
+++ b/servers/routing/retry_budget.cc
@@ -33,10 +33,10 @@
   return std::max(0.0, allowed - static_cast<double>(window_total_.retries));
 }
 
-bool RetryBudget::TryRetry(Time now) {
-  if (Remaining(now) < 1) return false;
-  ++Advance(now).retries;
-  ++window_total_.retries;
+bool RetryBudget::TryRetries(int count, Time now) {
+  if (Remaining(now) < count) return false;
+  Advance(now).retries += count;
+  window_total_.retries += count;
   return true;
 }
 
--- a/servers/routing/retry_budget.h
+++ b/servers/routing/retry_budget.h
@@ -25,8 +25,10 @@
 
   /// Records the first attempt of a request.
   void OnRequest(Time now);
-  /// Takes one retry from the budget. Returns false if it is exhausted.
-  bool TryRetry(Time now);
+  /// Takes `count` retries from the budget, or none if fewer are left, and
+  /// returns whether it did.
+  bool TryRetries(int count, Time now);
+  bool TryRetry(Time now) { return TryRetries(1, now); }
   /// Number of retries left at `now`.
   double Remaining(Time now);
 
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -211,6 +211,26 @@
       Is<AbortStream>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
 }
 
+// LOST on kfl-fitting-grown trouble-3: a stalled stream was ended to go on
+// elsewhere while two retries were left. Another request took one between the
+// stream's prompt and its second run, and the caller's stream was cut.
+TEST(RequestForwarder, AFailOverKeepsItsRetriesUntilTheSecondRun) {
+  AddRunners();
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0.2});
+  RequestForwarder stalled = Make(StreamFacts(true));
+  stalled.Start(kStart);
+  stalled.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
+  stalled.OnRelayed();
+  CHECK_TRUE(stalled.TakeFailOver(kStart));
+  const ForwardStep prefill =
+      stalled.OnCallFailed(CallFailure::kBroken, kStart);
+  CHECK_TRUE(Call(prefill).kind == CallKind::kPrefill);
+  budget.TryRetry(kStart);
+  const ForwardStep run = stalled.OnPrefillDone({"10.0.0.1:80", "i"}, kStart);
+  CHECK_FALSE(Is<AbortStream>(run));
+  CHECK_TRUE(Call(run).kind == CallKind::kRun);
+}
+
 // If a link loses packets, many streams stall at once. A stalled stream that
 // has no retry budget left to fail over must be kept, not ended.
 TEST(RequestForwarder, AStalledRunIsKeptIfItCantFailOver) {
@@ -218,15 +238,15 @@
   budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0.1});
   RequestForwarder forwarder = Make(StreamFacts(true));
   forwarder.Start(kStart);
-  CHECK_TRUE(forwarder.CanFailOver(kStart));
+  CHECK_TRUE(forwarder.TakeFailOver(kStart));
   forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  CHECK_FALSE(forwarder.CanFailOver(kStart));
+  CHECK_FALSE(forwarder.TakeFailOver(kStart));
   budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 1});
-  CHECK_TRUE(forwarder.CanFailOver(kStart));
+  CHECK_TRUE(forwarder.TakeFailOver(kStart));
   RequestForwarder once = Make(StreamFacts(false));
   once.Start(kStart);
   once.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  CHECK_FALSE(once.CanFailOver(kStart));
+  CHECK_FALSE(once.TakeFailOver(kStart));
 }
 
 // A runner dies while the others are full.
