Settle three of the faults seen by reading

- A record of another control instance without an address is malformed now, as its comment had promised; RecordWithoutAddressIsMalformed failed before.
- EventRateLimiter kept limited_second_, which never changed its answer: it is set with the 100th line and read from the 101st on.
Removed; log_test passes unchanged.
- Membership::last_seen_ was written and not read.
Control, core and membership tests pass.

--- a/core/log.cc
+++ b/core/log.cc
@@ -61,12 +61,10 @@
       lines_ = 0;
     }
     ++lines_;
-    if (lines_ > kLinesPerSecond && limited_second_ == second) {
+    if (lines_ > kLinesPerSecond) {
       ++left_out_;
       return false;
     }
-    // The limit for this second is reached.
-    if (lines_ >= kLinesPerSecond) limited_second_ = second;
     *left_out = std::exchange(left_out_, 0);
     return true;
   }
@@ -74,7 +72,6 @@
  private:
   static constexpr int kLinesPerSecond = 100;
   std::int64_t second_ = 0;
-  std::int64_t limited_second_ = 0;
   int lines_ = 0;
   std::uint64_t left_out_ = 0;
 };
--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -60,6 +60,7 @@
 
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record) {
   if (message.id().empty() || message.born_ms() == 0) return false;
+  if (message.address().empty()) return false;
   if (!proto::EndpointRole_IsValid(message.role())) return false;
   if (!proto::EndpointLifecycle_IsValid(message.state())) return false;
   *record = {.id = EndpointId(message.id()),
--- a/servers/control/endpoint_record.h
+++ b/servers/control/endpoint_record.h
@@ -46,8 +46,8 @@
 std::string_view Name(EndpointRole role);
 
 proto::EndpointRecord ToProto(const EndpointRecord& record);
-/// Returns false if the message lacks an id or an incarnation, or if its role
-/// or state is unknown.
+/// Returns false if the message lacks an id, an address or an incarnation, or
+/// if its role or state is unknown.
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record);
 
 }  // namespace cassiausher
--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -88,7 +88,6 @@
       next_reconnect_(now),
       next_reclaim_(now + Seconds(1)),
       next_sync_(now),
-      last_seen_(now),
       budget_bytes_(static_cast<double>(options_.burst_bytes)),
       budget_updated_(now) {
   table_.Put({.id = options_.self,
@@ -691,7 +690,6 @@
 // Timers and probes.
 
 void Membership::DetectPause(Time now) {
-  last_seen_ = std::max(last_seen_, now);
   const Time due = NextWakeup();
   if (now <= due + options_.pause_threshold) return;
   // Messages that arrived during the pause are still queued, so missing answers
--- a/servers/membership/membership.h
+++ b/servers/membership/membership.h
@@ -340,7 +340,6 @@
   Time next_reconnect_;
   Time next_reclaim_;
   Time next_sync_;
-  Time last_seen_;
 
   double budget_bytes_;
   Time budget_updated_;
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -57,6 +57,17 @@
              EndpointLifecycle::kDeparted);
 }
 
+// A record of another control instance that names no address would be called at
+// none.
+TEST(EndpointRegistry, RecordWithoutAddressIsMalformed) {
+  EndpointRecord decoded;
+  proto::EndpointRecord message = ToProto(Runner(1, 1));
+  CHECK_TRUE(FromProto(message, &decoded));
+  CHECK_TRUE(decoded == Runner(1, 1));
+  message.clear_address();
+  CHECK_FALSE(FromProto(message, &decoded));
+}
+
 // A runner may restart under the same id; its sequence numbers start again.
 TEST(EndpointRegistry, LaterIncarnationReplacesADepartedOne) {
   registry.Update(Runner(7, 50), kStart);
