Serve by an older configuration out of touch, and never start on one

Change: a newer version makes requests overdue only while a leader's confirmation is recent; the first configuration of a process gets no grace. An instance that refuses for this reason isn't ready, so that the load balancer sends callers to others.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -109,8 +109,9 @@
 }
 
 bool EntryNode::Ready() const {
-  return configuration_.routes() != nullptr && pool_.HasEndpoints() &&
-         !on_done_;
+  if (configuration_.routes() == nullptr || on_done_) return false;
+  if (configuration_.freshness().IsOverdue(BootTimeNow())) return false;
+  return pool_.HasEndpoints();
 }
 
 // --- Callers ---------------------------------------------------------------
--- a/servers/entry/configuration_freshness.cc
+++ b/servers/entry/configuration_freshness.cc
@@ -24,11 +24,15 @@
 }
 
 void ConfigurationFreshness::OnApplied(Revision version) {
+  const bool is_first = applied_ == Revision(0);
   applied_ = version;
   newest_.Learn(version, std::nullopt);
   while (!missing_.empty() && missing_.front().version <= version) {
     missing_.pop_front();
   }
+  // The grace period is for changes that arrive while requests are served. An
+  // instance that starts serves nothing by a configuration known to be older.
+  first_was_outdated_ = is_first && !missing_.empty();
 }
 
 bool ConfigurationFreshness::MayBeOutdated(Time now) const {
@@ -38,7 +42,12 @@
 
 bool ConfigurationFreshness::IsOverdue(Time now) const {
   if (missing_.empty()) return false;
-  return now - missing_.front().known_at >= options_.grace;
+  // Out of touch, the instance goes on serving what it can.
+  if (!newest_.ConfirmedWithin(options_.confirmation_lifetime, now)) {
+    return false;
+  }
+  return first_was_outdated_ ||
+         now - missing_.front().known_at >= options_.grace;
 }
 
 }  // namespace cassiausher
--- a/servers/entry/configuration_freshness.h
+++ b/servers/entry/configuration_freshness.h
@@ -40,7 +40,8 @@
   /// A newer version is known, or none was ruled out recently. A request that
   /// the configuration doesn't allow must not be rejected for good.
   bool MayBeOutdated(Time now) const;
-  /// A newer version has been known for longer than the grace period.
+  /// This instance is in touch, and a newer version has been known for longer
+  /// than the grace period. Requests must not be served by the older one.
   bool IsOverdue(Time now) const;
 
  private:
@@ -55,6 +56,9 @@
   Revision applied_{0};
   /// Ascending by version and time, all above `applied_`; bounded.
   std::deque<Missing> missing_;
+  /// The configuration in use is the first of this process, and a newer one was
+  /// known when it was applied.
+  bool first_was_outdated_ = false;
 };
 
 }  // namespace cassiausher
--- a/tests/entry/configuration_freshness_test.cc
+++ b/tests/entry/configuration_freshness_test.cc
@@ -54,8 +54,8 @@
 TEST(ConfigurationFreshness, OverdueSinceTheOldestMissingVersionWasKnown) {
   const Duration grace = ConfigurationFreshnessOptions{}.grace;
   const Time later = kStart + Milliseconds(700);
-  freshness.OnNotice(kNew, std::nullopt, kStart);
-  freshness.OnNotice(Revision(9), std::nullopt, later);
+  freshness.OnNotice(kNew, kStart, kStart);
+  freshness.OnNotice(Revision(9), later, later);
   CHECK_FALSE(freshness.IsOverdue(kStart + grace - Milliseconds(1)));
   CHECK_TRUE(freshness.IsOverdue(kStart + grace));
   freshness.OnApplied(kNew);
@@ -63,4 +63,25 @@
   CHECK_TRUE(freshness.IsOverdue(later + grace));
 }
 
+// A data centre that is cut off goes on serving what it can, although one of
+// its control instances heard of a change that it doesn't hold.
+TEST(ConfigurationFreshness, NotOverdueOutOfTouch) {
+  const Time cut_at = kStart + Seconds(1);
+  freshness.OnNotice(kNew, cut_at, cut_at);
+  CHECK_TRUE(freshness.IsOverdue(cut_at + Milliseconds(1800)));
+  CHECK_FALSE(freshness.IsOverdue(cut_at + Milliseconds(1801)));
+  CHECK_TRUE(freshness.MayBeOutdated(cut_at + Seconds(60)));
+}
+
+// In incident inc1, a control instance that wasn't a voter held version 2 for
+// the whole day. An instance that starts may get its first document there.
+TEST(ConfigurationFreshness, OutdatedFirstConfigurationGetsNoGrace) {
+  ConfigurationFreshness starting{ConfigurationFreshnessOptions{}};
+  starting.OnNotice(kNew, kStart, kStart);
+  starting.OnApplied(kOld);
+  CHECK_TRUE(starting.IsOverdue(kStart));
+  starting.OnApplied(kNew);
+  CHECK_FALSE(starting.IsOverdue(kStart));
+}
+
 }  // namespace cassiausher
