--- a/tests/entry/configuration_fetcher_test.cc
+++ b/tests/entry/configuration_fetcher_test.cc
@@ -9,10 +9,10 @@
 namespace cassiausher {
 namespace {
 
-const InstanceId kNear{"10.1.0.1"};
-const InstanceId kFar{"10.2.0.1"};
-const DataCentreId kOwnDataCentre{"dc1"};
-const DataCentreId kOtherDataCentre{"dc2"};
+const InstanceId near_source{"10.1.0.1"};
+const InstanceId far_source{"10.2.0.1"};
+const DataCentreId own_data_centre{"dc1"};
+const DataCentreId other_data_centre{"dc2"};
 constexpr Time kStart{Seconds(100)};
 constexpr Duration kSettled = Milliseconds(50);
 constexpr Revision kOld{4};
@@ -30,11 +30,11 @@
 
 TEST_GROUP(ConfigurationFetcher) {
   ConfigurationFetcher fetcher{
-      {.self = InstanceId("10.1.0.9"), .data_centre = kOwnDataCentre}};
+      {.self = InstanceId("10.1.0.9"), .data_centre = own_data_centre}};
 
   void Announce(Revision near_version, Revision far_version, Time now) {
-    fetcher.OnSource(kNear, kOwnDataCentre, near_version, now);
-    fetcher.OnSource(kFar, kOtherDataCentre, far_version, now);
+    fetcher.OnSource(near_source, own_data_centre, near_version, now);
+    fetcher.OnSource(far_source, other_data_centre, far_version, now);
   }
 
   // Requests after both sources have had the new version for a while.
@@ -47,7 +47,7 @@
 
 TEST(ConfigurationFetcher, SourceInTheOwnDataCentreIsPreferred) {
   const ChunkRequest request = FirstRequest();
-  CHECK_TRUE(request.source == kNear);
+  CHECK_TRUE(request.source == near_source);
   CHECK_TRUE(request.version == kNew);
   LONGS_EQUAL(0, request.offset);
 }
@@ -65,10 +65,11 @@
 
 TEST(ConfigurationFetcher, ChunksAreRequestedOneAfterTheOther) {
   FirstRequest();
-  CHECK_FALSE(fetcher.OnChunk(kNear, ChunkOf(kNew, 0, "abc", 5)).has_value());
+  CHECK_FALSE(
+      fetcher.OnChunk(near_source, ChunkOf(kNew, 0, "abc", 5)).has_value());
   const auto request = fetcher.NextRequest(kOld, kStart + kSettled);
   LONGS_EQUAL(3, request->offset);
-  const auto document = fetcher.OnChunk(kNear, ChunkOf(kNew, 3, "de", 5));
+  const auto document = fetcher.OnChunk(near_source, ChunkOf(kNew, 3, "de", 5));
   CHECK_TRUE(document->version == kNew);
   STRCMP_EQUAL("abcde", document->compressed.c_str());
   CHECK_FALSE(fetcher.NextRequest(kNew, kStart + kSettled).has_value());
@@ -80,30 +81,35 @@
   Announce(kNew, kNew, late);
   CHECK_FALSE(fetcher.NextRequest(kOld, late).has_value());
   const auto request = fetcher.NextRequest(kOld, late + kSettled);
-  CHECK_TRUE(request->source == kFar);
+  CHECK_TRUE(request->source == far_source);
 }
 
 TEST(ConfigurationFetcher, SilentSourceIsNotAsked) {
   Announce(kNew, kNew, kStart);
   const Time late = kStart + Seconds(3);
-  fetcher.OnSource(kFar, kOtherDataCentre, kNew, late);
+  fetcher.OnSource(far_source, other_data_centre, kNew, late);
   fetcher.NextRequest(kOld, late);
-  CHECK_TRUE(fetcher.NextRequest(kOld, late + kSettled)->source == kFar);
+  CHECK_TRUE(fetcher.NextRequest(kOld, late + kSettled)->source == far_source);
 }
 
 // A control instance that started anew may deliver an older document at first.
 TEST(ConfigurationFetcher, OlderOrMisplacedChunkIsIgnored) {
   FirstRequest();
-  CHECK_FALSE(fetcher.OnChunk(kNear, ChunkOf(kOld, 0, "x", 1)).has_value());
-  CHECK_FALSE(fetcher.OnChunk(kNear, ChunkOf(kNew, 1, "x", 2)).has_value());
-  CHECK_FALSE(fetcher.OnChunk(kFar, ChunkOf(kNew, 0, "x", 1)).has_value());
-  CHECK_TRUE(fetcher.OnChunk(kNear, ChunkOf(kNew, 0, "x", 1)).has_value());
+  CHECK_FALSE(
+      fetcher.OnChunk(near_source, ChunkOf(kOld, 0, "x", 1)).has_value());
+  CHECK_FALSE(
+      fetcher.OnChunk(near_source, ChunkOf(kNew, 1, "x", 2)).has_value());
+  CHECK_FALSE(
+      fetcher.OnChunk(far_source, ChunkOf(kNew, 0, "x", 1)).has_value());
+  CHECK_TRUE(
+      fetcher.OnChunk(near_source, ChunkOf(kNew, 0, "x", 1)).has_value());
 }
 
 TEST(ConfigurationFetcher, NewerDocumentThanRequestedStartsAnew) {
   FirstRequest();
   const Revision newer(9);
-  CHECK_FALSE(fetcher.OnChunk(kNear, ChunkOf(newer, 0, "a", 2)).has_value());
+  CHECK_FALSE(
+      fetcher.OnChunk(near_source, ChunkOf(newer, 0, "a", 2)).has_value());
   const auto request = fetcher.NextRequest(kOld, kStart + kSettled);
   CHECK_TRUE(request->version == newer);
   LONGS_EQUAL(1, request->offset);
@@ -111,7 +117,7 @@
 
 TEST(ConfigurationFetcher, RejectedDocumentIsNotFetchedAgain) {
   FirstRequest();
-  fetcher.OnChunk(kNear, ChunkOf(kNew, 0, "x", 1));
+  fetcher.OnChunk(near_source, ChunkOf(kNew, 0, "x", 1));
   fetcher.Reject(kNew);
   const Time late = kStart + Seconds(1);
   Announce(kNew, kNew, late);
