Keep a control instance running while its replica can't be started anew

Cause: a voter whose disk was full had been replaced by a spare. It dropped its replica and couldn't create the folder of a new one (no space), but kept the half-started RaftHost and used it in the same tick.

Change: without a working disk there is no replica; the instance goes on as one that follows nobody (calls for the leader get 503, heartbeats are taken) and tries again each 500 ms.

Result: ReplacedReplicaWaitsForItsDisk, which puts a file in place of the data folder, crashed with signal 11 before and passes; the four node tests pass. A control process that starts on a full disk still ends with start_failed and is started again by the platform, as before.

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -14,6 +14,9 @@
 constexpr int kEntriesPerSnapshot = 32;
 constexpr std::size_t kBytesPerSnapshot = std::size_t{8} << 20;
 constexpr std::size_t kMaxEntryBytes = std::size_t{8} << 20;
+// Interval between attempts to start a replica anew, for example while the disk
+// is full.
+constexpr Duration kResetRetryPeriod = Milliseconds(500);
 constexpr Duration kHeartbeat = Milliseconds(200);
 constexpr Duration kElectionTimeoutMin = Milliseconds(900);
 constexpr Duration kElectionTimeoutMax = Milliseconds(1700);
@@ -61,6 +64,7 @@
 }
 
 void ConfigurationLog::OnRaft(const std::string& bytes) {
+  if (host_ == nullptr) return;
   proto::RaftMessage message;
   if (!message.ParseFromString(bytes)) {
     Log(LogLevel::kWarning, "raft_message_malformed");
@@ -70,31 +74,47 @@
 }
 
 void ConfigurationLog::Tick(Time now) {
-  if (std::exchange(reset_due_, false)) {
-    Log(LogLevel::kWarning, "replica_reset",
-        {{"reason", "replaced by another replica"}});
-    host_.reset();
-    std::error_code error;
-    std::filesystem::remove_all(LogFolder(settings_), error);
-    const std::string fault = StartReplica(false);
-    if (!fault.empty()) {
-      Log(LogLevel::kError, "replica_start_failed", {{"error", fault}});
-    }
+  if (reset_due_ && now >= next_reset_) {
+    next_reset_ = now + kResetRetryPeriod;
+    ResetReplica();
   }
+  if (host_ == nullptr) return;
   host_->Tick();
   if (leading()) AdvanceVoters(now);
 }
 
+void ConfigurationLog::ResetReplica() {
+  Log(LogLevel::kWarning, "replica_reset",
+      {{"reason", "replaced by another replica"}});
+  host_.reset();
+  proposals_.clear();
+  reads_.clear();
+  std::error_code error;
+  std::filesystem::remove_all(LogFolder(settings_), error);
+  const std::string fault = StartReplica(false);
+  reset_due_ = !fault.empty();
+  if (fault.empty()) return;
+  host_.reset();
+  Log(LogLevel::kError, "replica_start_failed", {{"error", fault}});
+}
+
 void ConfigurationLog::TransferLeadership(Time now) {
+  if (!leading()) return;
   host_->raft().TransferLeadership(std::nullopt, now);
   host_->Drain();
 }
 
 bool ConfigurationLog::leading() const {
-  return host_->raft().role() == RaftRole::kLeader;
+  return host_ != nullptr && host_->raft().role() == RaftRole::kLeader;
+}
+
+std::optional<Time> ConfigurationLog::ConfirmedAt() const {
+  if (!leading()) return std::nullopt;
+  return host_->raft().QuorumConfirmedAt();
 }
 
 InstanceId ConfigurationLog::leader() const {
+  if (host_ == nullptr) return {};
   return host_->raft().leader().instance;
 }
 
@@ -240,8 +260,9 @@
 }
 
 std::unique_ptr<proto::Members> ConfigurationLog::Members() const {
+  if (!leading()) return nullptr;
   const Raft& raft = host_->raft();
-  if (!leading() || !raft.configuration_committed()) return nullptr;
+  if (!raft.configuration_committed()) return nullptr;
   auto members = std::make_unique<proto::Members>();
   *members->mutable_configuration() = ToProto(raft.configuration());
   members->set_commit(raft.commit_index());
@@ -249,6 +270,7 @@
 }
 
 void ConfigurationLog::OnMembers(const proto::Members& members) {
+  if (host_ == nullptr) return;
   const Raft& raft = host_->raft();
   const auto configuration = FromProto(members.configuration());
   if (!configuration.has_value()) return;
--- a/main/configuration_log.h
+++ b/main/configuration_log.h
@@ -51,15 +51,14 @@
   void TransferLeadership(Time now);
 
   bool leading() const;
+  /// Leader only.
   Term term() const { return host_->raft().term(); }
   /// Empty if unknown.
   InstanceId leader() const;
   const VersionedDocument& current() const { return register_.current(); }
   /// When a quorum last confirmed that this leader's current() was the newest;
   /// empty if this instance doesn't lead.
-  std::optional<Time> ConfirmedAt() const {
-    return host_->raft().QuorumConfirmedAt();
-  }
+  std::optional<Time> ConfirmedAt() const;
 
   /// Leader only. Answered by OnSubmitted(); not at all if the proposal is
   /// refused or leadership is lost.
@@ -94,6 +93,9 @@
   void OnRoleChanged() override;
 
   std::string StartReplica(bool may_bootstrap);
+  /// Replaces the replica by one with an empty log. Without a working disk
+  /// there is no replica afterwards, and the reset stays due.
+  void ResetReplica();
   void Apply(VersionedDocument document);
   void AdvanceVoters(Time now);
   void Compact();
@@ -102,6 +104,7 @@
   Metrics& metrics_;
   GMainContext* context_;
   ConfigurationLogDelegate& delegate_;
+  /// Null while the replica can't be started anew.
   std::unique_ptr<RaftHost> host_;
   ConfigurationRegister register_;
   /// By log index.
@@ -112,6 +115,7 @@
   std::size_t bytes_since_compaction_ = 0;
   /// The replica is to be replaced by one with an empty log.
   bool reset_due_ = false;
+  Time next_reset_{};
 };
 
 }  // namespace cassiausher
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
 #include <string>
@@ -233,6 +234,45 @@
   CHECK_TRUE(Decompress(compressed, document.size()) == document);
 }
 
+// A voter whose disk was full was replaced, and crashed when it couldn't start
+// its replica anew: found by a day of large configurations and a full disk.
+TEST(NodeRoles, ReplacedReplicaWaitsForItsDisk) {
+  StartControl();
+  CHECK_TRUE(RunUntil(
+      [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
+  proto::Members members;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    if (message.has_sync() && message.sync().has_members()) {
+      members = message.sync().members();
+    }
+  };
+  const auto send_members = [&] {
+    proto::NodeMessage message;
+    auto* sync = message.mutable_sync();
+    if (members.commit() > 0) *sync->mutable_members() = members;
+    peer->link.Send(InstanceId(kNodeIp), message);
+    RunFor(Milliseconds(100));
+  };
+  CHECK_TRUE(RunUntil([&] {
+    send_members();
+    return members.commit() > 0;
+  }));
+  peer->on_message = nullptr;
+  // A file in place of the folder makes every write fail.
+  std::filesystem::remove_all(folder);
+  CHECK_TRUE(std::ofstream(folder).put('x').good());
+  members.set_commit(members.commit() + 1);
+  members.mutable_configuration()->mutable_voters(0)->set_instance(kPeerIp);
+  for (int i = 0; i < 5; ++i) send_members();
+  LONGS_EQUAL(503, Call("GET", "/api/config", ""));
+  LONGS_EQUAL(200, Call("PUT", "/api/instances/e1", Heartbeat(1)));
+  std::filesystem::remove(folder);
+  CHECK_TRUE(RunUntil([&] {
+    RunFor(Milliseconds(100));
+    return std::filesystem::exists(folder + "/log");
+  }));
+}
+
 // Incident inc1: a route of a confirmed change was answered 404 by an entry
 // instance that hadn't received the change.
 TEST(NodeRoles, UnknownRouteIsNotRejectedWhileANewerVersionIsKnown) {
