Log and count the request rates that endpoints name

No log line or metric mentioned a limit, so that the hypotheses (never read; kept by each entry instance alone; exceeded by retries only) could be told apart only by counting calls by hand. An answer's limit is read in the adapter, logged and counted; nothing acts on it yet.

--- a/core/units.h
+++ b/core/units.h
@@ -18,6 +18,8 @@
 using Epoch = StrongNumber<struct EpochTag, std::uint64_t>;
 /// Distinguishes the runs of one instance or endpoint; increases at each start.
 using Incarnation = StrongNumber<struct IncarnationTag, std::uint64_t>;
+/// Requests a second.
+using RequestRate = StrongNumber<struct RequestRateTag, double>;
 
 }  // namespace cassiausher
 
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -174,6 +174,7 @@
 
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
+  if (answer_->rate_limit.has_value()) LogRateLimit();
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
@@ -204,6 +205,14 @@
   }
 }
 
+void ForwardedRequest::LogRateLimit() {
+  context_.metrics->counter("answers_with_rate_limit_total").Add();
+  Log(LogLevel::kInfo, "rate_limit_named",
+      {{"request", caller_.id.value()},
+       {"endpoint", call_->endpoint.id.value()},
+       {"per_second", answer_->rate_limit->value()}});
+}
+
 void ForwardedRequest::OnBody(std::string_view bytes) {
   const bool relays_events = call_->kind == CallKind::kRun && is_stream_ &&
                              answer_->status == kOk && answer_->event_stream;
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -59,6 +59,7 @@
   void FinishCall(WorkOutcome outcome);
   void OnAnswerComplete();
   void OnPrefillComplete();
+  void LogRateLimit();
   void ReportProgress();
   void RelayEvents(const std::string& events);
   void RespondBuffered();
--- a/tests/platform/request_headers_test.cc
+++ b/tests/platform/request_headers_test.cc
@@ -164,6 +164,26 @@
   soup_message_headers_unref(headers);
 }
 
+TEST(RequestHeaders, ARateLimitIsReadIfItIsADecimalNumber) {
+  const auto limit_of = [](const char* text) {
+    SoupMessageHeaders* headers =
+        soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE);
+    if (text != nullptr) {
+      soup_message_headers_append(headers, "Server-Limit", text);
+    }
+    const EndpointAnswer answer =
+        ReadAnswer(200, headers, RequestId("r1"), EndpointId("i-1"));
+    soup_message_headers_unref(headers);
+    return answer.rate_limit;
+  };
+  DOUBLES_EQUAL(2.6, limit_of("2.6")->value(), 0);
+  DOUBLES_EQUAL(0, limit_of("0")->value(), 0);
+  for (const char* text : {"", "-1", "nan", "inf", "2.6x", "two"}) {
+    CHECK_FALSE(limit_of(text).has_value());
+  }
+  CHECK_FALSE(limit_of(nullptr).has_value());
+}
+
 TEST(RequestHeaders, KvHandleIsReadFromValidBodiesOnly) {
   STRCMP_EQUAL("3f", ReadHandle(R"({"handle":"3f","tokens":1})")->c_str());
   CHECK_FALSE(ReadHandle(R"({"handle":7})").has_value());
