--- a/scripts/setup.sh
+++ b/scripts/setup.sh
@@ -3,7 +3,7 @@
 # Does nothing if all are installed.
 set -euo pipefail
 packages=(
-  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3 curl
+  g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3 python3-aiohttp curl
   libboost1.81-dev libsoup-3.0-dev libcurl4-openssl-dev glib-networking libzmq3-dev cppzmq-dev libprotobuf-dev
   libdocopt-dev libfmt-dev libcpputest-dev nlohmann-json3-dev librapidcheck-dev
   libxxhash-dev libzstd-dev tao-pegtl-dev
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,55 @@
+"""Faults that come in series and overlap: processes are killed, restarted and frozen."""
+
+import asyncio
+import random
+
+MIN_PAUSE_S = 0.3
+MAX_PAUSE_S = 2.5
+MIN_FREEZE_S = 0.5
+MAX_FREEZE_S = 3.0
+MAX_DOWNTIME_S = 2.0
+
+
+class Faults:
+    """A seeded series of faults. At most one control instance is in trouble at a time, so that the others have a quorum."""
+
+    def __init__(self, deployment, seed):
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.running = set()
+        self.busy = set()
+        self.log = []
+
+    async def run(self, for_s):
+        loop = asyncio.get_running_loop()
+        end = loop.time() + for_s
+        while loop.time() < end:
+            await asyncio.sleep(self.random.uniform(MIN_PAUSE_S, MAX_PAUSE_S))
+            self._begin()
+        if self.running:
+            await asyncio.wait(self.running)
+
+    def _begin(self):
+        role = self.random.choice(("entry", "entry", "control"))
+        pool = self.deployment.entries if role == "entry" else self.deployment.controls
+        chosen = self.random.choice(pool)
+        kind = self.random.choice(("kill", "restart", "freeze"))
+        length = self.random.uniform(MIN_FREEZE_S, MAX_FREEZE_S)
+        down = self.random.uniform(MIN_PAUSE_S, MAX_DOWNTIME_S)
+        same_role_busy = any(instance.role == "control" for instance in self.busy)
+        if chosen in self.busy or (role == "control" and same_role_busy):
+            return
+        steps = {
+            "kill": lambda: self.deployment.kill(chosen, down),
+            "restart": lambda: self.deployment.restart(chosen),
+            "freeze": lambda: self.deployment.freeze(chosen, length),
+        }
+        self.log.append(f"{asyncio.get_running_loop().time():.2f} {kind} {chosen.name}")
+        self.busy.add(chosen)
+        task = asyncio.create_task(steps[kind]())
+        self.running.add(task)
+        task.add_done_callback(lambda done: self._end(done, chosen))
+
+    def _end(self, task, chosen):
+        self.running.discard(task)
+        self.busy.discard(chosen)
