--- a/servers/routing/account_limits.cc
+++ b/servers/routing/account_limits.cc
@@ -11,8 +11,6 @@
 
 // A weight of 0 would leave an account without any fair share.
 constexpr double kMinWeight = 1e-3;
-// Keeps the time until the next token finite.
-constexpr double kMinRequestsPerSecond = 1e-6;
 
 double WeightOf(const AccountLimit& limit) {
   return std::max(limit.weight, kMinWeight);
@@ -41,9 +39,8 @@
   return std::max(1, (limit.concurrency + instances_ - 1) / instances_);
 }
 
-double AccountLimits::RateShare(const AccountLimit& limit) const {
-  return std::max(limit.requests_per_second / instances_,
-                  kMinRequestsPerSecond);
+RequestRate AccountLimits::RateShare(const AccountLimit& limit) const {
+  return RequestRate(limit.requests_per_second / instances_);
 }
 
 double AccountLimits::BurstShare(const AccountLimit& limit) const {
@@ -65,15 +62,14 @@
   if (usage_.size() >= options_.max_accounts) RemoveIdleAccounts(now);
   if (usage_.size() >= options_.max_accounts) return nullptr;
   Usage& usage = usage_[account];
-  usage.tokens = BurstShare(LimitOf(account));
-  usage.refilled_at = now;
+  usage.bucket = TokenBucket(BurstShare(LimitOf(account)), now);
   return &usage;
 }
 
 void AccountLimits::RemoveIdleAccounts(Time now) {
   std::erase_if(usage_, [&](const auto& entry) {
     return entry.second.in_progress == 0 &&
-           now - entry.second.refilled_at >= options_.idle_expiry;
+           now - entry.second.bucket.refilled_at() >= options_.idle_expiry;
   });
 }
 
@@ -86,10 +82,8 @@
     return {LimitVerdict::kInstanceFull, options_.concurrency_retry_after};
   }
   const AccountLimit& limit = LimitOf(account);
-  const double rate = RateShare(limit);
-  const double elapsed = std::max(0.0, ToSeconds(now - usage->refilled_at));
-  usage->tokens = std::min(BurstShare(limit), usage->tokens + elapsed * rate);
-  usage->refilled_at = std::max(usage->refilled_at, now);
+  const RequestRate rate = RateShare(limit);
+  usage->bucket.Refill(rate, BurstShare(limit), now);
   if (usage->in_progress >= ConcurrencyShare(limit)) {
     return {LimitVerdict::kConcurrency, options_.concurrency_retry_after};
   }
@@ -100,13 +94,9 @@
     return {LimitVerdict::kFairShare, options_.concurrency_retry_after};
   }
   // Checked last, so that a request refused for another reason takes no token.
-  if (usage->tokens < 1) {
-    const double wait_seconds = (1 - usage->tokens) / rate;
-    return {
-        LimitVerdict::kRate,
-        std::min(FromSeconds(std::min(wait_seconds, 3600.0)), Seconds(3600))};
+  if (usage->bucket.Take(1) == 0) {
+    return {LimitVerdict::kRate, usage->bucket.UntilNext(rate)};
   }
-  usage->tokens -= 1;
   if (usage->in_progress == 0) active_weight_ += WeightOf(limit);
   ++usage->in_progress;
   ++in_progress_;
--- a/servers/routing/account_limits.h
+++ b/servers/routing/account_limits.h
@@ -9,6 +9,8 @@
 
 #include "core/ids.h"
 #include "core/time.h"
+#include "core/units.h"
+#include "servers/routing/token_bucket.h"
 
 namespace cassiausher {
 
@@ -73,8 +75,7 @@
 
  private:
   struct Usage {
-    double tokens = 0;
-    Time refilled_at{};
+    TokenBucket bucket;
     int in_progress = 0;
   };
 
@@ -83,7 +84,7 @@
   /// one request. All instances together can therefore exceed the limit, by
   /// at most the number of instances.
   int ConcurrencyShare(const AccountLimit& limit) const;
-  double RateShare(const AccountLimit& limit) const;
+  RequestRate RateShare(const AccountLimit& limit) const;
   double BurstShare(const AccountLimit& limit) const;
   double FairShare(const AccountId& account) const;
   /// Returns null when max_accounts is reached.
