Take the bookkeeping of control instances out of entry_node.cc

No change of behaviour but one: the load source is chosen after silent control instances are marked, not before.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -4,7 +4,6 @@
 #include <set>
 #include <utility>
 
-#include "core/hash.h"
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/error_body.h"
@@ -20,11 +19,6 @@
 // so that other instances learn of a request while it still loads the endpoint.
 constexpr Duration kBatchPeriod = Milliseconds(25);
 constexpr Duration kExpiryPeriod = Seconds(5);
-// A control instance that sent no update and was named by no seed list or
-// update for this long is dropped.
-constexpr Duration kControlLifetime = Seconds(60);
-// A control instance counts as disconnected after this time without an update.
-constexpr Duration kControlTimeout = Seconds(2);
 // The load balancer probes readiness once a second and removes an instance
 // after two failed probes; until then new requests still arrive.
 constexpr Duration kBalancerDelay = Milliseconds(3400);
@@ -39,7 +33,6 @@
 // Fraction of the shared retry budget that is used, since the budget windows of
 // two instances don't start together.
 constexpr double kBudgetFraction = 0.8;
-constexpr std::uint32_t kMinEntryInstances = 8;
 constexpr int kBudgetWindowSeconds = 10;
 constexpr Duration kRefusalRetryAfter = Milliseconds(300);
 
@@ -58,8 +51,9 @@
             }),
       pool_({.data_centre = settings_.data_centre,
              .random_seed = static_cast<std::uint64_t>(g_get_real_time())}),
-      configuration_(settings_, codec, &link_),
       random_(static_cast<std::uint64_t>(g_get_real_time())),
+      configuration_(settings_, codec, &link_),
+      controls_({.self = InstanceId(settings_.ip)}),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
       open_(metrics.gauge("open_requests")) {}
@@ -104,7 +98,7 @@
   settings_.seeds = settings.seeds;
   const Time now = BootTimeNow();
   for (const SocketAddress& seed : settings_.seeds) {
-    controls_[InstanceId(seed.ip)].last_known_at = now;
+    controls_.Learn(InstanceId(seed.ip), now);
   }
 }
 
@@ -222,21 +216,13 @@
   });
 }
 
-std::uint32_t EntryNode::EntryInstanceCount() const {
-  std::uint32_t count = kMinEntryInstances;
-  for (const auto& [instance, control] : controls_) {
-    count = std::max(count, control.entry_instances);
-  }
-  return count;
-}
-
 RetryBudget& EntryNode::BudgetOf(const ServiceId& service) {
   std::unique_ptr<RetryBudget>& budget = budgets_[service];
   if (!budget) {
     budget = std::make_unique<RetryBudget>(RetryBudgetOptions{
         .ratio = settings_.retry_ratio * kBudgetFraction,
         .floor_per_second = settings_.retry_allowance * kBudgetFraction /
-                            kBudgetWindowSeconds / EntryInstanceCount()});
+                            kBudgetWindowSeconds / controls_.EntryInstances()});
   }
   return *budget;
 }
@@ -269,14 +255,14 @@
 
 void EntryNode::OnUpdate(const InstanceId& from, const proto::Update& update) {
   const Time now = BootTimeNow();
-  Control& control = controls_[from];
-  control.last_update_at = now;
-  control.last_known_at = now;
-  control.registry_epoch = update.registry_epoch();
-  control.registry_revision = update.registry_revision();
-  control.last_received = update.number();
-  control.entry_instances = update.entry_instances();
-  if (!std::exchange(control.connected, true)) {
+  const bool connected =
+      controls_.OnUpdate(from,
+                         {.process = Incarnation(update.registry_epoch()),
+                          .registry_revision = update.registry_revision(),
+                          .number = update.number(),
+                          .entry_instances = update.entry_instances()},
+                         now);
+  if (connected) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
   }
   MergeRecords(from, update.records(), now);
@@ -291,7 +277,7 @@
     pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
   }
   for (const std::string& ip : update.control_instances()) {
-    controls_[InstanceId(ip)].last_known_at = now;
+    controls_.Learn(InstanceId(ip), now);
   }
   if (update.has_configuration()) {
     configuration_.OnDocument(update.configuration());
@@ -302,12 +288,8 @@
 void EntryNode::OnChanges(const InstanceId& from,
                           const proto::Changes& changes) {
   const Time now = BootTimeNow();
-  const auto found = controls_.find(from);
-  // The number counts the messages of one process.
-  const bool same_process =
-      found != controls_.end() &&
-      found->second.registry_epoch == changes.registry_epoch();
-  if (same_process) found->second.last_received = changes.number();
+  controls_.OnMessage(from, Incarnation(changes.registry_epoch()),
+                      changes.number());
   MergeRecords(from, changes.records(), now);
   SetChangingEndpoints(changes.changing_endpoints(), now);
   configuration_.OnNotice(from, changes.notice(), now);
@@ -338,26 +320,24 @@
 }
 
 void EntryNode::SendFollowMessages(Time now) {
-  std::erase_if(controls_, [&](const auto& item) {
-    if (now - item.second.last_known_at < kControlLifetime) return false;
-    link_.Disconnect(item.first);
-    return true;
-  });
+  for (const InstanceId& control : controls_.Expire(now)) {
+    link_.Disconnect(control);
+  }
   SendPlacements();
   const EndpointLoads loads = pool_.OwnLoads();
-  load_source_ = LoadSource();
-  for (auto& [instance, control] : controls_) {
-    if (control.connected && now - control.last_update_at >= kControlTimeout) {
-      control.connected = false;
-      Log(LogLevel::kWarning, "control_silent",
-          {{"control", instance.value()},
-           {"silent_ms", ToMilliseconds(now - control.last_update_at)}});
-    }
+  for (const InstanceId& control : controls_.Disconnect(now)) {
+    const Time heard_at = controls_.controls().at(control).last_update_at;
+    Log(LogLevel::kWarning, "control_silent",
+        {{"control", control.value()},
+         {"silent_ms", ToMilliseconds(now - heard_at)}});
+  }
+  load_source_ = controls_.LoadSource();
+  for (const auto& [instance, control] : controls_.controls()) {
     proto::NodeMessage message;
     proto::Follow* follow = message.mutable_follow();
     follow->set_configuration_version(configuration_.version().value());
     follow->set_fetches_configuration(true);
-    follow->set_registry_epoch(control.registry_epoch);
+    follow->set_registry_epoch(control.process.value());
     follow->set_registry_revision(control.registry_revision);
     follow->set_last_received(control.last_received);
     WriteLoads(loads, follow->mutable_loads());
@@ -366,27 +346,10 @@
   }
 }
 
-// Rendezvous hashing: each entry instance ranks the control instances in its
-// own order and keeps its choice while other control instances come and go.
-InstanceId EntryNode::LoadSource() const {
-  InstanceId best;
-  std::uint64_t best_rank = 0;
-  for (const auto& [instance, control] : controls_) {
-    if (!control.connected) continue;
-    const std::uint64_t rank =
-        HashText(instance.value(), HashText(settings_.ip, 0));
-    if (!best.empty() && rank <= best_rank) continue;
-    best = instance;
-    best_rank = rank;
-  }
-  return best;
-}
-
 void EntryNode::SendPlacements() {
   const EndpointLoads placed = pool_.TakePlaced();
   if (placed.empty()) return;
-  for (const auto& [instance, control] : controls_) {
-    if (!control.connected) continue;
+  for (const InstanceId& instance : controls_.Connected()) {
     proto::NodeMessage message;
     WriteLoads(placed, message.mutable_placements()->mutable_added());
     link_.Send(instance, std::move(message));
@@ -396,7 +359,7 @@
 void EntryNode::Tick() {
   const Time now = BootTimeNow();
   for (const SocketAddress& seed : settings_.seeds) {
-    controls_[InstanceId(seed.ip)].last_known_at = now;
+    controls_.Learn(InstanceId(seed.ip), now);
   }
   SendFollowMessages(now);
   if (on_done_) AdvanceShutdown(now);
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -22,6 +22,7 @@
 #include "main/node_settings.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
+#include "servers/entry/control_directory.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/route_shares.h"
 #include "servers/routing/retry_budget.h"
@@ -48,24 +49,6 @@
       google::protobuf::RepeatedPtrField<proto::EndpointRecord>;
   using EndpointNames = google::protobuf::RepeatedPtrField<std::string>;
 
-  /// A control instance and the revision of its registry that was last
-  /// received.
-  struct Control {
-    Time last_known_at{};
-    Time last_update_at{};
-    std::uint64_t registry_epoch = 0;
-    std::uint64_t registry_revision = 0;
-    /// Highest number of the messages received from that process.
-    std::uint64_t last_received = 0;
-    /// Number of entry instances that follow this control instance.
-    std::uint32_t entry_instances = 1;
-    bool connected = false;
-  };
-
-  /// The control instance from which other entry instances' loads are taken:
-  /// one of the connected ones, so chosen that entry instances are spread over
-  /// them. Empty if none is connected.
-  InstanceId LoadSource() const;
   /// Sends the work placed since the last call to all connected control
   /// instances.
   void SendPlacements();
@@ -89,7 +72,6 @@
   void SendFollowMessages(Time now);
   void Tick();
   void AdvanceShutdown(Time now);
-  std::uint32_t EntryInstanceCount() const;
 
   NodeSettings settings_;
   Metrics& metrics_;
@@ -99,7 +81,7 @@
   EndpointPool pool_;
   Random random_;
   ConfigurationClient configuration_;
-  std::map<InstanceId, Control> controls_;
+  ControlDirectory controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
   std::map<ServiceId, RouteShares> shares_;
--- /dev/null
+++ b/servers/entry/control_directory.cc
@@ -0,0 +1,87 @@
+#include "servers/entry/control_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/hash.h"
+
+namespace cassiausher {
+
+void ControlDirectory::Learn(const InstanceId& control, Time now) {
+  controls_[control].last_known_at = now;
+}
+
+bool ControlDirectory::OnUpdate(const InstanceId& from,
+                                const ControlStatus& status, Time now) {
+  Control& control = controls_[from];
+  control.last_update_at = now;
+  control.last_known_at = now;
+  control.process = status.process;
+  control.registry_revision = status.registry_revision;
+  control.last_received = status.number;
+  control.entry_instances = status.entry_instances;
+  return !std::exchange(control.connected, true);
+}
+
+void ControlDirectory::OnMessage(const InstanceId& from, Incarnation process,
+                                 std::uint64_t number) {
+  const auto found = controls_.find(from);
+  // The number counts the messages of one process.
+  const bool same_process =
+      found != controls_.end() && found->second.process == process;
+  if (same_process) found->second.last_received = number;
+}
+
+std::vector<InstanceId> ControlDirectory::Expire(Time now) {
+  std::vector<InstanceId> dropped;
+  std::erase_if(controls_, [&](const auto& item) {
+    if (now - item.second.last_known_at < options_.lifetime) return false;
+    dropped.push_back(item.first);
+    return true;
+  });
+  return dropped;
+}
+
+std::vector<InstanceId> ControlDirectory::Disconnect(Time now) {
+  std::vector<InstanceId> silent;
+  for (auto& [instance, control] : controls_) {
+    const bool recent = now - control.last_update_at < options_.update_timeout;
+    if (!control.connected || recent) continue;
+    control.connected = false;
+    silent.push_back(instance);
+  }
+  return silent;
+}
+
+// Rendezvous hashing: each entry instance ranks the control instances in its
+// own order and keeps its choice while other control instances come and go.
+InstanceId ControlDirectory::LoadSource() const {
+  InstanceId best;
+  std::uint64_t best_rank = 0;
+  for (const InstanceId& instance : Connected()) {
+    const std::uint64_t rank =
+        HashText(instance.value(), HashText(options_.self.value(), 0));
+    if (!best.empty() && rank <= best_rank) continue;
+    best = instance;
+    best_rank = rank;
+  }
+  return best;
+}
+
+std::uint32_t ControlDirectory::EntryInstances() const {
+  std::uint32_t count = options_.min_entry_instances;
+  for (const auto& [instance, control] : controls_) {
+    count = std::max(count, control.entry_instances);
+  }
+  return count;
+}
+
+std::vector<InstanceId> ControlDirectory::Connected() const {
+  std::vector<InstanceId> connected;
+  for (const auto& [instance, control] : controls_) {
+    if (control.connected) connected.push_back(instance);
+  }
+  return connected;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/entry/control_directory.h
@@ -0,0 +1,85 @@
+// The control instances that an entry instance knows, and which of them it
+// uses for what.
+#ifndef SERVERS_ENTRY_CONTROL_DIRECTORY_H_
+#define SERVERS_ENTRY_CONTROL_DIRECTORY_H_
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/units.h"
+
+namespace cassiausher {
+
+struct ControlDirectoryOptions {
+  InstanceId self;
+  /// A control instance that sent no update and was named by no seed list or
+  /// update for this long is dropped.
+  Duration lifetime = Seconds(60);
+  /// A control instance counts as disconnected after this time without an
+  /// update.
+  Duration update_timeout = Seconds(2);
+  /// The number of entry instances is taken to be at least this, since a
+  /// control instance that has just started doesn't know all of them.
+  std::uint32_t min_entry_instances = 8;
+};
+
+/// What an Update of a control instance says of itself.
+struct ControlStatus {
+  /// Start of the process whose registry revision this is.
+  Incarnation process{0};
+  std::uint64_t registry_revision = 0;
+  /// Number of the message.
+  std::uint64_t number = 0;
+  /// Number of entry instances that follow the control instance.
+  std::uint32_t entry_instances = 0;
+};
+
+/// Not thread safe.
+class ControlDirectory {
+ public:
+  struct Control {
+    Time last_known_at{};
+    Time last_update_at{};
+    Incarnation process{0};
+    std::uint64_t registry_revision = 0;
+    /// Highest number of the messages received from that process.
+    std::uint64_t last_received = 0;
+    std::uint32_t entry_instances = 1;
+    bool connected = false;
+  };
+
+  explicit ControlDirectory(ControlDirectoryOptions options)
+      : options_(std::move(options)) {}
+
+  /// The settings or another instance named the control instance.
+  void Learn(const InstanceId& control, Time now);
+  /// Returns whether the control instance was disconnected before.
+  bool OnUpdate(const InstanceId& from, const ControlStatus& status, Time now);
+  /// A message between two updates arrived from this process.
+  void OnMessage(const InstanceId& from, Incarnation process,
+                 std::uint64_t number);
+  /// Drops control instances that weren't heard of, and returns them.
+  std::vector<InstanceId> Expire(Time now);
+  /// Marks control instances without a recent update as disconnected, and
+  /// returns those that were connected.
+  std::vector<InstanceId> Disconnect(Time now);
+
+  /// The control instance from which other entry instances' loads are taken:
+  /// one of the connected ones, so chosen that entry instances are spread over
+  /// them. Empty if none is connected.
+  InstanceId LoadSource() const;
+  std::uint32_t EntryInstances() const;
+  std::vector<InstanceId> Connected() const;
+  const std::map<InstanceId, Control>& controls() const { return controls_; }
+
+ private:
+  ControlDirectoryOptions options_;
+  std::map<InstanceId, Control> controls_;
+};
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_ENTRY_CONTROL_DIRECTORY_H_
--- /dev/null
+++ b/tests/entry/control_directory_test.cc
@@ -0,0 +1,63 @@
+// Guards against an entry instance that keeps using a control instance which
+// has gone, and against all entry instances using the same one.
+#include "servers/entry/control_directory.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <set>
+#include <string>
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+
+InstanceId Control(int number) {
+  return InstanceId("10.0.0." + std::to_string(number));
+}
+
+ControlDirectory Directory(const std::string& self, int controls) {
+  ControlDirectory directory({.self = InstanceId(self)});
+  for (int i = 0; i < controls; ++i) {
+    directory.OnUpdate(Control(i), {.process = Incarnation(1)}, kStart);
+  }
+  return directory;
+}
+
+}  // namespace
+
+TEST_GROUP(ControlDirectory){};
+
+TEST(ControlDirectory, LoadSourcesAreSpreadOverTheControlInstances) {
+  std::set<InstanceId> chosen;
+  for (int i = 0; i < 40; ++i) {
+    chosen.insert(Directory("10.1.0." + std::to_string(i), 3).LoadSource());
+  }
+  LONGS_EQUAL(3, chosen.size());
+}
+
+TEST(ControlDirectory, ASilentControlInstanceIsNoLongerUsed) {
+  ControlDirectory directory = Directory("10.1.0.1", 2);
+  directory.OnUpdate(Control(0), {}, kStart + Seconds(2));
+  LONGS_EQUAL(1, directory.Disconnect(kStart + Seconds(2)).size());
+  CHECK_TRUE(directory.LoadSource() == Control(0));
+  LONGS_EQUAL(0, directory.Disconnect(kStart + Seconds(2)).size());
+}
+
+TEST(ControlDirectory, NumbersOfAnEarlierProcessAreNotAcknowledged) {
+  ControlDirectory directory = Directory("10.1.0.1", 1);
+  directory.OnMessage(Control(0), Incarnation(1), 7);
+  LONGS_EQUAL(7, directory.controls().at(Control(0)).last_received);
+  directory.OnMessage(Control(0), Incarnation(2), 9);
+  LONGS_EQUAL(7, directory.controls().at(Control(0)).last_received);
+}
+
+TEST(ControlDirectory, AControlInstanceNobodyNamesIsDropped) {
+  ControlDirectory directory = Directory("10.1.0.1", 2);
+  directory.Learn(Control(1), kStart + Seconds(50));
+  const auto dropped = directory.Expire(kStart + Seconds(60));
+  LONGS_EQUAL(1, dropped.size());
+  CHECK_TRUE(dropped.front() == Control(0));
+}
+
+}  // namespace cassiausher
