Share the rate limit of an endpoint among all entry instances

Entry instances now read it from every answer, and a call to such an endpoint needs a permit. The control instance that leads issues permits from one token bucket for all of them; without an answer within 100 ms an instance keeps to an equal share. Runs, prefill calls, retries and stage orders count.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -45,11 +45,13 @@
       log_(settings_, metrics, context, *this),
       registry_({}),
       stage_orders_(settings_.ip, metrics),
+      permits_(settings_, &log_, &registry_, metrics, &link_),
       operator_calls_(InstanceId(settings_.ip), &log_, &link_),
       followers_({.settings = &settings_,
                   .incarnation = incarnation_,
                   .registry = &registry_,
                   .stage_orders = &stage_orders_,
+                  .permits = &permits_,
                   .log = &log_,
                   .newest = &newest_},
                  metrics, &link_) {}
@@ -196,6 +198,8 @@
   if (read == confirming_read_ && origin.value() == settings_.ip) {
     confirming_read_ = 0;
     if (!served) return;
+    const EndpointId runner = stage_orders_.PlannedFor();
+    if (!permits_.TakeForOwnCall(runner, BootTimeNow())) return;
     stage_orders_.Send(log_.term(), BootTimeNow());
     followers_.OnChange(BootTimeNow());
     return;
@@ -223,9 +227,18 @@
       log_.OnRaft(message.raft());
       break;
     case proto::NodeMessage::kFollow:
+      OnRateLimits(message.follow().rate_limits(), now);
       followers_.OnFollow(from, Incarnation(message.incarnation()),
                           message.follow(), LiveControls(), now);
       break;
+    case proto::NodeMessage::kRateLimitReport:
+      OnRateLimits(message.rate_limit_report().rate_limits(), now);
+      break;
+    case proto::NodeMessage::kPermitRequest:
+      if (permits_.OnRequest(from, message.permit_request(), now)) {
+        followers_.OnRateLimitAppeared(now);
+      }
+      break;
     case proto::NodeMessage::kPlacements:
       followers_.OnPlacements(from, message.placements());
       break;
@@ -260,6 +273,10 @@
   }
 }
 
+void ControlNode::OnRateLimits(const RateLimitMessages& limits, Time now) {
+  if (permits_.Observe(limits, now)) followers_.OnRateLimitAppeared(now);
+}
+
 void ControlNode::OnReadResult(const proto::ReadResult& result) {
   if (!result.served()) return;
   operator_calls_.OnRead(result.read(),
@@ -390,12 +407,14 @@
   log_.Tick(now);
   newest_.Learn(log_.current().version, log_.ConfirmedAt());
   operator_calls_.Retry(now);
+  if (permits_.Tick(now)) followers_.OnChange(now);
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
   SyncControls(now);
   BalanceStages(now);
   registry_.Expire(now);
   followers_.Expire(now);
+  permits_.Expire(now);
   std::set<InstanceId> seeds;
   for (const SocketAddress& seed : settings_.seeds) {
     seeds.insert(InstanceId(seed.ip));
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -20,6 +20,7 @@
 #include "main/node_link.h"
 #include "main/node_settings.h"
 #include "main/operator_calls.h"
+#include "main/permit_service.h"
 #include "main/stage_orders.h"
 #include "servers/control/document_store.h"
 #include "servers/control/endpoint_registry.h"
@@ -70,6 +71,7 @@
   void OnFetch(const InstanceId& from, const proto::FetchConfiguration& fetch);
   void OnSync(const InstanceId& from, const proto::Sync& sync);
   void OnNotice(const proto::ConfigurationNotice& notice, Time now);
+  void OnRateLimits(const RateLimitMessages& limits, Time now);
   void OnReadResult(const proto::ReadResult& result);
   void AddControls(const google::protobuf::RepeatedPtrField<std::string>&);
   std::vector<InstanceId> KnownControls() const;
@@ -96,6 +98,7 @@
   ConfigurationLog log_;
   EndpointRegistry registry_;
   StageOrders stage_orders_;
+  PermitService permits_;
   OperatorCalls operator_calls_;
   /// The configuration in force, decoded; empty before the first.
   std::optional<ServingConfiguration> configuration_;
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -53,6 +53,7 @@
              .random_seed = static_cast<std::uint64_t>(g_get_real_time())}),
       random_(static_cast<std::uint64_t>(g_get_real_time())),
       configuration_(settings_, codec, &link_),
+      permits_(static_cast<std::uint64_t>(g_get_real_time()), metrics, &link_),
       controls_({.self = InstanceId(settings_.ip)}),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
@@ -89,6 +90,7 @@
   batch_timer_ = AddTimer(context_, kBatchPeriod, [this] {
     SendPlacements();
     configuration_.SendRequest(BootTimeNow());
+    permits_.Tick(BootTimeNow());
   });
   SendFollowMessages(BootTimeNow());
   return {};
@@ -200,6 +202,7 @@
   const ForwardingContext context{.client = &client_,
                                   .pool = &pool_,
                                   .budget = &BudgetOf(service),
+                                  .permits = &permits_,
                                   .answers = &answers_[service],
                                   .metrics = &metrics_,
                                   .context = context_,
@@ -246,6 +249,10 @@
     OnChanges(from, message.changes());
     return;
   }
+  if (message.has_permit_answer()) {
+    permits_.OnPermitAnswer(from, message.permit_answer(), BootTimeNow());
+    return;
+  }
   if (message.has_configuration_chunk()) {
     configuration_.OnChunk(from, message.configuration_chunk(), BootTimeNow());
     return;
@@ -260,11 +267,14 @@
                          {.process = Incarnation(update.registry_epoch()),
                           .registry_revision = update.registry_revision(),
                           .number = update.number(),
-                          .entry_instances = update.entry_instances()},
+                          .entry_instances = update.entry_instances(),
+                          .permit_term = update.permit_term()},
                          now);
   if (connected) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
   }
+  permits_.OnRateLimits(update.rate_limits(), now);
+  SetPermitIssuer(now);
   MergeRecords(from, update.records(), now);
   std::set<EndpointId> silent;
   for (const std::string& id : update.silent_endpoints()) {
@@ -289,12 +299,18 @@
                           const proto::Changes& changes) {
   const Time now = BootTimeNow();
   controls_.OnMessage(from, Incarnation(changes.registry_epoch()),
-                      changes.number());
+                      changes.number(), changes.permit_term());
+  permits_.OnRateLimits(changes.rate_limits(), now);
+  SetPermitIssuer(now);
   MergeRecords(from, changes.records(), now);
   SetChangingEndpoints(changes.changing_endpoints(), now);
   configuration_.OnNotice(from, changes.notice(), now);
 }
 
+void EntryNode::SetPermitIssuer(Time now) {
+  permits_.SetIssuer(controls_.PermitIssuer(), controls_.EntryInstances(), now);
+}
+
 void EntryNode::MergeRecords(const InstanceId& from,
                              const EndpointRecords& records, Time now) {
   for (const proto::EndpointRecord& message : records) {
@@ -332,6 +348,7 @@
          {"silent_ms", ToMilliseconds(now - heard_at)}});
   }
   load_source_ = controls_.LoadSource();
+  SetPermitIssuer(now);
   for (const auto& [instance, control] : controls_.controls()) {
     proto::NodeMessage message;
     proto::Follow* follow = message.mutable_follow();
@@ -341,6 +358,7 @@
     follow->set_registry_revision(control.registry_revision);
     follow->set_last_received(control.last_received);
     WriteLoads(loads, follow->mutable_loads());
+    permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
     follow->set_wants_placements(instance == load_source_);
     link_.Send(instance, std::move(message));
   }
@@ -366,6 +384,7 @@
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryPeriod;
   pool_.Expire(now);
+  permits_.Expire(pool_, now);
 }
 
 // --- Shutdown --------------------------------------------------------------
--- a/main/follower_updates.cc
+++ b/main/follower_updates.cc
@@ -85,6 +85,11 @@
   if (follower.wants_placements) {
     WriteLoads(LoadsExcept(to), update.mutable_loads());
   }
+  const std::uint64_t permit_term = state_.permits->IssuerTerm(now);
+  update.set_permit_term(permit_term);
+  if (follower.wants_placements || permit_term != 0) {
+    state_.permits->WriteLimits(now, update.mutable_rate_limits());
+  }
   update.set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
   return update;
 }
@@ -120,6 +125,11 @@
   if (now - changes_sent_at_ >= kBatchPeriod) SendChanges(now);
 }
 
+void FollowerUpdates::OnRateLimitAppeared(Time now) {
+  limit_appeared_ = true;
+  OnChange(now);
+}
+
 void FollowerUpdates::SendBatches(Time now) {
   if (changed_) SendChanges(now);
   for (auto& [instance, follower] : followers_) {
@@ -152,6 +162,10 @@
     changes->add_changing_endpoints(id.value());
   }
   SetNotice(now, changes->mutable_notice());
+  changes->set_permit_term(state_.permits->IssuerTerm(now));
+  if (std::exchange(limit_appeared_, false)) {
+    state_.permits->WriteLimits(now, changes->mutable_rate_limits());
+  }
   const std::size_t bytes = message.ByteSizeLong();
   for (auto& [instance, follower] : followers_) {
     // The next Update repeats the records.
--- a/main/follower_updates.h
+++ b/main/follower_updates.h
@@ -19,6 +19,7 @@
 #include "main/load_messages.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
+#include "main/permit_service.h"
 #include "main/stage_orders.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/endpoint_registry.h"
@@ -33,6 +34,7 @@
   std::uint64_t incarnation = 0;
   const EndpointRegistry* registry = nullptr;
   const StageOrders* stage_orders = nullptr;
+  const PermitService* permits = nullptr;
   const ConfigurationLog* log = nullptr;
   const NewestVersion* newest = nullptr;
 };
@@ -57,6 +59,8 @@
   /// The registry or the configuration has changed, or a stage order was sent.
   /// Changes are sent at once, or with those of the batch period.
   void OnChange(Time now);
+  /// An endpoint has named a rate limit that it hadn't named before.
+  void OnRateLimitAppeared(Time now);
   /// Sends what has gathered. Call every kBatchPeriod.
   void SendBatches(Time now);
   /// Drops followers that haven't sent Follow for a while.
@@ -104,6 +108,8 @@
   std::map<InstanceId, Follower> followers_;
   /// Something has changed since the last Changes.
   bool changed_ = false;
+  /// A rate limit has appeared since the last Changes.
+  bool limit_appeared_ = false;
   /// Revision of the registry that the last Changes covered.
   std::uint64_t sent_revision_ = 0;
   Time changes_sent_at_{};
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -85,7 +85,8 @@
       route_name_(route.name),
       is_stream_(route.kind == RouteKind::kStream),
       configuration_(configuration),
-      forwarder_(facts_, context.pool, context.budget),
+      forwarder_(facts_, context.pool, context.budget,
+                 context.permits->permits()),
       events_(caller_.last_event_id) {}
 
 ForwardedRequest::~ForwardedRequest() {
@@ -120,6 +121,10 @@
     ArmTimer();
     return;
   }
+  if (const auto* wait = std::get_if<WaitForPermit>(&step)) {
+    AwaitPermit(*wait);
+    return;
+  }
   if (const auto* refuse = std::get_if<Refuse>(&step)) {
     HttpHeaders headers = {RetryAfterHeader(refuse->retry_after)};
     exchange_->Respond(503, kJson,
@@ -174,7 +179,7 @@
 
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
-  if (answer_->rate_limit.has_value()) LogRateLimit();
+  ObserveRateLimit(status);
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
@@ -205,12 +210,30 @@
   }
 }
 
-void ForwardedRequest::LogRateLimit() {
-  context_.metrics->counter("answers_with_rate_limit_total").Add();
-  Log(LogLevel::kInfo, "rate_limit_named",
-      {{"request", caller_.id.value()},
-       {"endpoint", call_->endpoint.id.value()},
-       {"per_second", answer_->rate_limit->value()}});
+void ForwardedRequest::ObserveRateLimit(int status) {
+  if (answer_->other_request || answer_->other_endpoint) return;
+  if (answer_->rate_limit.has_value()) {
+    context_.metrics->counter("answers_with_rate_limit_total").Add();
+  }
+  const bool complete = answer_->has_server_stamp && IsSuccess(status);
+  context_.permits->OnAnswer(call_->endpoint, answer_->rate_limit, complete,
+                             call_started_, BootTimeNow());
+}
+
+void ForwardedRequest::AwaitPermit(const WaitForPermit& wait) {
+  Log(LogLevel::kInfo, "permit_asked",
+      {{"request", caller_.id.value()}, {"endpoint", wait.endpoint.value()}});
+  wait_deadline_ = facts_.deadline;
+  ArmTimer();
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  context_.permits->Await(
+      wait.ticket,
+      [weak](const std::optional<CallPermit>& permit) {
+        const auto self = weak.lock();
+        if (self == nullptr || self->ended_) return;
+        self->Execute(self->forwarder_.OnPermit(permit, BootTimeNow()));
+      },
+      BootTimeNow());
 }
 
 void ForwardedRequest::OnBody(std::string_view bytes) {
@@ -281,8 +304,11 @@
     return;
   }
   const std::string address = call_->endpoint.address;
+  const EndpointId endpoint = call_->endpoint.id;
   FinishCall(WorkOutcome::kDone);
-  Execute(forwarder_.OnPrefillDone({address, *handle}, BootTimeNow()));
+  Execute(forwarder_.OnPrefillDone(
+      {.address = address, .handle = *handle, .endpoint = endpoint},
+      BootTimeNow()));
 }
 
 void ForwardedRequest::OnAnswerComplete() {
@@ -415,6 +441,8 @@
 void ForwardedRequest::ReleaseHandle() {
   const auto unused = forwarder_.TakeUnusedHandle();
   if (!unused.has_value()) return;
+  // The release counts as a request, and the handle expires by itself soon.
+  if (context_.permits->permits()->IsLimited(unused->endpoint)) return;
   context_.client->Start(BuildReleaseCall(*unused), new ReleaseSink);
 }
 
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "main/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/endpoint_pool.h"
@@ -27,6 +28,7 @@
   HttpClient* client = nullptr;
   EndpointPool* pool = nullptr;
   RetryBudget* budget = nullptr;
+  PermitClient* permits = nullptr;
   AnswerEstimate* answers = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
@@ -59,7 +61,8 @@
   void FinishCall(WorkOutcome outcome);
   void OnAnswerComplete();
   void OnPrefillComplete();
-  void LogRateLimit();
+  void ObserveRateLimit(int status);
+  void AwaitPermit(const WaitForPermit& wait);
   void ReportProgress();
   void RelayEvents(const std::string& events);
   void RespondBuffered();
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -101,6 +101,10 @@
   return planned_.has_value();
 }
 
+EndpointId StageOrders::PlannedFor() const {
+  return planned_.has_value() ? planned_->order.endpoint : EndpointId();
+}
+
 void StageOrders::Send(std::uint64_t term, Time now) {
   if (!planned_.has_value() || !leading_since_.has_value()) return;
   const Planned planned = *std::exchange(planned_, std::nullopt);
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -38,6 +38,8 @@
   bool Plan(const ServingConfiguration& configuration,
             const EndpointRegistry& registry, const EndpointLoads& loads,
             Time now);
+  /// The runner of the planned order; empty for none.
+  EndpointId PlannedFor() const;
   /// Sends the planned order under the leader's term.
   void Send(std::uint64_t term, Time now);
 
--- a/servers/entry/control_directory.cc
+++ b/servers/entry/control_directory.cc
@@ -20,16 +20,20 @@
   control.registry_revision = status.registry_revision;
   control.last_received = status.number;
   control.entry_instances = status.entry_instances;
+  control.permit_term = status.permit_term;
   return !std::exchange(control.connected, true);
 }
 
 void ControlDirectory::OnMessage(const InstanceId& from, Incarnation process,
-                                 std::uint64_t number) {
+                                 std::uint64_t number,
+                                 std::uint64_t permit_term) {
   const auto found = controls_.find(from);
   // The number counts the messages of one process.
   const bool same_process =
       found != controls_.end() && found->second.process == process;
-  if (same_process) found->second.last_received = number;
+  if (!same_process) return;
+  found->second.last_received = number;
+  found->second.permit_term = permit_term;
 }
 
 std::vector<InstanceId> ControlDirectory::Expire(Time now) {
@@ -68,6 +72,17 @@
   return best;
 }
 
+InstanceId ControlDirectory::PermitIssuer() const {
+  InstanceId issuer;
+  std::uint64_t latest = 0;
+  for (const auto& [instance, control] : controls_) {
+    if (!control.connected || control.permit_term <= latest) continue;
+    issuer = instance;
+    latest = control.permit_term;
+  }
+  return issuer;
+}
+
 std::uint32_t ControlDirectory::EntryInstances() const {
   std::uint32_t count = options_.min_entry_instances;
   for (const auto& [instance, control] : controls_) {
--- a/servers/entry/control_directory.h
+++ b/servers/entry/control_directory.h
@@ -35,6 +35,8 @@
   std::uint64_t number = 0;
   /// Number of entry instances that follow the control instance.
   std::uint32_t entry_instances = 0;
+  /// Term under which it issues permits; 0 if it doesn't.
+  std::uint64_t permit_term = 0;
 };
 
 /// Not thread safe.
@@ -48,6 +50,7 @@
     /// Highest number of the messages received from that process.
     std::uint64_t last_received = 0;
     std::uint32_t entry_instances = 1;
+    std::uint64_t permit_term = 0;
     bool connected = false;
   };
 
@@ -60,7 +63,7 @@
   bool OnUpdate(const InstanceId& from, const ControlStatus& status, Time now);
   /// A message between two updates arrived from this process.
   void OnMessage(const InstanceId& from, Incarnation process,
-                 std::uint64_t number);
+                 std::uint64_t number, std::uint64_t permit_term);
   /// Drops control instances that weren't heard of, and returns them.
   std::vector<InstanceId> Expire(Time now);
   /// Marks control instances without a recent update as disconnected, and
@@ -71,6 +74,9 @@
   /// one of the connected ones, so chosen that entry instances are spread over
   /// them. Empty if none is connected.
   InstanceId LoadSource() const;
+  /// The connected control instance that issues permits, by the latest term;
+  /// empty if there is none.
+  InstanceId PermitIssuer() const;
   std::uint32_t EntryInstances() const;
   std::vector<InstanceId> Connected() const;
   const std::map<InstanceId, Control>& controls() const { return controls_; }
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -47,6 +47,8 @@
 constexpr int kGapTimeoutFactor = 4;
 // Short enough that a caller of a lookup can retry within its deadline.
 constexpr Duration kPlainRetryAfter = Milliseconds(150);
+// An endpoint with a very low rate limit may have ended it by then.
+constexpr Duration kMaxLimitRetryAfter = Seconds(5);
 // Bursts last a few seconds, and a caller retries at most once or twice.
 constexpr Duration kModelRetryAfter = Milliseconds(3000);
 constexpr Duration kModelRetrySpread = Milliseconds(1500);
@@ -155,8 +157,8 @@
   }
   kv_source_.reset();
   ++runs_;
-  if (!IsRetryable()) return GiveUp("the endpoint broke off");
-  if (runs_ >= facts_.attempts) return GiveUp("no attempt is left");
+  if (!IsRetryable()) return GiveUp("the endpoint broke off", now);
+  if (runs_ >= facts_.attempts) return GiveUp("no attempt is left", now);
   return Next(now);
 }
 
@@ -188,12 +190,13 @@
   const bool is_prefill = current_ == CallKind::kPrefill;
   if (is_prefill && !relayed_) return true;
   // The caller of a stream that has begun would be cut off without a retry.
-  return (is_prefill || HasAnotherRun()) && ReserveRetries(now);
+  if (is_prefill) return ReserveRetries(now);
+  return HasAnotherRun() && HasRoomForRetry(true, now) && ReserveRetries(now);
 }
 
 bool RequestForwarder::TakeServerErrorRetry(Time now) {
   return HasAnotherRun() && facts_.deadline - now > kMinAnswerTimeout &&
-         ReserveRetries(now);
+         HasRoomForRetry(false, now) && ReserveRetries(now);
 }
 
 ForwardStep RequestForwarder::OnDeadline() {
@@ -201,36 +204,109 @@
   return Fail{504, "deadline"};
 }
 
-ForwardStep RequestForwarder::GiveUp(std::string_view reason) {
+ForwardStep RequestForwarder::GiveUp(std::string_view reason, Time now) {
   ReleaseReservation();
+  ReturnPermits();
   if (relayed_) return AbortStream{reason};
   if (runs_ > 0) return Fail{502, reason};
-  return Refuse{reason, RetryAfter()};
+  return Refuse{reason, RetryAfter(now)};
 }
 
 // Jittered by arrival time, so that callers don't retry at the same time.
-Duration RequestForwarder::RetryAfter() const {
+Duration RequestForwarder::RetryAfter(Time now) const {
+  if (room_at_.has_value()) {
+    return std::clamp(*room_at_ - now, kPlainRetryAfter, kMaxLimitRetryAfter);
+  }
   if (!facts_.has_engine) return kPlainRetryAfter;
   const auto arrived_us = facts_.arrived.time_since_epoch().count();
   return kModelRetryAfter + Duration(arrived_us % kModelRetrySpread.count());
 }
 
 ForwardStep RequestForwarder::Next(Time now) {
-  if (facts_.deadline - now < kMinUsefulTime) return GiveUp("no time left");
-  if (calls_ >= kMaxCalls) return GiveUp("no endpoint took the request");
+  if (facts_.deadline - now < kMinUsefulTime)
+    return GiveUp("no time left", now);
+  if (calls_ >= kMaxCalls) return GiveUp("no endpoint took the request", now);
   if (kv_source_.has_value() && !HandleIsFresh(now)) kv_source_.reset();
   std::optional<ForwardStep> step =
       facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
-  if (!step.has_value()) return GiveUp("no endpoint is known");
+  if (awaited_.has_value()) return *awaited_;
+  if (!step.has_value()) {
+    return GiveUp(room_at_.has_value() ? "every endpoint is at its rate limit"
+                                       : "no endpoint is known",
+                  now);
+  }
   if (auto* call = std::get_if<StartCall>(&*step)) {
     return Issue(std::move(*call), now);
   }
   return *step;
 }
 
+bool RequestForwarder::HoldsPermit(const EndpointId& endpoint) const {
+  return std::any_of(
+      held_permits_.begin(), held_permits_.end(),
+      [&](const CallPermit& permit) { return permit.endpoint == endpoint; });
+}
+
+void RequestForwarder::UsePermit(const EndpointId& endpoint) {
+  const auto found = std::find_if(
+      held_permits_.begin(), held_permits_.end(),
+      [&](const CallPermit& permit) { return permit.endpoint == endpoint; });
+  if (found != held_permits_.end()) held_permits_.erase(found);
+}
+
+void RequestForwarder::ReturnPermits() {
+  for (const CallPermit& permit : std::exchange(held_permits_, {})) {
+    permits_->Return(permit);
+  }
+}
+
+ForwardStep RequestForwarder::OnPermit(const std::optional<CallPermit>& permit,
+                                       Time now) {
+  awaited_.reset();
+  if (permit.has_value()) held_permits_.push_back(*permit);
+  return Next(now);
+}
+
+std::optional<Placement> RequestForwarder::PickWithPermit(WorkSpec work,
+                                                          Time now) {
+  while (auto placed = pool_->Pick(work, now)) {
+    const EndpointId& endpoint = placed->endpoint.id;
+    if (HoldsPermit(endpoint)) return placed;
+    const PermitResult result = permits_->Take(endpoint, now);
+    switch (result.state) {
+      case PermitState::kUnlimited:
+        return placed;
+      case PermitState::kGranted:
+        held_permits_.push_back(result.permit);
+        return placed;
+      case PermitState::kAsked:
+        awaited_ = {endpoint, result.ticket};
+        return std::nullopt;
+      case PermitState::kRefused:
+        room_at_ = std::min(room_at_.value_or(result.room_at), result.room_at);
+        work.excluded.insert(endpoint);
+    }
+  }
+  return std::nullopt;
+}
+
+bool RequestForwarder::HasRoomForRetry(bool may_ask, Time now) {
+  const EndpointRole role =
+      facts_.has_engine ? EndpointRole::kDecode : EndpointRole::kPlain;
+  WorkSpec work = MakeWorkSpec(role);
+  work.excluded.insert(current_endpoint_);
+  while (const auto placed = pool_->Pick(work, now)) {
+    const EndpointId& endpoint = placed->endpoint.id;
+    if (!permits_->IsLimited(endpoint)) return true;
+    if (may_ask && permits_->MayHaveRoom(endpoint, now)) return true;
+    work.excluded.insert(endpoint);
+  }
+  return false;
+}
+
 std::optional<ForwardStep> RequestForwarder::ChoosePlainCall(Time now) {
   const WorkSpec work = MakeWorkSpec(EndpointRole::kPlain);
-  const auto placed = pool_->Pick(work, now);
+  const auto placed = PickWithPermit(work, now);
   if (!placed.has_value()) return std::nullopt;
   StartCall call{.endpoint = placed->endpoint, .work = work};
   if (IsRetryable() && runs_ + 1 < facts_.attempts) {
@@ -244,20 +320,24 @@
   WorkSpec decode = MakeWorkSpec(EndpointRole::kDecode);
   decode.prompt_is_prefilled = true;
   decode.reserved_at = ReleaseReservation();
-  const auto runner = pool_->Pick(decode, now);
+  const auto runner = PickWithPermit(decode, now);
+  if (awaited_.has_value()) return std::nullopt;
   const double bonus = facts_.small_route ? kSmallRouteOccupancyBonus : 0;
   const double limit = std::min(1.0, decode.full_occupancy + bonus);
   const bool full = runner.has_value() && runner->occupancy > limit;
   // A stream that has begun is resumed at any load: its caller has a part of
   // it.
   if (full && !kv_source_.has_value() && runs_ == 0) {
-    if (!CanWaitForCapacity(now)) return GiveUp("no runner has room");
+    if (!CanWaitForCapacity(now)) return GiveUp("no runner has room", now);
+    ReturnPermits();
     if (!std::exchange(waiting_, true)) pool_->ChangeWaiting(1);
     return WaitForCapacity{now + kCapacityPollPeriod, runner->occupancy};
   }
   StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
-    if (auto prefill = ChoosePrefill(now)) {
+    const auto prefill = ChoosePrefill(now);
+    if (awaited_.has_value()) return std::nullopt;
+    if (prefill.has_value()) {
       ReserveMemory(runner->endpoint.id, decode);
       return *prefill;
     }
@@ -276,12 +356,12 @@
   return call;
 }
 
-std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) const {
+std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) {
   if (prefill_failures_ >= kMaxPrefillFailures) return std::nullopt;
   WorkSpec prefill = MakeWorkSpec(EndpointRole::kPrefill);
   prefill.memory = MemoryForecast(facts_.prompt, Tokens(0), Tokens(0));
   prefill.slots = 0;
-  const auto placed = pool_->Pick(prefill, now);
+  const auto placed = PickWithPermit(prefill, now);
   if (!placed.has_value()) return std::nullopt;
   const Duration timeout = std::clamp(3 * placed->expected + Milliseconds(200),
                                       kMinPrefillTimeout, kMaxPrefillTimeout);
@@ -296,9 +376,10 @@
   // calls after a failed one that reached its endpoint are retries.
   const bool is_retry = failed_calls_sent_ > 0;
   if (is_retry && !TakeRetry(now)) {
-    return GiveUp("the retry budget is spent");
+    return GiveUp("the retry budget is spent", now);
   }
   ++calls_;
+  UsePermit(call.endpoint.id);
   current_ = call.kind;
   current_endpoint_ = call.endpoint.id;
   return call;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -10,10 +10,12 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/serving_configuration.h"
+#include "servers/entry/call_permits.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/routing/retry_budget.h"
 
@@ -62,6 +64,7 @@
 struct KvSource {
   std::string address;  ///< "IP:PORT" of the runner.
   std::string handle;
+  EndpointId endpoint;  ///< The runner.
 };
 
 struct StartCall {
@@ -83,6 +86,12 @@
   double occupancy = 0;
 };
 
+/// The endpoint has a rate limit, and a permit was asked for; call OnPermit().
+struct WaitForPermit {
+  EndpointId endpoint;
+  PermitTicket ticket{0};
+};
+
 /// The request was not executed and never will be; the caller may retry.
 struct Refuse {
   std::string_view reason;
@@ -100,8 +109,8 @@
   std::string_view reason;
 };
 
-using ForwardStep =
-    std::variant<StartCall, WaitForCapacity, Refuse, Fail, AbortStream>;
+using ForwardStep = std::variant<StartCall, WaitForCapacity, WaitForPermit,
+                                 Refuse, Fail, AbortStream>;
 
 enum class CallFailure {
   kNotSent,      ///< No connection; the endpoint received nothing.
@@ -111,14 +120,21 @@
   kBroken,       ///< No response or an incomplete one; may have run.
 };
 
-/// Forwards one request. Not thread safe; pool and budget must outlive it.
+/// Forwards one request. Not thread safe; pool, budget and permits must outlive
+/// it.
 class RequestForwarder {
  public:
-  RequestForwarder(RequestFacts facts, EndpointPool* pool, RetryBudget* budget)
-      : facts_(std::move(facts)), pool_(pool), budget_(budget) {}
+  RequestForwarder(RequestFacts facts, EndpointPool* pool, RetryBudget* budget,
+                   CallPermits* permits)
+      : facts_(std::move(facts)),
+        pool_(pool),
+        budget_(budget),
+        permits_(permits) {}
   ~RequestForwarder() {
     StopWaiting();
     ReleaseReservation();
+    ReturnPermits();
+    if (awaited_.has_value()) permits_->Cancel(awaited_->ticket);
   }
   RequestForwarder(const RequestForwarder&) = delete;
   RequestForwarder& operator=(const RequestForwarder&) = delete;
@@ -126,6 +142,8 @@
   ForwardStep Start(Time now);
   /// The time of the last WaitForCapacity step has come.
   ForwardStep OnWaitElapsed(Time now);
+  /// The permit of the last WaitForPermit step; null if it was refused.
+  ForwardStep OnPermit(const std::optional<CallPermit>& permit, Time now);
   ForwardStep OnPrefillDone(KvSource source, Time now);
   /// The current call failed. A server error may be relayed to the caller
   /// instead; see TakeServerErrorRetry().
@@ -165,8 +183,17 @@
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
+  /// As EndpointPool::Pick(), among the endpoints whose rate limit has room for
+  /// this call. Null with `awaited_` set if that isn't known yet.
+  std::optional<Placement> PickWithPermit(WorkSpec work, Time now);
+  bool HoldsPermit(const EndpointId& endpoint) const;
+  void UsePermit(const EndpointId& endpoint);
+  void ReturnPermits();
+  /// Whether a retry finds an endpoint that has no rate limit or, with
+  /// `may_ask`, one whose limit isn't known to be used up.
+  bool HasRoomForRetry(bool may_ask, Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
-  std::optional<StartCall> ChoosePrefill(Time now) const;
+  std::optional<StartCall> ChoosePrefill(Time now);
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether the request can wait for capacity and still meet its latency
   /// target.
@@ -178,14 +205,15 @@
   void ReserveMemory(const EndpointId& endpoint, const WorkSpec& work);
   /// Returns the endpoint of the reservation; empty if there was none.
   EndpointId ReleaseReservation();
-  Duration RetryAfter() const;
+  Duration RetryAfter(Time now) const;
   ForwardStep Issue(StartCall call, Time now);
-  ForwardStep GiveUp(std::string_view reason);
+  ForwardStep GiveUp(std::string_view reason, Time now);
   WorkSpec MakeWorkSpec(EndpointRole role) const;
 
   RequestFacts facts_;
   EndpointPool* pool_;
   RetryBudget* budget_;
+  CallPermits* permits_;
 
   CallKind current_ = CallKind::kRun;
   EndpointId current_endpoint_;
@@ -211,6 +239,11 @@
     MemoryForecast memory;
   };
   std::optional<Reservation> reservation_;
+  /// Permits that were granted and not used yet.
+  std::vector<CallPermit> held_permits_;
+  std::optional<WaitForPermit> awaited_;
+  /// Earliest time at which an endpoint that refused a permit may have room.
+  std::optional<Time> room_at_;
   bool relayed_ = false;
   Tokens generated_{0};
   /// Counted in the pool's waiting requests.
--- a/tests/entry/control_directory_test.cc
+++ b/tests/entry/control_directory_test.cc
@@ -46,9 +46,9 @@
 
 TEST(ControlDirectory, NumbersOfAnEarlierProcessAreNotAcknowledged) {
   ControlDirectory directory = Directory("10.1.0.1", 1);
-  directory.OnMessage(Control(0), Incarnation(1), 7);
+  directory.OnMessage(Control(0), Incarnation(1), 7, 0);
   LONGS_EQUAL(7, directory.controls().at(Control(0)).last_received);
-  directory.OnMessage(Control(0), Incarnation(2), 9);
+  directory.OnMessage(Control(0), Incarnation(2), 9, 0);
   LONGS_EQUAL(7, directory.controls().at(Control(0)).last_received);
 }
 
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -9,6 +9,8 @@
 #include <vector>
 
 #include "core/random.h"
+#include "servers/control/rate_limits.h"
+#include "servers/entry/permit_holder.h"
 
 namespace cassiausher {
 namespace {
@@ -63,6 +65,8 @@
 TEST_GROUP(RequestForwarder) {
   EndpointPool pool{EndpointPoolOptions{.data_centre = DataCentreId("here")}};
   RetryBudget budget{RetryBudgetOptions{.ratio = 1, .floor_per_second = 10}};
+  RateLimits limits;
+  PermitHolder permits{PermitHolderOptions{}, &limits};
 
   void AddPlain(int count) {
     for (int i = 0; i < count; ++i) {
@@ -76,7 +80,7 @@
     pool.Merge(Endpoint("decode2", EndpointRole::kDecode), kStart);
   }
   RequestForwarder Make(const RequestFacts& facts) {
-    return RequestForwarder(facts, &pool, &budget);
+    return RequestForwarder(facts, &pool, &budget, &permits);
   }
 };
 
@@ -375,8 +379,8 @@
   std::vector<std::unique_ptr<RequestForwarder>> waiting;
   ForwardStep step = WaitForCapacity{};
   while (Is<WaitForCapacity>(step) && waiting.size() < 100) {
-    waiting.push_back(
-        std::make_unique<RequestForwarder>(StreamFacts(false), &pool, &budget));
+    waiting.push_back(std::make_unique<RequestForwarder>(
+        StreamFacts(false), &pool, &budget, &permits));
     step = waiting.back()->Start(kStart);
   }
   CHECK_TRUE(Is<Refuse>(step));
@@ -415,4 +419,74 @@
   }
 }
 
+// An endpoint named a rate limit and still got all requests (server-limit).
+TEST(RequestForwarder, WhatHasNoRoomWithinALimitGoesElsewhere) {
+  AddPlain(2);
+  limits.Observe({.endpoint = EndpointId("p0"),
+                  .limit = RequestRate(0),
+                  .observed_at = kStart});
+  // Nobody issues permits, and the own share of no requests is empty.
+  for (int i = 0; i < 20; ++i) {
+    RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 1));
+    const ForwardStep step = forwarder.Start(kStart);
+    STRCMP_EQUAL("p1", Call(step).endpoint.id.value().c_str());
+  }
+}
+
+TEST(RequestForwarder, IfEveryEndpointIsAtItsLimitARequestIsRefusedAtOnce) {
+  AddPlain(2);
+  for (const char* id : {"p0", "p1"}) {
+    limits.Observe({.endpoint = EndpointId(id),
+                    .limit = RequestRate(0.01),
+                    .observed_at = kStart});
+  }
+  RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+  const ForwardStep step = forwarder.Start(kStart);
+  CHECK_TRUE(Is<Refuse>(step));
+  // Told when there may be room, but not to stay away for minutes.
+  CHECK_TRUE(std::get<Refuse>(step).retry_after >= Milliseconds(150));
+  CHECK_TRUE(std::get<Refuse>(step).retry_after <= Seconds(5));
+}
+
+TEST(RequestForwarder, ARequestWaitsForThePermitThatWasAskedFor) {
+  AddPlain(1);
+  limits.Observe({.endpoint = EndpointId("p0"),
+                  .limit = RequestRate(5),
+                  .observed_at = kStart});
+  permits.SetIssuer(InstanceId("control"), kStart);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 1));
+  CHECK_TRUE(Is<WaitForPermit>(forwarder.Start(kStart)));
+  const auto asks = permits.TakeAsks(kStart);
+  LONGS_EQUAL(1, asks.size());
+  permits.OnReply(
+      InstanceId("control"),
+      {.number = asks[0].number, .endpoint = EndpointId("p0"), .granted = 1},
+      kStart);
+  const auto outcomes = permits.TakeOutcomes();
+  CHECK_TRUE(Is<StartCall>(forwarder.OnPermit(outcomes[0].permit, kStart)));
+}
+
+TEST(RequestForwarder, AServerErrorIsRelayedIfTheOthersAreAtTheirLimit) {
+  AddPlain(2);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+  const std::string first = Call(forwarder.Start(kStart)).endpoint.id.value();
+  limits.Observe({.endpoint = EndpointId(first == "p0" ? "p1" : "p0"),
+                  .limit = RequestRate(0),
+                  .observed_at = kStart});
+  CHECK_FALSE(forwarder.TakeServerErrorRetry(kStart));
+}
+
+// A model request takes both permits before its prompt is prefilled, so that no
+// prefill is wasted for want of the second.
+TEST(RequestForwarder, ADecodeRunnerAtItsLimitIsNotPrefilledFor) {
+  AddRunners();
+  for (const char* id : {"decode1", "decode2"}) {
+    limits.Observe({.endpoint = EndpointId(id),
+                    .limit = RequestRate(0),
+                    .observed_at = kStart});
+  }
+  RequestForwarder forwarder = Make(StreamFacts(false));
+  CHECK_TRUE(Is<Refuse>(forwarder.Start(kStart)));
+}
+
 }  // namespace cassiausher
