Let the part of the retry allowance follow the number of instances

Found by looking for the cause of server-limit elsewhere: an amount that all instances share, divided by a number that was known once. An entry instance took its part of the allowance when a service got its first request. One that had heard only from a control process that had just started counted 8 entry instances instead of 58 or 74 and kept up to nine times its part for good.

The part is set anew with each request.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -222,11 +222,12 @@
 RetryBudget& EntryNode::BudgetOf(const ServiceId& service) {
   std::unique_ptr<RetryBudget>& budget = budgets_[service];
   if (!budget) {
-    budget = std::make_unique<RetryBudget>(RetryBudgetOptions{
-        .ratio = settings_.retry_ratio * kBudgetFraction,
-        .floor_per_second = settings_.retry_allowance * kBudgetFraction /
-                            kBudgetWindowSeconds / controls_.EntryInstances()});
+    budget = std::make_unique<RetryBudget>(
+        RetryBudgetOptions{.ratio = settings_.retry_ratio * kBudgetFraction});
   }
+  const double allowance = settings_.retry_allowance * kBudgetFraction;
+  budget->SetFloorPerSecond(allowance / kBudgetWindowSeconds /
+                            controls_.EntryInstances());
   return *budget;
 }
 
--- a/servers/routing/retry_budget.h
+++ b/servers/routing/retry_budget.h
@@ -23,6 +23,10 @@
  public:
   explicit RetryBudget(RetryBudgetOptions options) : options_(options) {}
 
+  /// This instance's part of the fixed allowance, which changes with the number
+  /// of instances that share it.
+  void SetFloorPerSecond(double floor) { options_.floor_per_second = floor; }
+
   /// Records the first attempt of a request.
   void OnRequest(Time now);
   /// Takes `count` retries from the budget, or none if fewer are left, and
--- a/tests/routing/limits/limits_test.cc
+++ b/tests/routing/limits/limits_test.cc
@@ -101,6 +101,18 @@
 
 TEST_GROUP(RetryBudget){};
 
+// Guards against an allowance that is divided once, by the number of instances
+// known at the first request: an entry instance that starts beside a restarted
+// control instance knows a few of 74, and all would keep several times their
+// part.
+TEST(RetryBudget, ThePartOfTheAllowanceFollowsTheNumberOfInstances) {
+  RetryBudget budget({.ratio = 0, .floor_per_second = 0.5});
+  CHECK(budget.Remaining(At(0)) == 5);
+  budget.SetFloorPerSecond(0.1);
+  CHECK(budget.TryRetry(At(0)));
+  CHECK(!budget.TryRetry(At(0)));
+}
+
 // Guards against retries that multiply the load during an outage.
 TEST(RetryBudget, RetriesAreLimitedToAShareOfRequests) {
   RetryBudget budget({});
