Record the software version of endpoints and what a caller resumes

No record, message or log line carried the version, and call_started didn't tell which stream a caller takes up, so the hypotheses couldn't be told apart. Both are read in the adapter and logged. A heartbeat whose version isn't text is refused, as for its other fields. A record that an instance of an earlier build passed on lacks the version and doesn't overwrite it. Nothing acts on it yet.

--- a/core/ids.h
+++ b/core/ids.h
@@ -14,6 +14,8 @@
 /// Name of a service: the value of "model" in a caller's request, or the NAME
 /// of a plain service.
 using ServiceId = StrongString<struct ServiceIdTag>;
+/// Version of an endpoint's software, as it names it.
+using SoftwareVersion = StrongString<struct SoftwareVersionTag>;
 /// Id of one request, unique over the lifetime of the deployment.
 using RequestId = StrongString<struct RequestIdTag>;
 /// Client account that a request is billed to.
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -141,6 +141,7 @@
       {{"endpoint", record.id.value()},
        {"service", record.service.value()},
        {"address", record.address},
+       {"version", record.version.value_or(SoftwareVersion("unknown")).value()},
        {"state", Name(record.state)},
        {"role", Name(record.role)},
        {"born", record.incarnation.value()},
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -324,6 +324,8 @@
         {{"endpoint", record.id.value()},
          {"state", Name(record.state)},
          {"role", Name(record.role)},
+         {"version",
+          record.version.value_or(SoftwareVersion("unknown")).value()},
          {"sequence", record.sequence},
          {"control", from.value()}});
     pool_.Merge(record, now);
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -170,6 +170,9 @@
        {"kind", call.kind == CallKind::kPrefill ? "prefill" : "run"},
        {"endpoint", call.endpoint.id.value()},
        {"endpoint_sequence", call.endpoint.sequence},
+       {"version",
+        call.endpoint.version.value_or(SoftwareVersion("unknown")).value()},
+       {"takes_up", caller_.resumes.value()},
        {"resumes", resumes},
        {"kv_source", call.kv_source ? call.kv_source->address : ""},
        {"time_left_ms", ToMilliseconds(plan.time_left)}});
--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -12,6 +12,8 @@
   } else {
     if (received.sequence > known->sequence) merged = received;
     merged.state = std::max(received.state, known->state);
+    if (!merged.version) merged.version = known->version;
+    if (!merged.version) merged.version = received.version;
   }
   EndpointRecord same_sequence = merged;
   same_sequence.sequence = known->sequence;
@@ -55,6 +57,7 @@
   message.set_slots(record.slots);
   message.set_born_ms(record.incarnation.value());
   message.set_sequence(record.sequence);
+  if (record.version) message.set_software_version(record.version->value());
   return message;
 }
 
@@ -70,8 +73,12 @@
              .role = static_cast<EndpointRole>(message.role()),
              .state = static_cast<EndpointLifecycle>(message.state()),
              .slots = static_cast<int>(message.slots()),
+             .version = std::nullopt,
              .incarnation = Incarnation(message.born_ms()),
              .sequence = message.sequence()};
+  if (message.has_software_version()) {
+    record->version = SoftwareVersion(message.software_version());
+  }
   return true;
 }
 
--- a/servers/control/endpoint_record.h
+++ b/servers/control/endpoint_record.h
@@ -4,6 +4,7 @@
 #define SERVERS_CONTROL_ENDPOINT_RECORD_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -26,6 +27,9 @@
   EndpointRole role = EndpointRole::kPlain;
   EndpointLifecycle state = EndpointLifecycle::kReady;
   int slots = 1;
+  /// Version of its software, empty if it names none. Null if the endpoint is
+  /// known only from an instance of an earlier build, which doesn't pass it on.
+  std::optional<SoftwareVersion> version = SoftwareVersion();
   /// When this run of the endpoint started, in milliseconds since the epoch.
   Incarnation incarnation{0};
   /// Number of the heartbeat, counted within the incarnation.
@@ -37,8 +41,8 @@
 /// Merges `received` into `known`. A later incarnation replaces an earlier one.
 /// Within an incarnation, the record with the higher sequence number supplies
 /// the fields, but the later state is kept, so that a delayed heartbeat never
-/// makes a departing endpoint ready again. Returns whether anything but the
-/// sequence number changed.
+/// makes a departing endpoint ready again, and so is a known software version.
+/// Returns whether anything but the sequence number changed.
 bool Merge(const EndpointRecord& received, EndpointRecord* known);
 
 /// Names for log lines.
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -59,6 +59,41 @@
 
 // A record of another control instance that names no address would be called at
 // none.
+// Control instances of an earlier build pass records on without the software
+// version, with which no stream could be continued (incident
+// software-versions).
+TEST(EndpointRegistry, AKnownSoftwareVersionIsNotLostToAnEarlierBuild) {
+  EndpointRecord named = Runner(1, 5);
+  named.version = SoftwareVersion("v1.1");
+  EndpointRecord passed_on = Runner(1, 6);
+  passed_on.version = std::nullopt;
+  for (const bool named_first : {true, false}) {
+    EndpointRegistry other{EndpointRegistryOptions{}};
+    other.Update(named_first ? named : passed_on, kStart);
+    other.Update(named_first ? passed_on : named, kStart);
+    const EndpointRecord* record = other.Find(EndpointId("r1"));
+    CHECK_TRUE(record->version == SoftwareVersion("v1.1"));
+    LONGS_EQUAL(6, record->sequence);
+  }
+  EndpointRecord restarted = Runner(2, 1);
+  restarted.version = std::nullopt;
+  registry.Update(named, kStart);
+  registry.Update(restarted, kStart);
+  CHECK_FALSE(registry.Find(EndpointId("r1"))->version.has_value());
+}
+
+TEST(EndpointRegistry, TheSoftwareVersionTravelsWithTheRecord) {
+  for (const auto& version :
+       {std::optional(SoftwareVersion("v1.1")),
+        std::optional(SoftwareVersion()), std::optional<SoftwareVersion>()}) {
+    EndpointRecord sent = Runner(1, 1);
+    sent.version = version;
+    EndpointRecord received;
+    CHECK_TRUE(FromProto(ToProto(sent), &received));
+    CHECK_TRUE(received == sent);
+  }
+}
+
 TEST(EndpointRegistry, RecordWithoutAddressIsMalformed) {
   EndpointRecord decoded;
   proto::EndpointRecord message = ToProto(Runner(1, 1));
--- a/tests/platform/request_headers_test.cc
+++ b/tests/platform/request_headers_test.cc
@@ -140,6 +140,13 @@
   STRCMP_EQUAL("10.0.0.1:80/h", ValueOf(call, "X-Kv-Source").c_str());
 }
 
+TEST(RequestHeaders, TheStreamThatACallerTakesUpIsRead) {
+  Receive({{"Resumes", "9c41"}, {"Last-Event-Id", "3"}});
+  const CallerHeaders caller = ReadCallerHeaders(*exchange);
+  STRCMP_EQUAL("9c41", caller.resumes.value().c_str());
+  LONGS_EQUAL(3, *caller.last_event_id);
+}
+
 TEST(RequestHeaders, ResponsesOfWrongRequestOrEndpointAreDetected) {
   SoupMessageHeaders* headers =
       soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE);
--- a/tests/platform/runner_calls_test.cc
+++ b/tests/platform/runner_calls_test.cc
@@ -78,6 +78,22 @@
   }
 }
 
+TEST(RunnerCalls, TheSoftwareVersionIsOptionalButMustBeText) {
+  const auto version_of = [](const std::string& field) {
+    Findings findings;
+    const auto record = ReadHeartbeat(
+        EndpointId("i-1"),
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":1,)"
+        R"("state":"ready","seq":1)" +
+            field + "}",
+        &findings);
+    return record ? record->version : std::nullopt;
+  };
+  CHECK_TRUE(version_of(R"(,"version":"v1.1")") == SoftwareVersion("v1.1"));
+  CHECK_TRUE(version_of("") == SoftwareVersion());
+  CHECK_FALSE(version_of(R"(,"version":7)").has_value());
+}
+
 TEST(RunnerCalls, CallsAreClassifiedByMethodAndPath) {
   CHECK_TRUE(ReadControlCall("PUT", "/api/instances/i-1").kind ==
              ControlCallKind::kHeartbeat);
