--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -12,6 +12,7 @@
 HEARTBEAT_PERIOD_S = 1.2
 HEARTBEAT_TIMEOUT_S = 1.0
 ENDPOINT_PORT = 8400
+SHUTDOWN_TIMEOUT_S = 0.1
 HEALTHY_STATUS = 200
 
 
@@ -75,7 +76,8 @@
         application.router.add_route("*", "/{path:.*}", self._record)
         self.runner = web.AppRunner(application, access_log=None)
         await self.runner.setup()
-        self.site = web.TCPSite(self.runner, self.ip, ENDPOINT_PORT, reuse_address=True, backlog=512)
+        self.site = web.TCPSite(self.runner, self.ip, ENDPOINT_PORT, reuse_address=True, backlog=512,
+                                shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await self.site.start()
         self.announcer = Announcer(session, control_urls)
         self.beats = asyncio.create_task(self._announce())
@@ -136,3 +138,66 @@
         await asyncio.sleep(self.work_s * self.random.uniform(0.5, 2))
         status = 500 if self.random.random() < self.error_share else HEALTHY_STATUS
         return web.Response(status=status, headers=headers, body=b"x" * 800)
+
+
+class ModelEndpoint(Endpoint):
+    """A model runner: reads prompts or writes streams of events that tell which endpoint and version wrote them."""
+
+    def __init__(self, *args, stage, seed, event_period_s=0.03, prefill_s=0.05):
+        super().__init__(*args)
+        self.stage = stage
+        self.slots = 48
+        self.random = random.Random(seed)
+        self.event_period_s = event_period_s
+        self.prefill_s = prefill_s
+        self.open = set()
+        self.handles = itertools.count(1)
+
+    async def crash(self):
+        """Ends without a word, in the middle of its streams."""
+        self.beats.cancel()
+        await self.site.stop()
+        for transport in list(self.open):
+            transport.abort()
+        await self.runner.cleanup()
+
+    async def answer(self, request, kind):
+        transport = request.transport
+        self.open.add(transport)
+        try:
+            return await self._answer(request, kind)
+        finally:
+            self.open.discard(transport)
+
+    async def _answer(self, request, kind):
+        headers = self.headers(request)
+        if kind == "release":
+            return web.Response(headers=headers)
+        if kind == "order":
+            return await self._change_stage(request, headers)
+        expected = request.headers.get("X-Expect-Instance", self.name)
+        if expected != self.name or (kind == "prefill") != (self.stage == "prefill"):
+            return web.Response(status=421, headers=headers | {"X-Not-Executed": "1"})
+        if kind == "prefill":
+            await asyncio.sleep(self.prefill_s)
+            body = {"handle": f"{self.name}-{next(self.handles)}", "tokens": 5000, "version": 1}
+            return web.json_response(body, headers=headers)
+        return await self._stream(request, headers)
+
+    async def _change_stage(self, request, headers):
+        order = await request.json()
+        self.stage = order.get("stage", self.stage)
+        return web.Response(status=202, headers=headers)
+
+    async def _stream(self, request, headers):
+        headers |= {"X-Server-Stamp": f"{self.name}.1", "X-Weight-Versions": "1", "Content-Type": "text/event-stream"}
+        last = int(request.headers["X-Token-Counts"].split(",")[1])
+        first = int(request.headers.get("Last-Event-Id", 0)) + 1
+        response = web.StreamResponse(headers=headers)
+        await asyncio.sleep(self.event_period_s)
+        await response.prepare(request)
+        for number in range(first, last + 1):
+            await response.write(f"id: {number}\ndata: {self.name} {self.version}\n\n".encode())
+            await asyncio.sleep(self.event_period_s * self.random.uniform(0.5, 1.5))
+        await response.write_eof()
+        return response
--- a/tests/soak/run_support.py
+++ b/tests/soak/run_support.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import logging
 import os
 import pathlib
 import random
@@ -110,4 +111,6 @@
 
 def main(play, description):
     """Runs `play(options)`, a coroutine that returns the exit status."""
+    # A crashing endpoint resets the connections that its handlers write to.
+    logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     sys.exit(asyncio.run(play(parse_options(description))))
