--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -8,6 +8,7 @@
 #include "drivers/task.h"
 #include "main/error_body.h"
 #include "main/node_messages.h"
+#include "main/origin_messages.h"
 #include "platform/runner_calls.h"
 
 namespace cassiausher {
@@ -38,6 +39,7 @@
       refused_heartbeats_(metrics.counter("heartbeats_refused_total")),
       changes_(metrics.counter("configuration_submissions_total")),
       refused_changes_(metrics.counter("configuration_refusals_total")),
+      kept_origins_(metrics.gauge("stream_origins")),
       link_(settings_, incarnation_, metrics,
             [this](const InstanceId& from, const proto::NodeMessage& message) {
               OnMessage(from, message);
@@ -240,6 +242,12 @@
         followers_.OnRateLimitAppeared(now);
       }
       break;
+    case proto::NodeMessage::kStoreOrigins:
+      link_.Send(from, Keep(message.store_origins(), now, &origins_));
+      break;
+    case proto::NodeMessage::kFindOrigin:
+      link_.Send(from, AnswerSearch(message.find_origin(), now, origins_));
+      break;
     case proto::NodeMessage::kPlacements:
       followers_.OnPlacements(from, message.placements());
       break;
@@ -416,6 +424,8 @@
   registry_.Expire(now);
   followers_.Expire(now);
   permits_.Expire(now);
+  origins_.Expire(now);
+  kept_origins_.Set(static_cast<std::int64_t>(origins_.size()));
   std::set<InstanceId> seeds;
   for (const SocketAddress& seed : settings_.seeds) {
     seeds.insert(InstanceId(seed.ip));
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -26,6 +26,7 @@
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/newest_version.h"
 #include "servers/control/serving_configuration.h"
+#include "servers/control/stream_origins.h"
 
 namespace cassiausher {
 
@@ -94,11 +95,13 @@
   Counter& refused_heartbeats_;
   Counter& changes_;
   Counter& refused_changes_;
+  Gauge& kept_origins_;
   NodeLink link_;
   ConfigurationLog log_;
   EndpointRegistry registry_;
   StageOrders stage_orders_;
   PermitService permits_;
+  StreamOrigins origins_{StreamOriginsOptions{}};
   OperatorCalls operator_calls_;
   /// The configuration in force, decoded; empty before the first.
   std::optional<ServingConfiguration> configuration_;
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -54,6 +54,7 @@
       random_(static_cast<std::uint64_t>(g_get_real_time())),
       configuration_(settings_, codec, &link_),
       permits_(static_cast<std::uint64_t>(g_get_real_time()), metrics, &link_),
+      origins_(settings_, metrics, &link_),
       controls_({.self = InstanceId(settings_.ip)}),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
@@ -91,6 +92,7 @@
     SendPlacements();
     configuration_.SendRequest(BootTimeNow());
     permits_.Tick(BootTimeNow());
+    origins_.Tick(BootTimeNow());
   });
   SendFollowMessages(BootTimeNow());
   return {};
@@ -203,6 +205,7 @@
                                   .pool = &pool_,
                                   .budget = &BudgetOf(service),
                                   .permits = &permits_,
+                                  .origins = &origins_,
                                   .answers = &answers_[service],
                                   .metrics = &metrics_,
                                   .context = context_,
@@ -254,6 +257,14 @@
     permits_.OnPermitAnswer(from, message.permit_answer(), BootTimeNow());
     return;
   }
+  if (message.has_origins_stored()) {
+    origins_.OnStored(from, message.origins_stored());
+    return;
+  }
+  if (message.has_origin_answer()) {
+    origins_.OnAnswer(from, message.origin_answer(), BootTimeNow());
+    return;
+  }
   if (message.has_configuration_chunk()) {
     configuration_.OnChunk(from, message.configuration_chunk(), BootTimeNow());
     return;
@@ -263,19 +274,21 @@
 
 void EntryNode::OnUpdate(const InstanceId& from, const proto::Update& update) {
   const Time now = BootTimeNow();
-  const bool connected =
-      controls_.OnUpdate(from,
-                         {.process = Incarnation(update.registry_epoch()),
-                          .registry_revision = update.registry_revision(),
-                          .number = update.number(),
-                          .entry_instances = update.entry_instances(),
-                          .permit_term = update.permit_term()},
-                         now);
+  const bool connected = controls_.OnUpdate(
+      from,
+      {.process = Incarnation(update.registry_epoch()),
+       .registry_revision = update.registry_revision(),
+       .number = update.number(),
+       .entry_instances = update.entry_instances(),
+       .permit_term = update.permit_term(),
+       .data_centre = DataCentreId(update.notice().data_centre()),
+       .keeps_origins = update.keeps_origins()},
+      now);
   if (connected) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
   }
   permits_.OnRateLimits(update.rate_limits(), now);
-  SetPermitIssuer(now);
+  UseControls(now);
   MergeRecords(from, update.records(), now);
   std::set<EndpointId> silent;
   for (const std::string& id : update.silent_endpoints()) {
@@ -302,14 +315,15 @@
   controls_.OnMessage(from, Incarnation(changes.registry_epoch()),
                       changes.number(), changes.permit_term());
   permits_.OnRateLimits(changes.rate_limits(), now);
-  SetPermitIssuer(now);
+  UseControls(now);
   MergeRecords(from, changes.records(), now);
   SetChangingEndpoints(changes.changing_endpoints(), now);
   configuration_.OnNotice(from, changes.notice(), now);
 }
 
-void EntryNode::SetPermitIssuer(Time now) {
+void EntryNode::UseControls(Time now) {
   permits_.SetIssuer(controls_.PermitIssuer(), controls_.EntryInstances(), now);
+  origins_.SetControls(controls_, now);
 }
 
 void EntryNode::MergeRecords(const InstanceId& from,
@@ -351,7 +365,7 @@
          {"silent_ms", ToMilliseconds(now - heard_at)}});
   }
   load_source_ = controls_.LoadSource();
-  SetPermitIssuer(now);
+  UseControls(now);
   for (const auto& [instance, control] : controls_.controls()) {
     proto::NodeMessage message;
     proto::Follow* follow = message.mutable_follow();
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -20,6 +20,7 @@
 #include "main/forwarded_request.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
+#include "main/origin_client.h"
 #include "main/permit_client.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
@@ -69,7 +70,8 @@
   void OnChanges(const InstanceId& from, const proto::Changes& changes);
   void MergeRecords(const InstanceId& from, const EndpointRecords& records,
                     Time now);
-  void SetPermitIssuer(Time now);
+  /// Tells the parts that depend on control instances which ones to use.
+  void UseControls(Time now);
   void SetChangingEndpoints(const EndpointNames& names, Time now);
   void SendFollowMessages(Time now);
   void Tick();
@@ -84,6 +86,7 @@
   Random random_;
   ConfigurationClient configuration_;
   PermitClient permits_;
+  OriginClient origins_;
   ControlDirectory controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -20,6 +20,14 @@
 constexpr Duration kProgressRecheck = Milliseconds(300);
 // The endpoint pool is told of a stream's progress after this many events.
 constexpr std::int64_t kEventsPerReport = 4;
+// A stream may be taken up until its caller's deadline, which the caller counts
+// from a moment before this instance does.
+constexpr Duration kOriginMargin = Seconds(2);
+// No stream is older. If a service has had a single software version for so
+// long, that version began the stream.
+constexpr Duration kMaxStreamAge = Seconds(60);
+// Another instance may be in touch with one that knows the stream.
+constexpr Duration kUnknownRetryAfter = Milliseconds(300);
 // Limit of an answer that isn't streamed: it is held in memory until complete.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{16} << 20;
 
@@ -85,8 +93,6 @@
       route_name_(route.name),
       is_stream_(route.kind == RouteKind::kStream),
       configuration_(configuration),
-      forwarder_(facts_, context.pool, context.budget,
-                 context.permits->permits()),
       events_(caller_.last_event_id) {}
 
 ForwardedRequest::~ForwardedRequest() {
@@ -99,7 +105,46 @@
   exchange_->WatchClose([weak] {
     if (const auto self = weak.lock()) self->OnCallerGone();
   });
-  Execute(forwarder_.Start(BootTimeNow()));
+  const bool taken_up = facts_.resumable && !caller_.resumes.empty();
+  if (taken_up) return StartTakenUp();
+  StartForwarding();
+}
+
+void ForwardedRequest::StartForwarding() {
+  forwarder_.emplace(facts_, context_.pool, context_.budget,
+                     context_.permits->permits());
+  Execute(forwarder_->Start(BootTimeNow()));
+}
+
+void ForwardedRequest::StartTakenUp() {
+  wait_deadline_ = facts_.deadline;
+  ArmTimer();
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  context_.origins->Find(
+      caller_.resumes,
+      [weak](const std::optional<StreamOrigin>& origin) {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->ended_) self->OnOrigin(origin);
+      },
+      BootTimeNow());
+}
+
+void ForwardedRequest::OnOrigin(const std::optional<StreamOrigin>& origin) {
+  if (origin.has_value()) {
+    facts_.begun_by = origin->version;
+  } else {
+    facts_.begun_by = context_.pool->SoleVersion(facts_.service, kMaxStreamAge,
+                                                 BootTimeNow());
+  }
+  Log(LogLevel::kInfo, "stream_taken_up",
+      {{"request", caller_.id.value()},
+       {"begun_as", caller_.resumes.value()},
+       {"found", origin.has_value()},
+       {"version",
+        facts_.begun_by.value_or(SoftwareVersion("unknown")).value()}});
+  if (facts_.begun_by.has_value()) return StartForwarding();
+  RespondRefused("the version that began the stream is unknown",
+                 kUnknownRetryAfter);
 }
 
 void ForwardedRequest::Execute(ForwardStep step) {
@@ -126,11 +171,7 @@
     return;
   }
   if (const auto* refuse = std::get_if<Refuse>(&step)) {
-    HttpHeaders headers = {RetryAfterHeader(refuse->retry_after)};
-    exchange_->Respond(503, kJson,
-                       RefusalBody(refuse->reason, refuse->retry_after),
-                       WithConnectionClose(std::move(headers)));
-    End("refused", 503, refuse->reason);
+    RespondRefused(refuse->reason, refuse->retry_after);
     return;
   }
   if (const auto* fail = std::get_if<Fail>(&step)) {
@@ -143,6 +184,14 @@
   End("broken_off", 0, std::get<AbortStream>(step).reason);
 }
 
+void ForwardedRequest::RespondRefused(std::string_view reason,
+                                      Duration retry_after) {
+  HttpHeaders headers = {RetryAfterHeader(retry_after)};
+  exchange_->Respond(503, kJson, RefusalBody(reason, retry_after),
+                     WithConnectionClose(std::move(headers)));
+  End("refused", 503, reason);
+}
+
 void ForwardedRequest::BeginCall(const StartCall& call) {
   const Time now = BootTimeNow();
   call_ = call;
@@ -154,7 +203,7 @@
   }
   answer_.reset();
   body_.clear();
-  const bool resumes = call.kind == CallKind::kRun && exchange_->streaming();
+  const bool resumes = call.kind == CallKind::kRun && begun_.has_value();
   // An incomplete event of the previous run is not part of the next one.
   events_ = EventSplitter(events_.last_id());
   CallPlan plan{.kind = call.kind,
@@ -203,12 +252,12 @@
     return;
   }
   const bool failed = status >= kServerError;
-  if (failed && !exchange_->streaming() &&
-      forwarder_.TakeServerErrorRetry(BootTimeNow())) {
+  if (failed && !begun_.has_value() &&
+      forwarder_->TakeServerErrorRetry(BootTimeNow())) {
     FailCall(CallFailure::kServerError, fmt::format("status {}", status));
     return;
   }
-  if (!success && exchange_->streaming()) {
+  if (!success && begun_.has_value()) {
     FailCall(CallFailure::kBroken, fmt::format("status {}", status));
   }
 }
@@ -234,7 +283,7 @@
       [weak](const std::optional<CallPermit>& permit) {
         const auto self = weak.lock();
         if (self == nullptr || self->ended_) return;
-        self->Execute(self->forwarder_.OnPermit(permit, BootTimeNow()));
+        self->Execute(self->forwarder_->OnPermit(permit, BootTimeNow()));
       },
       BootTimeNow());
 }
@@ -259,9 +308,9 @@
 void ForwardedRequest::ReportProgress() {
   if (relayed_events_ - reported_events_ < kEventsPerReport) return;
   reported_events_ = relayed_events_;
-  forwarder_.OnTokensGenerated(
+  forwarder_->OnTokensGenerated(
       Tokens(relayed_events_ * facts_.tokens_per_event));
-  context_.pool->OnProgress(call_->endpoint.id, forwarder_.Memory(),
+  context_.pool->OnProgress(call_->endpoint.id, forwarder_->Memory(),
                             &call_->work);
 }
 
@@ -273,12 +322,12 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
-  if (!exchange_->streaming()) {
-    exchange_->StartStream(answer_->status, "",
-                           WithConnectionClose(answer_->headers));
-    forwarder_.OnRelayed();
+  if (!begun_.has_value()) BeginStream();
+  if (holding_) {
+    held_events_ += events;
+  } else {
+    exchange_->Write(events);
   }
-  exchange_->Write(events);
   if (call_->gap_timeout > Duration(0)) {
     progress_deadline_ = now + call_->gap_timeout;
   } else {
@@ -286,6 +335,38 @@
   }
 }
 
+void ForwardedRequest::BeginStream() {
+  begun_ = answer_;
+  forwarder_->OnBegun();
+  const std::optional<SoftwareVersion>& version = forwarder_->CurrentVersion();
+  const bool can_be_taken_up =
+      facts_.resumable && caller_.resumes.empty() && version.has_value();
+  holding_ = true;
+  if (!can_be_taken_up) return ReleaseHeldEvents();
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  context_.origins->Store(
+      caller_.id,
+      {.version = *version, .expires_at = facts_.deadline + kOriginMargin},
+      [weak] {
+        const auto self = weak.lock();
+        if (self != nullptr && !self->ended_) self->ReleaseHeldEvents();
+      },
+      BootTimeNow());
+}
+
+void ForwardedRequest::ReleaseHeldEvents() {
+  holding_ = false;
+  exchange_->StartStream(begun_->status, "",
+                         WithConnectionClose(begun_->headers));
+  if (!held_events_.empty()) exchange_->Write(std::exchange(held_events_, {}));
+  if (complete_) EndStream();
+}
+
+void ForwardedRequest::EndStream() {
+  exchange_->EndStream();
+  End("answered", begun_->status, "");
+}
+
 void ForwardedRequest::OnDone(std::string_view error, bool sent) {
   if (!error.empty() || !answer_.has_value()) {
     const CallFailure failure =
@@ -309,7 +390,7 @@
   const std::string address = call_->endpoint.address;
   const EndpointId endpoint = call_->endpoint.id;
   FinishCall(WorkOutcome::kDone);
-  Execute(forwarder_.OnPrefillDone(
+  Execute(forwarder_->OnPrefillDone(
       {.address = address, .handle = *handle, .endpoint = endpoint},
       BootTimeNow()));
 }
@@ -322,13 +403,15 @@
   const int status = answer_->status;
   const bool server_error = status >= kServerError;
   FinishCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
-  if (exchange_->streaming()) {
+  if (begun_.has_value()) {
     context_.answers->Observe(Tokens(relayed_events_ * facts_.tokens_per_event),
                               facts_.output);
-    exchange_->EndStream();
-  } else {
-    RespondBuffered();
+    complete_ = true;
+    wait_deadline_ = facts_.deadline;
+    if (!holding_) EndStream();
+    return;
   }
+  RespondBuffered();
   End(server_error ? "endpoint_error" : "answered", status, "");
 }
 
@@ -367,7 +450,7 @@
       ->counter(
           fmt::format("call_failures_total{{failure=\"{}\"}}", Name(failure)))
       .Add();
-  Execute(forwarder_.OnCallFailed(failure, BootTimeNow()));
+  Execute(forwarder_->OnCallFailed(failure, BootTimeNow()));
 }
 
 void ForwardedRequest::FinishCall(WorkOutcome outcome) {
@@ -412,12 +495,16 @@
       const bool was_sent = context_.client->WasSent(call_id_);
       FinishCall(was_sent ? WorkOutcome::kBroken : WorkOutcome::kAbandoned);
     }
-    Execute(forwarder_.OnDeadline());
+    if (!forwarder_.has_value()) {
+      // The stream's origin is still searched for.
+      return RespondRefused("no time left", kUnknownRetryAfter);
+    }
+    Execute(forwarder_->OnDeadline());
     return;
   }
   if (!call_.has_value()) {
-    if (now < wait_deadline_) return ArmTimer();
-    Execute(forwarder_.OnWaitElapsed(now));
+    if (now < wait_deadline_ || holding_) return ArmTimer();
+    Execute(forwarder_->OnWaitElapsed(now));
     return;
   }
   const bool sent = context_.client->WasSent(call_id_);
@@ -426,7 +513,7 @@
     return;
   }
   if (sent && progress_deadline_.has_value() && now >= *progress_deadline_) {
-    if (!forwarder_.TakeFailOver(now)) {
+    if (!forwarder_->TakeFailOver(now)) {
       progress_deadline_ = now + kProgressRecheck;
       return ArmTimer();
     }
@@ -442,7 +529,8 @@
 }
 
 void ForwardedRequest::ReleaseHandle() {
-  const auto unused = forwarder_.TakeUnusedHandle();
+  if (!forwarder_.has_value()) return;
+  const auto unused = forwarder_->TakeUnusedHandle();
   if (!unused.has_value()) return;
   // The release counts as a request, and the handle expires by itself soon.
   if (context_.permits->permits()->IsLimited(unused->endpoint)) return;
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -14,6 +14,7 @@
 #include "core/time.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "main/origin_client.h"
 #include "main/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
@@ -29,6 +30,7 @@
   EndpointPool* pool = nullptr;
   RetryBudget* budget = nullptr;
   PermitClient* permits = nullptr;
+  OriginClient* origins = nullptr;
   AnswerEstimate* answers = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
@@ -55,7 +57,13 @@
   void OnDone(std::string_view error, bool sent) override;
 
  private:
+  /// Finds the software version that began the stream which the caller takes
+  /// up, then begins; refuses if nobody knows it.
+  void StartTakenUp();
+  void StartForwarding();
+  void OnOrigin(const std::optional<StreamOrigin>& origin);
   void Execute(ForwardStep step);
+  void RespondRefused(std::string_view reason, Duration retry_after);
   void BeginCall(const StartCall& call);
   void FailCall(CallFailure failure, std::string_view reason);
   void FinishCall(WorkOutcome outcome);
@@ -65,6 +73,11 @@
   void AwaitPermit(const WaitForPermit& wait);
   void ReportProgress();
   void RelayEvents(const std::string& events);
+  /// The first event has arrived.
+  void BeginStream();
+  /// Passes on what was held back until the stream's origin was stored.
+  void ReleaseHeldEvents();
+  void EndStream();
   void RespondBuffered();
   void OnCallerGone();
   void OnTimer();
@@ -80,7 +93,8 @@
   std::string route_name_;
   bool is_stream_ = false;
   Revision configuration_;
-  RequestForwarder forwarder_;
+  /// Set once the software version of a stream that is taken up is known.
+  std::optional<RequestForwarder> forwarder_;
   std::function<void()> on_end_;
 
   /// The call in progress; none between calls.
@@ -103,6 +117,13 @@
   std::optional<Time> first_event_at_;
   Time last_event_at_{};
   Duration longest_gap_{};
+  /// An endpoint has begun the stream; its status and headers go to the caller.
+  std::optional<EndpointAnswer> begun_;
+  /// Events wait in `held_events_` until the stream's origin is stored.
+  bool holding_ = false;
+  std::string held_events_;
+  /// The stream is complete, but still held.
+  bool complete_ = false;
   bool ended_ = false;
   GSourcePtr timer_;
 };
--- a/servers/entry/control_directory.cc
+++ b/servers/entry/control_directory.cc
@@ -21,6 +21,8 @@
   control.last_received = status.number;
   control.entry_instances = status.entry_instances;
   control.permit_term = status.permit_term;
+  control.data_centre = status.data_centre;
+  control.keeps_origins = status.keeps_origins;
   return !std::exchange(control.connected, true);
 }
 
--- a/servers/entry/control_directory.h
+++ b/servers/entry/control_directory.h
@@ -37,6 +37,9 @@
   std::uint32_t entry_instances = 0;
   /// Term under which it issues permits; 0 if it doesn't.
   std::uint64_t permit_term = 0;
+  DataCentreId data_centre;
+  /// It keeps origins of streams.
+  bool keeps_origins = false;
 };
 
 /// Not thread safe.
@@ -51,6 +54,8 @@
     std::uint64_t last_received = 0;
     std::uint32_t entry_instances = 1;
     std::uint64_t permit_term = 0;
+    DataCentreId data_centre;
+    bool keeps_origins = false;
     bool connected = false;
   };
 
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -99,15 +99,18 @@
       entries_.try_emplace(update.id, Entry(update, seed));
   Entry& entry = found->second;
   if (added) {
+    versions_.try_emplace(update.service, VersionHistory{.known_since = now});
     entry.changed_at = now;
     return;
   }
   const Incarnation old_incarnation = entry.record.incarnation;
+  const std::optional<SoftwareVersion> old_version = entry.record.version;
   if (!cassiausher::Merge(update, &entry.record)) return;
   entry.changed_at = now;
   // Observations of the old incarnation don't apply to the new one; work in
   // flight and reservations are kept.
   if (entry.record.incarnation == old_incarnation) return;
+  if (old_version) versions_[update.service].replaced_at[*old_version] = now;
   const int in_flight = entry.in_flight;
   const int reserved = entry.reserved;
   const Tokens tokens = entry.in_flight_tokens;
@@ -230,6 +233,7 @@
     if (entry.record.role != work.role) continue;
     if (entry.record.state != EndpointLifecycle::kReady) continue;
     if (work.excluded.contains(id)) continue;
+    if (work.version && entry.record.version != work.version) continue;
     if (now < entry.misplaced_until || now < entry.changing_until) continue;
     const double score = Score(entry, work, now);
     if (score < kFullPenaltyUs) usable.push_back(&entry);
@@ -376,17 +380,49 @@
   entry.observed_at = now;
 }
 
-std::size_t EndpointPool::ReadyCount(const ServiceId& service) const {
+std::size_t EndpointPool::ReadyCount(
+    const ServiceId& service,
+    const std::optional<SoftwareVersion>& version) const {
   std::size_t count = 0;
   for (const auto& [id, entry] : entries_) {
-    if (entry.record.service == service &&
-        entry.record.state == EndpointLifecycle::kReady) {
-      ++count;
-    }
+    if (entry.record.service != service) continue;
+    if (entry.record.state != EndpointLifecycle::kReady) continue;
+    if (version && entry.record.version != version) continue;
+    ++count;
   }
   return count;
 }
 
+std::optional<SoftwareVersion> EndpointPool::SoleVersion(
+    const ServiceId& service, Duration known_for, Time now) const {
+  const auto history = versions_.find(service);
+  if (history == versions_.end()) return std::nullopt;
+  if (now - history->second.known_since < known_for) return std::nullopt;
+  std::optional<SoftwareVersion> sole;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service != service) continue;
+    const std::optional<SoftwareVersion>& version = entry.record.version;
+    if (!version || (sole && sole != version)) return std::nullopt;
+    sole = version;
+  }
+  for (const auto& [version, replaced_at] : history->second.replaced_at) {
+    const bool recent = now - replaced_at < known_for;
+    if (recent && sole != version) return std::nullopt;
+  }
+  return sole;
+}
+
+std::set<SoftwareVersion> EndpointPool::ReadyVersions(const ServiceId& service,
+                                                      EndpointRole role) const {
+  std::set<SoftwareVersion> versions;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service != service || entry.record.role != role) continue;
+    if (entry.record.state != EndpointLifecycle::kReady) continue;
+    if (entry.record.version) versions.insert(*entry.record.version);
+  }
+  return versions;
+}
+
 const EndpointRecord* EndpointPool::Find(const EndpointId& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second.record;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -66,6 +66,8 @@
   /// Runner whose memory was reserved for this request, which the other
   /// instances already know; preferred if it has capacity. Empty for none.
   EndpointId reserved_at;
+  /// Only endpoints with this software version are considered; null for all.
+  std::optional<SoftwareVersion> version;
 };
 
 struct Placement {
@@ -155,10 +157,27 @@
   Duration LoadsAge(Time now) const { return now - other_loads_at_; }
 
   bool HasEndpoints() const { return !entries_.empty(); }
-  std::size_t ReadyCount(const ServiceId& service) const;
+  /// `version`: only endpoints with this software version; null for all.
+  std::size_t ReadyCount(const ServiceId& service,
+                         const std::optional<SoftwareVersion>& version) const;
+  /// The software version of all endpoints of the service that this instance
+  /// knows or knew lately, if there is one only and the service has been known
+  /// for `known_for`; else null.
+  std::optional<SoftwareVersion> SoleVersion(const ServiceId& service,
+                                             Duration known_for,
+                                             Time now) const;
+  /// Software versions of the ready endpoints of the service with this role.
+  std::set<SoftwareVersion> ReadyVersions(const ServiceId& service,
+                                          EndpointRole role) const;
   const EndpointRecord* Find(const EndpointId& id) const;
 
  private:
+  /// What was known of the software versions of one service.
+  struct VersionHistory {
+    Time known_since{};
+    /// Versions that an endpoint no longer runs, and since when.
+    std::map<SoftwareVersion, Time> replaced_at;
+  };
   struct Entry {
     explicit Entry(const EndpointRecord& update, std::uint64_t seed);
 
@@ -208,6 +227,7 @@
 
   EndpointPoolOptions options_;
   std::map<EndpointId, Entry> entries_;
+  std::map<ServiceId, VersionHistory> versions_;
   /// By control instance.
   std::map<std::string, SilentReport> silent_;
   EndpointLoads other_loads_;
--- /dev/null
+++ b/servers/entry/origin_keeper.cc
@@ -0,0 +1,159 @@
+#include "servers/entry/origin_keeper.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "core/hash.h"
+
+namespace cassiausher {
+
+void OriginKeeper::SetStores(const std::set<OriginStore>& stores, Time now) {
+  if (stores == stores_) return;
+  stores_ = stores;
+  for (auto& [request, copies] : copies_) {
+    std::erase_if(copies.stores, [&](const OriginStore& store) {
+      return !stores_.contains(store);
+    });
+    const auto origin = own_.Find(request, now);
+    if (origin.has_value()) CopyWhereMissing(request, *origin);
+  }
+}
+
+const OriginStore* OriginKeeper::ChooseStore(
+    const RequestId& request, const std::set<OriginStore>& used) const {
+  const auto is_used = [&](const DataCentreId& data_centre) {
+    return std::any_of(used.begin(), used.end(), [&](const OriginStore& store) {
+      return store.data_centre == data_centre;
+    });
+  };
+  const OriginStore* best = nullptr;
+  // Another data centre first, then one that has no copy yet; streams are
+  // spread by rendezvous hashing.
+  std::tuple<bool, bool, std::uint64_t> best_rank;
+  for (const OriginStore& store : stores_) {
+    if (used.contains(store)) continue;
+    const std::tuple rank(
+        store.data_centre != options_.data_centre, !is_used(store.data_centre),
+        HashText(store.instance.value(), HashText(request.value(), 0)));
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &store;
+    best_rank = rank;
+  }
+  return best;
+}
+
+std::uint64_t OriginKeeper::CopyWhereMissing(const RequestId& request,
+                                             const StreamOrigin& origin) {
+  const std::uint64_t number = next_number_++;
+  Copies& copies = copies_[request];
+  copies.expires_at = origin.expires_at;
+  while (copies.stores.size() < options_.copies) {
+    const OriginStore* store = ChooseStore(request, copies.stores);
+    if (store == nullptr) break;
+    copies_to_send_.push_back({.store = store->instance,
+                               .number = number,
+                               .request = request,
+                               .origin = origin});
+    copies.stores.insert(*store);
+  }
+  return number;
+}
+
+OriginTicket OriginKeeper::Begin(const RequestId& request,
+                                 const StreamOrigin& origin, Time now) {
+  const OriginTicket ticket(next_ticket_++);
+  own_.Add(request, origin);
+  const std::uint64_t number = CopyWhereMissing(request, origin);
+  if (copies_[request].stores.empty()) {
+    outcomes_.push_back({.ticket = ticket});
+  } else {
+    pending_copies_[number] = {.ticket = ticket, .begun_at = now};
+  }
+  return ticket;
+}
+
+OriginTicket OriginKeeper::Search(const RequestId& request, Time now) {
+  const OriginTicket ticket(next_ticket_++);
+  const auto known = own_.Find(request, now);
+  if (known.has_value() || stores_.empty()) {
+    outcomes_.push_back({.ticket = ticket, .origin = known});
+    return ticket;
+  }
+  const std::uint64_t number = next_number_++;
+  PendingSearch search{.ticket = ticket, .request = request, .begun_at = now};
+  for (const OriginStore& store : stores_) {
+    searches_to_send_.push_back({store.instance, number, request});
+    search.unanswered.insert(store.instance);
+  }
+  pending_searches_[number] = std::move(search);
+  return ticket;
+}
+
+bool OriginKeeper::IsSafe(const InstanceId& store) const {
+  bool has_other_data_centre = false;
+  for (const OriginStore& known : stores_) {
+    const bool other = known.data_centre != options_.data_centre;
+    if (known.instance == store && other) return true;
+    has_other_data_centre |= other;
+  }
+  return !has_other_data_centre;
+}
+
+void OriginKeeper::OnStored(const InstanceId& from, std::uint64_t number) {
+  const auto found = pending_copies_.find(number);
+  if (found == pending_copies_.end() || !IsSafe(from)) return;
+  outcomes_.push_back({.ticket = found->second.ticket, .copied = true});
+  pending_copies_.erase(found);
+}
+
+void OriginKeeper::OnAnswer(const InstanceId& from, std::uint64_t number,
+                            const std::optional<StreamOrigin>& origin,
+                            Time now) {
+  const auto found = pending_searches_.find(number);
+  if (found == pending_searches_.end()) return;
+  PendingSearch& search = found->second;
+  search.unanswered.erase(from);
+  if (!origin.has_value() && !search.unanswered.empty()) return;
+  const RequestId request = search.request;
+  outcomes_.push_back({.ticket = search.ticket, .origin = origin});
+  pending_searches_.erase(found);
+  if (!origin.has_value() || now >= origin->expires_at) return;
+  // The instance that began the stream may be gone; this one takes its place
+  // in keeping the copies up.
+  own_.Add(request, *origin);
+  CopyWhereMissing(request, *origin);
+}
+
+void OriginKeeper::CheckTimeouts(Time now) {
+  const auto is_late = [&](Time begun_at) {
+    return now - begun_at >= options_.answer_timeout;
+  };
+  std::erase_if(pending_copies_, [&](const auto& item) {
+    if (!is_late(item.second.begun_at)) return false;
+    outcomes_.push_back({.ticket = item.second.ticket});
+    return true;
+  });
+  std::erase_if(pending_searches_, [&](const auto& item) {
+    if (!is_late(item.second.begun_at)) return false;
+    outcomes_.push_back({.ticket = item.second.ticket});
+    return true;
+  });
+  own_.Expire(now);
+  std::erase_if(
+      copies_, [&](const auto& item) { return now >= item.second.expires_at; });
+}
+
+std::vector<OriginCopy> OriginKeeper::TakeCopies() {
+  return std::exchange(copies_to_send_, {});
+}
+
+std::vector<OriginSearch> OriginKeeper::TakeSearches() {
+  return std::exchange(searches_to_send_, {});
+}
+
+std::vector<OriginOutcome> OriginKeeper::TakeOutcomes() {
+  return std::exchange(outcomes_, {});
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/entry/origin_keeper.h
@@ -0,0 +1,142 @@
+// Which software version began which stream, as an entry instance knows it.
+// Before the first event of a stream is passed on, its origin is with control
+// instances, so that another entry instance can continue the stream at the same
+// version after this one has died or was cut off.
+#ifndef SERVERS_ENTRY_ORIGIN_KEEPER_H_
+#define SERVERS_ENTRY_ORIGIN_KEEPER_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/time.h"
+#include "core/units.h"
+#include "servers/control/stream_origins.h"
+
+namespace cassiausher {
+
+struct OriginKeeperOptions {
+  DataCentreId data_centre;
+  /// Control instances that keep an origin, in two data centres if there are.
+  std::size_t copies = 2;
+  /// An event is passed on after this time even if nobody has confirmed the
+  /// copy; a search ends after it without a result.
+  Duration answer_timeout = Milliseconds(150);
+};
+
+/// A connected control instance that keeps origins.
+struct OriginStore {
+  InstanceId instance;
+  /// A process that has started anew has lost what it kept.
+  Incarnation process{0};
+  DataCentreId data_centre;
+
+  auto operator<=>(const OriginStore&) const = default;
+};
+
+/// Identifies a request that waits for a copy or for a search.
+using OriginTicket = StrongNumber<struct OriginTicketTag, std::uint64_t>;
+
+/// Send this origin to a control instance.
+struct OriginCopy {
+  InstanceId store;
+  std::uint64_t number = 0;
+  RequestId request;
+  StreamOrigin origin;
+};
+
+/// Ask a control instance for the origin of a stream.
+struct OriginSearch {
+  InstanceId store;
+  std::uint64_t number = 0;
+  RequestId request;
+};
+
+/// A request need not wait any longer.
+struct OriginOutcome {
+  OriginTicket ticket{0};
+  /// After Begin(): whether a copy is confirmed.
+  bool copied = false;
+  /// After Search(): null if nobody knows the stream.
+  std::optional<StreamOrigin> origin;
+};
+
+/// Not thread safe.
+class OriginKeeper {
+ public:
+  explicit OriginKeeper(OriginKeeperOptions options)
+      : options_(std::move(options)), own_(StreamOriginsOptions{}) {}
+
+  /// Replaces the control instances to use. Origins with too few copies among
+  /// them are sent again.
+  void SetStores(const std::set<OriginStore>& stores, Time now);
+
+  /// A stream begins here. The outcome follows once a copy is confirmed.
+  OriginTicket Begin(const RequestId& request, const StreamOrigin& origin,
+                     Time now);
+  /// A stream is taken up here. The outcome follows at once if this instance
+  /// knows it, else once the control instances have answered.
+  OriginTicket Search(const RequestId& request, Time now);
+
+  void OnStored(const InstanceId& from, std::uint64_t number);
+  void OnAnswer(const InstanceId& from, std::uint64_t number,
+                const std::optional<StreamOrigin>& origin, Time now);
+  /// Ends waits that took too long and forgets expired streams. Call at least
+  /// every 25 ms.
+  void CheckTimeouts(Time now);
+
+  // What has to be sent, and what is decided, since the last call.
+  std::vector<OriginCopy> TakeCopies();
+  std::vector<OriginSearch> TakeSearches();
+  std::vector<OriginOutcome> TakeOutcomes();
+
+  /// Streams that this instance began or continued and may be taken up.
+  std::size_t streams() const { return copies_.size(); }
+
+ private:
+  /// Where the copies of an origin are, or are on their way to.
+  struct Copies {
+    Time expires_at{};
+    std::set<OriginStore> stores;
+  };
+  struct PendingCopy {
+    OriginTicket ticket{0};
+    Time begun_at{};
+  };
+  struct PendingSearch {
+    OriginTicket ticket{0};
+    RequestId request;
+    Time begun_at{};
+    std::set<InstanceId> unanswered;
+  };
+
+  /// Sends the origin to further control instances until there are enough
+  /// copies, and returns the number of the messages.
+  std::uint64_t CopyWhereMissing(const RequestId& request,
+                                 const StreamOrigin& origin);
+  /// The control instance for the next copy; null if there is none.
+  const OriginStore* ChooseStore(const RequestId& request,
+                                 const std::set<OriginStore>& used) const;
+  /// Whether a copy there survives the loss of this data centre, or none can.
+  bool IsSafe(const InstanceId& store) const;
+
+  OriginKeeperOptions options_;
+  std::set<OriginStore> stores_;
+  StreamOrigins own_;
+  std::map<RequestId, Copies> copies_;
+  /// By the number of their messages.
+  std::map<std::uint64_t, PendingCopy> pending_copies_;
+  std::map<std::uint64_t, PendingSearch> pending_searches_;
+  std::uint64_t next_number_ = 1;
+  std::uint64_t next_ticket_ = 1;
+  std::vector<OriginCopy> copies_to_send_;
+  std::vector<OriginSearch> searches_to_send_;
+  std::vector<OriginOutcome> outcomes_;
+};
+
+}  // namespace cassiausher
+
+#endif  // SERVERS_ENTRY_ORIGIN_KEEPER_H_
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -59,6 +59,8 @@
 }  // namespace
 
 bool RequestForwarder::IsRetryable() const {
+  // A stream begun by an unknown software version can't be continued.
+  if (begun_ && !version_) return false;
   return facts_.kind == RouteKind::kIdempotent || facts_.resumable;
 }
 
@@ -84,7 +86,8 @@
           .kv_capacity = facts_.kv_capacity,
           .full_occupancy = FullOccupancy(),
           .slots = facts_.slots,
-          .excluded = failed_endpoints_};
+          .excluded = failed_endpoints_,
+          .version = version_};
 }
 
 ForwardStep RequestForwarder::OnWaitElapsed(Time now) { return Next(now); }
@@ -170,7 +173,7 @@
 bool RequestForwarder::HasAnotherRun() const {
   return IsRetryable() && runs_ + 1 < facts_.attempts &&
          calls_ + CallsPerRun() <= kMaxCalls &&
-         pool_->ReadyCount(facts_.service) > 1;
+         pool_->ReadyCount(facts_.service, version_) > 1;
 }
 
 bool RequestForwarder::ReserveRetries(Time now) {
@@ -186,9 +189,14 @@
   return true;
 }
 
+void RequestForwarder::OnBegun() {
+  begun_ = true;
+  if (!version_) version_ = current_version_;
+}
+
 bool RequestForwarder::TakeFailOver(Time now) {
   const bool is_prefill = current_ == CallKind::kPrefill;
-  if (is_prefill && !relayed_) return true;
+  if (is_prefill && !begun_) return true;
   // The caller of a stream that has begun would be cut off without a retry.
   if (is_prefill) return ReserveRetries(now);
   return HasAnotherRun() && HasRoomForRetry(true, now) && ReserveRetries(now);
@@ -200,14 +208,14 @@
 }
 
 ForwardStep RequestForwarder::OnDeadline() {
-  if (relayed_) return AbortStream{"deadline"};
+  if (begun_) return AbortStream{"deadline"};
   return Fail{504, "deadline"};
 }
 
 ForwardStep RequestForwarder::GiveUp(std::string_view reason, Time now) {
   ReleaseReservation();
   ReturnPermits();
-  if (relayed_) return AbortStream{reason};
+  if (begun_) return AbortStream{reason};
   if (runs_ > 0) return Fail{502, reason};
   return Refuse{reason, RetryAfter(now)};
 }
@@ -222,6 +230,12 @@
   return kModelRetryAfter + Duration(arrived_us % kModelRetrySpread.count());
 }
 
+std::string_view RequestForwarder::NoEndpointReason() const {
+  if (room_at_.has_value()) return "every endpoint is at its rate limit";
+  if (version_) return "no endpoint runs the version that began the stream";
+  return "no endpoint is known";
+}
+
 ForwardStep RequestForwarder::Next(Time now) {
   if (facts_.deadline - now < kMinUsefulTime)
     return GiveUp("no time left", now);
@@ -231,9 +245,7 @@
       facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
   if (awaited_.has_value()) return *awaited_;
   if (!step.has_value()) {
-    return GiveUp(room_at_.has_value() ? "every endpoint is at its rate limit"
-                                       : "no endpoint is known",
-                  now);
+    return GiveUp(NoEndpointReason(), now);
   }
   if (auto* call = std::get_if<StartCall>(&*step)) {
     return Issue(std::move(*call), now);
@@ -320,14 +332,21 @@
   WorkSpec decode = MakeWorkSpec(EndpointRole::kDecode);
   decode.prompt_is_prefilled = true;
   decode.reserved_at = ReleaseReservation();
+  if (kv_source_.has_value()) decode.version = prefill_version_;
   const auto runner = PickWithPermit(decode, now);
   if (awaited_.has_value()) return std::nullopt;
+  if (!runner.has_value() && kv_source_.has_value()) {
+    // The runners that could use the KV cache have gone.
+    kv_source_.reset();
+    return ChooseModelCall(now);
+  }
   const double bonus = facts_.small_route ? kSmallRouteOccupancyBonus : 0;
   const double limit = std::min(1.0, decode.full_occupancy + bonus);
   const bool full = runner.has_value() && runner->occupancy > limit;
   // A stream that has begun is resumed at any load: its caller has a part of
   // it.
-  if (full && !kv_source_.has_value() && runs_ == 0) {
+  const bool is_new = runs_ == 0 && !facts_.begun_by;
+  if (full && !kv_source_.has_value() && is_new) {
     if (!CanWaitForCapacity(now)) return GiveUp("no runner has room", now);
     ReturnPermits();
     if (!std::exchange(waiting_, true)) pool_->ChangeWaiting(1);
@@ -335,11 +354,12 @@
   }
   StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
-    const auto prefill = ChoosePrefill(now);
+    const auto prefill = ChoosePrefill(runner->endpoint.version, now);
     if (awaited_.has_value()) return std::nullopt;
-    if (prefill.has_value()) {
-      ReserveMemory(runner->endpoint.id, decode);
-      return *prefill;
+    if (prefill.has_value()) return Prefill(*prefill, *runner, decode);
+    if (!version_) {
+      auto pair = ChoosePairOfOtherVersion(decode, now);
+      if (pair.has_value() || awaited_.has_value()) return pair;
     }
   }
   // Without a KV source the decode runner prefills the prompt itself, which
@@ -356,11 +376,39 @@
   return call;
 }
 
-std::optional<StartCall> RequestForwarder::ChoosePrefill(Time now) {
+ForwardStep RequestForwarder::Prefill(StartCall prefill,
+                                      const Placement& runner,
+                                      const WorkSpec& decode) {
+  ReserveMemory(runner.endpoint.id, decode);
+  prefill_version_ = runner.endpoint.version;
+  return prefill;
+}
+
+std::optional<ForwardStep> RequestForwarder::ChoosePairOfOtherVersion(
+    const WorkSpec& decode, Time now) {
+  const auto versions =
+      pool_->ReadyVersions(facts_.service, EndpointRole::kPrefill);
+  for (const SoftwareVersion& version : versions) {
+    WorkSpec work = decode;
+    work.version = version;
+    const auto runner = PickWithPermit(work, now);
+    if (awaited_.has_value()) return std::nullopt;
+    if (!runner.has_value()) continue;
+    if (runner->occupancy > decode.full_occupancy) continue;
+    const auto prefill = ChoosePrefill(version, now);
+    if (awaited_.has_value()) return std::nullopt;
+    if (prefill.has_value()) return Prefill(*prefill, *runner, work);
+  }
+  return std::nullopt;
+}
+
+std::optional<StartCall> RequestForwarder::ChoosePrefill(
+    const std::optional<SoftwareVersion>& version, Time now) {
   if (prefill_failures_ >= kMaxPrefillFailures) return std::nullopt;
   WorkSpec prefill = MakeWorkSpec(EndpointRole::kPrefill);
   prefill.memory = MemoryForecast(facts_.prompt, Tokens(0), Tokens(0));
   prefill.slots = 0;
+  prefill.version = version;
   const auto placed = PickWithPermit(prefill, now);
   if (!placed.has_value()) return std::nullopt;
   const Duration timeout = std::clamp(3 * placed->expected + Milliseconds(200),
@@ -382,6 +430,7 @@
   UsePermit(call.endpoint.id);
   current_ = call.kind;
   current_endpoint_ = call.endpoint.id;
+  current_version_ = call.endpoint.version;
   return call;
 }
 
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -53,6 +53,9 @@
   /// Earlier one of the caller's own deadline and the route's timeout.
   Time deadline{};
   Duration gap_target = Milliseconds(300);
+  /// Software version that began the stream, if its caller takes it up; null
+  /// for a new one.
+  std::optional<SoftwareVersion> begun_by;
 };
 
 enum class CallKind {
@@ -129,7 +132,8 @@
       : facts_(std::move(facts)),
         pool_(pool),
         budget_(budget),
-        permits_(permits) {}
+        permits_(permits),
+        version_(facts_.begun_by) {}
   ~RequestForwarder() {
     StopWaiting();
     ReleaseReservation();
@@ -149,8 +153,13 @@
   /// instead; see TakeServerErrorRetry().
   ForwardStep OnCallFailed(CallFailure failure, Time now);
   ForwardStep OnDeadline();
-  /// A part of the response was sent to the caller.
-  void OnRelayed() { relayed_ = true; }
+  /// The first event of the stream arrived from the current endpoint. From now
+  /// on only endpoints with its software version can continue the stream.
+  void OnBegun();
+  /// Software version of the current endpoint; null if unknown.
+  const std::optional<SoftwareVersion>& CurrentVersion() const {
+    return current_version_;
+  }
   /// Sets the number of output tokens generated so far, over all runs.
   void OnTokensGenerated(Tokens generated) { generated_ = generated; }
   /// KV memory that the request is expected to hold on its runner.
@@ -183,6 +192,8 @@
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
+  /// Why no call can be made.
+  std::string_view NoEndpointReason() const;
   /// As EndpointPool::Pick(), among the endpoints whose rate limit has room for
   /// this call. Null with `awaited_` set if that isn't known yet.
   std::optional<Placement> PickWithPermit(WorkSpec work, Time now);
@@ -193,7 +204,15 @@
   /// `may_ask`, one whose limit isn't known to be used up.
   bool HasRoomForRetry(bool may_ask, Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
-  std::optional<StartCall> ChoosePrefill(Time now);
+  std::optional<StartCall> ChoosePrefill(
+      const std::optional<SoftwareVersion>& version, Time now);
+  /// A decode runner and a prefill runner of the same software version, where
+  /// the picked decode runner has no prefill runner of its own version.
+  std::optional<ForwardStep> ChoosePairOfOtherVersion(const WorkSpec& decode,
+                                                      Time now);
+  /// The call to the prefill runner, with the decode runner reserved.
+  ForwardStep Prefill(StartCall prefill, const Placement& runner,
+                      const WorkSpec& decode);
   std::optional<ForwardStep> ChoosePlainCall(Time now);
   /// Whether the request can wait for capacity and still meet its latency
   /// target.
@@ -217,7 +236,11 @@
 
   CallKind current_ = CallKind::kRun;
   EndpointId current_endpoint_;
+  std::optional<SoftwareVersion> current_version_;
   std::optional<KvSource> kv_source_;
+  /// Software version of the decode runner that the prompt is prefilled for;
+  /// null if unknown. Only runners of this version can use the KV cache.
+  std::optional<SoftwareVersion> prefill_version_;
   Time prefilled_at_{};
   int prefill_failures_ = 0;
   /// Runs that were rejected without being executed.
@@ -244,7 +267,10 @@
   std::optional<WaitForPermit> awaited_;
   /// Earliest time at which an endpoint that refused a permit may have room.
   std::optional<Time> room_at_;
-  bool relayed_ = false;
+  /// An endpoint has begun the stream for this request.
+  bool begun_ = false;
+  /// Software version that began the stream; null before, or if unknown.
+  std::optional<SoftwareVersion> version_;
   Tokens generated_{0};
   /// Counted in the pool's waiting requests.
   bool waiting_ = false;
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -275,4 +275,29 @@
   CHECK_TRUE(pool.OwnLoads().empty());
 }
 
+// Guards against guessing the version that began a stream while more than one
+// may have (incident software-versions).
+TEST(EndpointPool, ASoleVersionIsOneThatAllEndpointsHadForLong) {
+  const ServiceId service = Lookup().service;
+  const auto sole = [&](Time now) {
+    return pool.SoleVersion(service, Seconds(60), now);
+  };
+  EndpointRecord record = Plain("a", "here");
+  record.version = SoftwareVersion("v1");
+  pool.Merge(record, kStart);
+  CHECK_FALSE(sole(kStart + Seconds(59)).has_value());
+  CHECK_TRUE(sole(kStart + Seconds(60)) == SoftwareVersion("v1"));
+  // The same endpoint starts again with another version.
+  record.incarnation = Incarnation(2);
+  record.version = SoftwareVersion("v2");
+  pool.Merge(record, kStart + Seconds(60));
+  CHECK_FALSE(sole(kStart + Seconds(119)).has_value());
+  CHECK_TRUE(sole(kStart + Seconds(120)) == SoftwareVersion("v2"));
+  // One that is known from an instance of an earlier build only.
+  EndpointRecord unknown = Plain("b", "here");
+  unknown.version = std::nullopt;
+  pool.Merge(unknown, kStart + Seconds(120));
+  CHECK_FALSE(sole(kStart + Seconds(200)).has_value());
+}
+
 }  // namespace cassiausher
--- /dev/null
+++ b/tests/entry/origin_keeper_test.cc
@@ -0,0 +1,150 @@
+// Guards against a stream whose software version nobody knows once the entry
+// instance that began it has died or was cut off (incident software-versions).
+#include "servers/entry/origin_keeper.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <string>
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+const RequestId kRequest("r1");
+
+OriginStore Store(const std::string& name, const std::string& data_centre,
+                  std::uint64_t process = 1) {
+  return {.instance = InstanceId(name),
+          .process = Incarnation(process),
+          .data_centre = DataCentreId(data_centre)};
+}
+
+StreamOrigin Origin(Duration lifetime = Seconds(16)) {
+  return {.version = SoftwareVersion("v1.1"), .expires_at = kStart + lifetime};
+}
+
+}  // namespace
+
+TEST_GROUP(OriginKeeper) {
+  OriginKeeper keeper{OriginKeeperOptions{.data_centre = DataCentreId("a")}};
+
+  void setup() override {
+    keeper.SetStores({Store("c1", "a"), Store("c2", "b"), Store("c3", "c")},
+                     kStart);
+  }
+  void Begin() {
+    keeper.Begin(kRequest, Origin(), kStart);
+    copies = keeper.TakeCopies();
+  }
+  std::vector<OriginCopy> copies;
+};
+
+TEST(OriginKeeper, CopiesAreInOtherDataCentres) {
+  for (int i = 0; i < 20; ++i) {
+    keeper.Begin(RequestId(std::to_string(i)), Origin(), kStart);
+    copies = keeper.TakeCopies();
+    LONGS_EQUAL(2, copies.size());
+    for (const OriginCopy& copy : copies) {
+      CHECK_FALSE(copy.store == InstanceId("c1"));
+    }
+    CHECK_FALSE(copies[0].store == copies[1].store);
+  }
+}
+
+TEST(OriginKeeper, TheFirstEventWaitsForOneConfirmedCopy) {
+  Begin();
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.OnStored(copies[1].store, copies[1].number);
+  const auto outcomes = keeper.TakeOutcomes();
+  LONGS_EQUAL(1, outcomes.size());
+  CHECK_TRUE(outcomes[0].copied);
+  keeper.OnStored(copies[0].store, copies[0].number);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+}
+
+TEST(OriginKeeper, ACopyInTheOwnDataCentreCountsOnlyIfThereIsNoOther) {
+  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, kStart);
+  Begin();
+  keeper.OnStored(InstanceId("c1"), copies[0].number);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.SetStores({Store("c1", "a")}, kStart);
+  keeper.OnStored(InstanceId("c1"), copies[0].number);
+  LONGS_EQUAL(1, keeper.TakeOutcomes().size());
+}
+
+TEST(OriginKeeper, WithoutAConfirmationTheStreamGoesOnAfterAWhile) {
+  Begin();
+  keeper.CheckTimeouts(kStart + Milliseconds(149));
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.CheckTimeouts(kStart + Milliseconds(150));
+  const auto outcomes = keeper.TakeOutcomes();
+  LONGS_EQUAL(1, outcomes.size());
+  CHECK_FALSE(outcomes[0].copied);
+}
+
+TEST(OriginKeeper, WithoutControlInstancesNothingWaits) {
+  keeper.SetStores({}, kStart);
+  keeper.Begin(kRequest, Origin(), kStart);
+  keeper.Search(RequestId("r2"), kStart);
+  const auto outcomes = keeper.TakeOutcomes();
+  LONGS_EQUAL(2, outcomes.size());
+  CHECK_FALSE(outcomes[1].origin.has_value());
+}
+
+// All control processes may be killed at once and lose what they kept.
+TEST(OriginKeeper, ControlProcessesThatStartAnewGetTheirCopiesAgain) {
+  Begin();
+  keeper.SetStores(
+      {Store("c1", "a", 2), Store("c2", "b", 2), Store("c3", "c", 2)},
+      kStart + Seconds(1));
+  LONGS_EQUAL(2, keeper.TakeCopies().size());
+  keeper.SetStores({Store("c2", "b", 2)}, kStart + Seconds(2));
+  LONGS_EQUAL(0, keeper.TakeCopies().size());
+  keeper.SetStores({Store("c2", "b", 2), Store("c4", "d")},
+                   kStart + Seconds(3));
+  LONGS_EQUAL(1, keeper.TakeCopies().size());
+}
+
+TEST(OriginKeeper, ASearchEndsWithTheFirstControlInstanceThatKnows) {
+  keeper.Search(kRequest, kStart);
+  const auto searches = keeper.TakeSearches();
+  LONGS_EQUAL(3, searches.size());
+  keeper.OnAnswer(InstanceId("c1"), searches[0].number, std::nullopt, kStart);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.OnAnswer(InstanceId("c3"), searches[0].number, Origin(), kStart);
+  const auto outcomes = keeper.TakeOutcomes();
+  LONGS_EQUAL(1, outcomes.size());
+  CHECK_TRUE(outcomes[0].origin->version == SoftwareVersion("v1.1"));
+  // This instance keeps the copies up from now on, and knows the stream.
+  LONGS_EQUAL(1, keeper.streams());
+  LONGS_EQUAL(2, keeper.TakeCopies().size());
+  keeper.Search(kRequest, kStart);
+  CHECK_TRUE(keeper.TakeOutcomes()[0].origin.has_value());
+}
+
+TEST(OriginKeeper, AStreamThatNobodyKnowsIsUnknownOnceAllHaveAnswered) {
+  keeper.Search(kRequest, kStart);
+  const auto number = keeper.TakeSearches()[0].number;
+  for (const char* control : {"c1", "c2", "c3"}) {
+    LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+    keeper.OnAnswer(InstanceId(control), number, std::nullopt, kStart);
+  }
+  CHECK_FALSE(keeper.TakeOutcomes()[0].origin.has_value());
+}
+
+TEST(OriginKeeper, ASearchThatIsNotAnsweredEnds) {
+  keeper.Search(kRequest, kStart);
+  keeper.CheckTimeouts(kStart + Milliseconds(150));
+  LONGS_EQUAL(1, keeper.TakeOutcomes().size());
+}
+
+TEST(OriginKeeper, StreamsThatCanNoLongerBeTakenUpAreForgotten) {
+  Begin();
+  keeper.CheckTimeouts(kStart + Seconds(15));
+  LONGS_EQUAL(1, keeper.streams());
+  keeper.CheckTimeouts(kStart + Seconds(16));
+  LONGS_EQUAL(0, keeper.streams());
+}
+
+}  // namespace cassiausher
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -79,6 +79,19 @@
     pool.Merge(Endpoint("decode1", EndpointRole::kDecode), kStart);
     pool.Merge(Endpoint("decode2", EndpointRole::kDecode), kStart);
   }
+  // A later incarnation, of the given software version.
+  void SetVersion(const std::string& id, EndpointRole role,
+                  const std::string& version) {
+    EndpointRecord record = Endpoint(id, role);
+    record.incarnation = Incarnation(2);
+    record.version = SoftwareVersion(version);
+    pool.Merge(record, kStart);
+  }
+  static KvSource Cache() {
+    return {.address = "10.0.0.1:80",
+            .handle = "h",
+            .endpoint = EndpointId("prefill")};
+  }
   RequestForwarder Make(const RequestFacts& facts) {
     return RequestForwarder(facts, &pool, &budget, &permits);
   }
@@ -203,7 +216,7 @@
   RequestForwarder forwarder = Make(StreamFacts(true));
   forwarder.Start(kStart);
   const ForwardStep run = forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  forwarder.OnRelayed();
+  forwarder.OnBegun();
   const ForwardStep prefill =
       forwarder.OnCallFailed(CallFailure::kBroken, kStart);
   CHECK_TRUE(Call(prefill).kind == CallKind::kPrefill);
@@ -224,7 +237,7 @@
   RequestForwarder stalled = Make(StreamFacts(true));
   stalled.Start(kStart);
   stalled.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  stalled.OnRelayed();
+  stalled.OnBegun();
   CHECK_TRUE(stalled.TakeFailOver(kStart));
   const ForwardStep prefill =
       stalled.OnCallFailed(CallFailure::kBroken, kStart);
@@ -259,7 +272,7 @@
   RequestForwarder forwarder = Make(StreamFacts(true));
   forwarder.Start(kStart);
   forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  forwarder.OnRelayed();
+  forwarder.OnBegun();
   pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
                       {EndpointId("decode2"), {9, Hold(99000)}}},
                      5, kStart);
@@ -272,7 +285,7 @@
   RequestForwarder forwarder = Make(StreamFacts(false));
   forwarder.Start(kStart);
   forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, kStart);
-  forwarder.OnRelayed();
+  forwarder.OnBegun();
   CHECK_TRUE(
       Is<AbortStream>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
   CHECK_TRUE(Is<AbortStream>(forwarder.OnDeadline()));
@@ -489,4 +502,94 @@
   CHECK_TRUE(Is<Refuse>(forwarder.Start(kStart)));
 }
 
+// Streams went on at another software version than the one that began them
+// (incident software-versions): within one answer.
+TEST(RequestForwarder, AStreamThatHasBegunGoesOnAtItsVersionOnly) {
+  AddRunners();
+  SetVersion("decode1", EndpointRole::kDecode, "v1");
+  SetVersion("decode2", EndpointRole::kDecode, "v2");
+  SetVersion("prefill", EndpointRole::kPrefill, "v1");
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  const ForwardStep run = forwarder.OnPrefillDone(Cache(), kStart);
+  STRCMP_EQUAL("decode1", Call(run).endpoint.id.value().c_str());
+  forwarder.OnBegun();
+  // Only a runner of another version is left.
+  CHECK_TRUE(
+      Is<AbortStream>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
+}
+
+TEST(RequestForwarder, ABegunStreamIsReadAndRunByItsVersion) {
+  AddRunners();
+  for (const char* id : {"decode1", "decode2"}) {
+    SetVersion(id, EndpointRole::kDecode, "v1");
+  }
+  SetVersion("prefill", EndpointRole::kPrefill, "v2");
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  forwarder.OnBegun();
+  const ForwardStep next = forwarder.OnCallFailed(CallFailure::kBroken, kStart);
+  // A KV cache of another version isn't used: the decode runner prefills.
+  CHECK_TRUE(Call(next).kind == CallKind::kRun);
+  CHECK_FALSE(Call(next).kv_source.has_value());
+  CHECK_TRUE(Call(next).endpoint.version == SoftwareVersion("v1"));
+}
+
+TEST(RequestForwarder, AStreamOfAnUnknownVersionIsNotContinued) {
+  AddRunners();
+  for (const char* id : {"decode1", "decode2"}) {
+    EndpointRecord record = Endpoint(id, EndpointRole::kDecode);
+    record.incarnation = Incarnation(2);
+    record.version = std::nullopt;
+    pool.Merge(record, kStart);
+  }
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  forwarder.OnPrefillDone(Cache(), kStart);
+  forwarder.OnBegun();
+  CHECK_FALSE(forwarder.TakeFailOver(kStart));
+  CHECK_TRUE(
+      Is<AbortStream>(forwarder.OnCallFailed(CallFailure::kBroken, kStart)));
+}
+
+// The same, over a caller's tries at several entry instances.
+TEST(RequestForwarder, ATakenUpStreamRunsAtTheVersionThatBeganIt) {
+  AddRunners();
+  SetVersion("decode1", EndpointRole::kDecode, "v1");
+  SetVersion("decode2", EndpointRole::kDecode, "v2");
+  RequestFacts facts = StreamFacts(true);
+  facts.begun_by = SoftwareVersion("v2");
+  RequestForwarder forwarder = Make(facts);
+  const ForwardStep step = forwarder.Start(kStart);
+  STRCMP_EQUAL("decode2", Call(step).endpoint.id.value().c_str());
+  facts.begun_by = SoftwareVersion("v3");
+  RequestForwarder other = Make(facts);
+  // It has not run, and its caller is told so.
+  CHECK_TRUE(Is<Refuse>(other.Start(kStart)));
+}
+
+TEST(RequestForwarder, ATakenUpStreamGoesOnAtFullRunners) {
+  AddRunners();
+  for (const char* id : {"decode1", "decode2"}) {
+    pool.Reserve(EndpointId(id), Hold(100000), false);
+  }
+  RequestFacts facts = StreamFacts(true);
+  facts.begun_by = SoftwareVersion();
+  RequestForwarder forwarder = Make(facts);
+  CHECK_TRUE(Is<StartCall>(forwarder.Start(kStart)));
+}
+
+TEST(RequestForwarder, ANewStreamPrefersAVersionThatCanPrefill) {
+  AddRunners();
+  SetVersion("decode1", EndpointRole::kDecode, "v1");
+  SetVersion("decode2", EndpointRole::kDecode, "v2");
+  SetVersion("prefill", EndpointRole::kPrefill, "v2");
+  for (int i = 0; i < 10; ++i) {
+    RequestForwarder forwarder = Make(StreamFacts(true));
+    CHECK_TRUE(Call(forwarder.Start(kStart)).kind == CallKind::kPrefill);
+    const ForwardStep run = forwarder.OnPrefillDone(Cache(), kStart);
+    STRCMP_EQUAL("decode2", Call(run).endpoint.id.value().c_str());
+  }
+}
+
 }  // namespace cassiausher
--- a/tests/soak/run_support.py
+++ b/tests/soak/run_support.py
@@ -28,7 +28,7 @@
 def parse_options(description):
     parser = argparse.ArgumentParser(description=description)
     parser.add_argument("binary", type=pathlib.Path, help="cassiausher_node")
-    parser.add_argument("--old-binary", type=pathlib.Path, help="an earlier build that some instances run")
+    parser.add_argument("--old-binary", type=pathlib.Path, help="an earlier build, which every second instance runs")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=30)
     parser.add_argument("--entries", type=int, default=6)
@@ -48,6 +48,9 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=TRANSIENT_FOLDER_PREFIX))
         block = FIRST_BLOCK + os.getpid() % BLOCKS
         self.deployment = Deployment(self.folder, options.binary, block, options.entries, options.controls)
+        if options.old_binary is not None:
+            for instance in self.deployment.entries[1::2] + self.deployment.controls[1::2]:
+                instance.binary = options.old_binary
         self.endpoints = []
         self.began_at = 0.0
 
