--- a/main/origin_client.cc
+++ b/main/origin_client.cc
@@ -37,11 +37,15 @@
 void OriginClient::Find(const RequestId& request, FoundCallback callback,
                         Time now) {
   const OriginTicket ticket = keeper_.Search(request, now);
-  callbacks_[ticket] =
-      [this, callback = std::move(callback)](const OriginOutcome& outcome) {
-        (outcome.origin.has_value() ? found_ : unknown_).Add();
-        callback(outcome.origin);
-      };
+  callbacks_[ticket] = [this, request, callback = std::move(callback)](
+                           const OriginOutcome& outcome) {
+    (outcome.origin.has_value() ? found_ : unknown_).Add();
+    if (!outcome.origin.has_value()) {
+      Log(LogLevel::kWarning, "stream_origin_unknown",
+          {{"begun_as", request.value()}, {"unanswered", outcome.unanswered}});
+    }
+    callback(outcome.origin);
+  };
   SendMessages(now);
   DeliverOutcomes();
 }
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -126,17 +126,15 @@
 }
 
 void OriginKeeper::CheckTimeouts(Time now) {
-  const auto is_late = [&](Time begun_at) {
-    return now - begun_at >= options_.answer_timeout;
-  };
   std::erase_if(pending_copies_, [&](const auto& item) {
-    if (!is_late(item.second.begun_at)) return false;
+    if (now - item.second.begun_at < options_.copy_timeout) return false;
     outcomes_.push_back({.ticket = item.second.ticket});
     return true;
   });
   std::erase_if(pending_searches_, [&](const auto& item) {
-    if (!is_late(item.second.begun_at)) return false;
-    outcomes_.push_back({.ticket = item.second.ticket});
+    if (now - item.second.begun_at < options_.search_timeout) return false;
+    outcomes_.push_back({.ticket = item.second.ticket,
+                         .unanswered = item.second.unanswered.size()});
     return true;
   });
   own_.Expire(now);
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -23,8 +23,11 @@
   /// Control instances that keep an origin, in two data centres if there are.
   std::size_t copies = 2;
   /// An event is passed on after this time even if nobody has confirmed the
-  /// copy; a search ends after it without a result.
-  Duration answer_timeout = Milliseconds(150);
+  /// copy.
+  Duration copy_timeout = Milliseconds(150);
+  /// A search ends after this time without a result. Longer, since the stream
+  /// would be lost: a control instance that is slow may know it.
+  Duration search_timeout = Milliseconds(400);
 };
 
 /// A connected control instance that keeps origins.
@@ -62,6 +65,8 @@
   bool copied = false;
   /// After Search(): null if nobody knows the stream.
   std::optional<StreamOrigin> origin;
+  /// After Search(): control instances that hadn't answered.
+  std::size_t unanswered = 0;
 };
 
 /// Not thread safe.
