Let model runners name rate limits in the versions soak; no two runs share addresses

Two runs whose process ids were equal modulo 200 took the same addresses and one failed to start; a bound socket now reserves them.

--- a/tests/soak/rate_limit_soak.py
+++ b/tests/soak/rate_limit_soak.py
@@ -53,23 +53,16 @@
 
 def find_breaches(run, callers, arrivals):
     end = time.monotonic()
-    entries = {entry.name: entry for entry in run.deployment.entries}
-    sender = {attempt.request: entries[attempt.entry] for attempt in callers.attempts}
     refusals = sorted(attempt.ended_at for attempt in callers.attempts if attempt.status in REFUSED_STATUSES)
     troubles = sorted(at for instance in run.deployment.instances() for at in instance.troubles)
 
-    def counts(arrival):
-        instance = sender.get(arrival.request)
-        return instance is None or not any(arrival.at - checks.CONTACT_S <= at <= arrival.at for at in instance.troubles)
-
     def calm(begin, until):
         return not any(begin <= at <= until for at in troubles)
 
-    breaches = []
+    breaches = run_support.find_excess(run, run.endpoints, callers, arrivals)
     for endpoint in run.endpoints:
-        own = [arrival for arrival in arrivals if arrival.endpoint == endpoint.name]
-        breaches += checks.find_excess(endpoint.name, endpoint.limits, sorted(a.at for a in own if counts(a)))
-        breaches += checks.find_idle(endpoint.name, endpoint.limits, sorted(a.at for a in own), refusals, calm, end)
+        own = sorted(arrival.at for arrival in arrivals if arrival.endpoint == endpoint.name)
+        breaches += checks.find_idle(endpoint.name, endpoint.limits, own, refusals, calm, end)
     late = [a for a in callers.attempts if a.status in REFUSED_STATUSES and a.ended_at - a.sent_at > MAX_REFUSAL_S]
     if len(late) > LATE_REFUSALS_SHARE * len(refusals) + 2:
         breaches.append(f"late refusals: {len(late)} of {len(refusals)} took over {MAX_REFUSAL_S:g} s")
--- a/tests/soak/run_support.py
+++ b/tests/soak/run_support.py
@@ -8,18 +8,21 @@
 import pathlib
 import random
 import shutil
+import socket
 import sys
 import tempfile
 import time
 
 import aiohttp
 
+import rate_limit_checks
 from callers import Balancer
 from deployment import Deployment
 
 START_TIMEOUT_S = 60.0
 FIRST_BLOCK = 16
 BLOCKS = 200
+RESERVATION_PORT = 7659
 TRANSIENT_FOLDER_PREFIX = "cassiausher-soak-"
 # Connections stay open for many requests; the default limit of the client library would queue requests.
 UNLIMITED_CONNECTIONS = 0
@@ -35,10 +38,24 @@
     parser.add_argument("--controls", type=int, default=3)
     parser.add_argument("--rate", type=float, default=50, help="requests a second of all callers")
     parser.add_argument("--faults", action="store_true", help="kill, restart and freeze instances")
+    parser.add_argument("--limits", action="store_true", help="some model runners name a rate limit")
     parser.add_argument("--keep", action="store_true", help="keep logs and disks after a run without a breach")
     return parser.parse_args()
 
 
+def reserve_block():
+    """Returns a socket that keeps other runs off a block of addresses, and the block: the second number in 127.x."""
+    for offset in range(BLOCKS):
+        block = FIRST_BLOCK + (os.getpid() + offset) % BLOCKS
+        holder = socket.socket()
+        try:
+            holder.bind((f"127.{block}.250.1", RESERVATION_PORT))
+            return holder, block
+        except OSError:
+            holder.close()
+    raise RuntimeError("no block of addresses is free")
+
+
 class Run:
     """One deployment and the sessions of its callers and endpoints."""
 
@@ -46,7 +63,7 @@
         self.options = options
         self.random = random.Random(options.seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix=TRANSIENT_FOLDER_PREFIX))
-        block = FIRST_BLOCK + os.getpid() % BLOCKS
+        self.reservation, block = reserve_block()
         self.deployment = Deployment(self.folder, options.binary, block, options.entries, options.controls)
         if options.old_binary is not None:
             for instance in self.deployment.entries[1::2] + self.deployment.controls[1::2]:
@@ -66,6 +83,7 @@
         for endpoint in self.endpoints:
             await endpoint.stop()
         await self.stack.aclose()
+        self.reservation.close()
 
     def endpoint_ip(self, index):
         return f"127.{self.deployment.block}.200.{1 + index}"
@@ -112,6 +130,28 @@
         return 1 if breaches else 0
 
 
+def judged_arrivals(run, callers, arrivals):
+    """The calls to endpoints that count against a limit: those of entry instances that nothing disturbed lately."""
+    entries = {entry.name: entry for entry in run.deployment.entries}
+    sender = {attempt.request: entries[attempt.entry] for attempt in callers.attempts}
+
+    def counts(arrival):
+        instance = sender.get(arrival.request)
+        return instance is None or not any(
+            arrival.at - rate_limit_checks.CONTACT_S <= at <= arrival.at for at in instance.troubles)
+
+    return [arrival for arrival in arrivals if counts(arrival)]
+
+
+def find_excess(run, endpoints, callers, arrivals):
+    judged = judged_arrivals(run, callers, arrivals)
+    breaches = []
+    for endpoint in endpoints:
+        times = sorted(arrival.at for arrival in judged if arrival.endpoint == endpoint.name)
+        breaches += rate_limit_checks.find_excess(endpoint.name, endpoint.limits, times)
+    return breaches
+
+
 def main(play, description):
     """Runs `play(options)`, a coroutine that returns the exit status."""
     # A crashing endpoint resets the connections that its handlers write to.
--- a/tests/soak/versions_soak.py
+++ b/tests/soak/versions_soak.py
@@ -22,6 +22,10 @@
 CONTACT_S = 3.0
 CRASH_PERIOD_S = 4.0
 RUNNER_RESTART_S = 0.3
+# With --limits: the share of the runners that name a rate limit, and its range.
+LIMITED_SHARE = 0.4
+LOWEST_LIMIT = 0.5
+HIGHEST_LIMIT = 3.0
 # Runners of its version that must serve for a stream to be judged.
 MIN_RUNNERS = 2
 
@@ -51,6 +55,8 @@
         self.started = 0
         # (time, number of decode runners by version) after each change.
         self.history = []
+        # All that ever ran.
+        self.all = []
 
     async def start_all(self):
         for index, stage in enumerate(STAGES):
@@ -60,9 +66,12 @@
         index = self.started
         self.started += 1
         data_centre = self.run.deployment.entries[index % len(self.run.deployment.entries)].data_centre
-        await self.run.add_endpoint(ModelEndpoint(
-            f"r-{index}", SERVICE, self.run.endpoint_ip(index % 200), data_centre, version, self.arrivals, stage=stage,
-            seed=index))
+        runner = ModelEndpoint(f"r-{index}", SERVICE, self.run.endpoint_ip(index % 200), data_centre, version,
+                               self.arrivals, stage=stage, seed=index)
+        if self.run.options.limits and self.run.random.random() < LIMITED_SHARE:
+            runner.set_limit(round(self.run.random.uniform(LOWEST_LIMIT, HIGHEST_LIMIT), 1))
+        self.all.append(runner)
+        await self.run.add_endpoint(runner)
         self._note()
 
     async def crash_and_replace(self, until):
@@ -104,7 +113,8 @@
     # Entry instances of an earlier build mix versions by themselves.
     streams = [stream for stream in callers.streams
                if all(entries[attempt.entry].binary is None for attempt in stream.attempts)]
-    return checks.find_mixed(streams) + checks.find_gaps(streams) + checks.find_lost(streams, counts)
+    excess = run_support.find_excess(run, runners.all, callers, runners.arrivals)
+    return excess + checks.find_mixed(streams) + checks.find_gaps(streams) + checks.find_lost(streams, counts)
 
 
 def print_summary(callers):
