Let a stream that is taken up wait for control instances that come back

It counted every control instance as silent, or asked over connections that were about to be replaced, and gave up at once or after 400 ms. A search now asks control instances that appear, asks again each 200 ms and ends after 1.5 s.

--- a/main/origin_client.cc
+++ b/main/origin_client.cc
@@ -79,6 +79,7 @@
 
 void OriginClient::Tick(Time now) {
   keeper_.CheckTimeouts(now);
+  SendMessages(now);
   kept_.Set(static_cast<std::int64_t>(keeper_.streams()));
   DeliverOutcomes();
 }
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -11,6 +11,9 @@
 void OriginKeeper::SetStores(const std::set<OriginStore>& stores, Time now) {
   if (stores == stores_) return;
   stores_ = stores;
+  for (auto& [number, search] : pending_searches_) {
+    AskNewStores(number, search);
+  }
   for (auto& [request, copies] : copies_) {
     std::erase_if(copies.stores, [&](const OriginStore& store) {
       return !stores_.contains(store);
@@ -76,18 +79,33 @@
 OriginTicket OriginKeeper::Search(const RequestId& request, Time now) {
   const OriginTicket ticket(next_ticket_++);
   const auto known = own_.Find(request, now);
-  if (known.has_value() || stores_.empty()) {
+  if (known.has_value()) {
     outcomes_.push_back({.ticket = ticket, .origin = known});
     return ticket;
   }
   const std::uint64_t number = next_number_++;
-  PendingSearch search{.ticket = ticket, .request = request, .begun_at = now};
+  PendingSearch& search = pending_searches_[number];
+  search = {
+      .ticket = ticket, .request = request, .begun_at = now, .asked_at = now};
+  AskNewStores(number, search);
+  return ticket;
+}
+
+void OriginKeeper::AskNewStores(std::uint64_t number, PendingSearch& search) {
   for (const OriginStore& store : stores_) {
-    searches_to_send_.push_back({store.instance, number, request});
+    if (!search.asked.insert(store).second) continue;
+    searches_to_send_.push_back({store.instance, number, search.request});
     search.unanswered.insert(store.instance);
   }
-  pending_searches_[number] = std::move(search);
-  return ticket;
+}
+
+void OriginKeeper::AskAgain(std::uint64_t number, PendingSearch& search,
+                            Time now) {
+  if (now - search.asked_at < options_.search_period) return;
+  search.asked_at = now;
+  for (const InstanceId& store : search.unanswered) {
+    searches_to_send_.push_back({store, number, search.request});
+  }
 }
 
 bool OriginKeeper::IsSafe(const InstanceId& store) const {
@@ -131,6 +149,9 @@
     outcomes_.push_back({.ticket = item.second.ticket});
     return true;
   });
+  for (auto& [number, search] : pending_searches_) {
+    AskAgain(number, search, now);
+  }
   std::erase_if(pending_searches_, [&](const auto& item) {
     if (now - item.second.begun_at < options_.search_timeout) return false;
     outcomes_.push_back({.ticket = item.second.ticket,
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -25,9 +25,13 @@
   /// An event is passed on after this time even if nobody has confirmed the
   /// copy.
   Duration copy_timeout = Milliseconds(150);
-  /// A search ends after this time without a result. Longer, since the stream
-  /// would be lost: a control instance that is slow may know it.
-  Duration search_timeout = Milliseconds(400);
+  /// A search ends after this time if a control instance hasn't answered.
+  /// Longer than the connections of an instance that was frozen take to come
+  /// back.
+  Duration search_timeout = Milliseconds(1500);
+  /// A control instance that hasn't answered is asked again after this time,
+  /// since messages are lost with a connection.
+  Duration search_period = Milliseconds(200);
 };
 
 /// A connected control instance that keeps origins.
@@ -76,14 +80,15 @@
       : options_(std::move(options)), own_(StreamOriginsOptions{}) {}
 
   /// Replaces the control instances to use. Origins with too few copies among
-  /// them are sent again.
+  /// them are sent again, and searches ask those that are new.
   void SetStores(const std::set<OriginStore>& stores, Time now);
 
   /// A stream begins here. The outcome follows once a copy is confirmed.
   OriginTicket Begin(const RequestId& request, const StreamOrigin& origin,
                      Time now);
   /// A stream is taken up here. The outcome follows at once if this instance
-  /// knows it, else once the control instances have answered.
+  /// knows it, else once the control instances have answered. Without any, one
+  /// is waited for.
   OriginTicket Search(const RequestId& request, Time now);
 
   void OnStored(const InstanceId& from, std::uint64_t number);
@@ -115,6 +120,8 @@
     OriginTicket ticket{0};
     RequestId request;
     Time begun_at{};
+    Time asked_at{};
+    std::set<OriginStore> asked;
     std::set<InstanceId> unanswered;
   };
 
@@ -122,6 +129,8 @@
   /// copies, and returns the number of the messages.
   std::uint64_t CopyWhereMissing(const RequestId& request,
                                  const StreamOrigin& origin);
+  void AskNewStores(std::uint64_t number, PendingSearch& search);
+  void AskAgain(std::uint64_t number, PendingSearch& search, Time now);
   /// The control instance for the next copy; null if there is none.
   const OriginStore* ChooseStore(const RequestId& request,
                                  const std::set<OriginStore>& used) const;
