Don't call a stream unknown before every known control instance was asked

Trace of the last refusal: an entry instance that had been frozen reached one of three control instances first, which had no copy, and took its answer for all.

--- a/main/origin_client.cc
+++ b/main/origin_client.cc
@@ -52,13 +52,15 @@
 
 void OriginClient::SetControls(const ControlDirectory& controls, Time now) {
   std::set<OriginStore> stores;
+  bool complete = true;
   for (const auto& [instance, control] : controls.controls()) {
+    complete &= control.connected;
     if (!control.connected || !control.keeps_origins) continue;
     stores.insert({.instance = instance,
                    .process = control.process,
                    .data_centre = control.data_centre});
   }
-  keeper_.SetStores(stores, now);
+  keeper_.SetStores(stores, complete, now);
   SendMessages(now);
 }
 
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -8,7 +8,9 @@
 
 namespace cassiausher {
 
-void OriginKeeper::SetStores(const std::set<OriginStore>& stores, Time now) {
+void OriginKeeper::SetStores(const std::set<OriginStore>& stores, bool complete,
+                             Time now) {
+  stores_are_complete_ = complete;
   if (stores == stores_) return;
   stores_ = stores;
   for (auto& [number, search] : pending_searches_) {
@@ -132,7 +134,8 @@
   if (found == pending_searches_.end()) return;
   PendingSearch& search = found->second;
   search.unanswered.erase(from);
-  if (!origin.has_value() && !search.unanswered.empty()) return;
+  const bool all_answered = search.unanswered.empty() && stores_are_complete_;
+  if (!origin.has_value() && !all_answered) return;
   const RequestId request = search.request;
   outcomes_.push_back({.ticket = search.ticket, .origin = origin});
   pending_searches_.erase(found);
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -81,7 +81,9 @@
 
   /// Replaces the control instances to use. Origins with too few copies among
   /// them are sent again, and searches ask those that are new.
-  void SetStores(const std::set<OriginStore>& stores, Time now);
+  /// `complete`: no other control instance is known. Otherwise one that isn't
+  /// connected may know a stream that the others don't.
+  void SetStores(const std::set<OriginStore>& stores, bool complete, Time now);
 
   /// A stream begins here. The outcome follows once a copy is confirmed.
   OriginTicket Begin(const RequestId& request, const StreamOrigin& origin,
@@ -139,6 +141,7 @@
 
   OriginKeeperOptions options_;
   std::set<OriginStore> stores_;
+  bool stores_are_complete_ = false;
   StreamOrigins own_;
   std::map<RequestId, Copies> copies_;
   /// By the number of their messages.
--- a/tests/entry/origin_keeper_test.cc
+++ b/tests/entry/origin_keeper_test.cc
@@ -31,7 +31,7 @@
 
   void setup() override {
     keeper.SetStores({Store("c1", "a"), Store("c2", "b"), Store("c3", "c")},
-                     kStart);
+                     true, kStart);
   }
   void Begin() {
     keeper.Begin(kRequest, Origin(), kStart);
@@ -64,11 +64,11 @@
 }
 
 TEST(OriginKeeper, ACopyInTheOwnDataCentreCountsOnlyIfThereIsNoOther) {
-  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, kStart);
+  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, true, kStart);
   Begin();
   keeper.OnStored(InstanceId("c1"), copies[0].number);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
-  keeper.SetStores({Store("c1", "a")}, kStart);
+  keeper.SetStores({Store("c1", "a")}, true, kStart);
   keeper.OnStored(InstanceId("c1"), copies[0].number);
   LONGS_EQUAL(1, keeper.TakeOutcomes().size());
 }
@@ -84,7 +84,7 @@
 }
 
 TEST(OriginKeeper, WithoutControlInstancesANewStreamDoesNotWait) {
-  keeper.SetStores({}, kStart);
+  keeper.SetStores({}, true, kStart);
   keeper.Begin(kRequest, Origin(), kStart);
   LONGS_EQUAL(1, keeper.TakeOutcomes().size());
 }
@@ -92,13 +92,13 @@
 // An entry instance that had been frozen counted all control instances as
 // silent and refused every stream that was taken up (soak_versions, seed 21).
 TEST(OriginKeeper, ASearchAsksControlInstancesThatAppearMeanwhile) {
-  keeper.SetStores({}, kStart);
+  keeper.SetStores({}, true, kStart);
   keeper.Search(kRequest, kStart);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
-  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, kStart);
+  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, true, kStart);
   const auto searches = keeper.TakeSearches();
   LONGS_EQUAL(2, searches.size());
-  keeper.SetStores({Store("c1", "a"), Store("c2", "b"), Store("c3", "c")},
+  keeper.SetStores({Store("c1", "a"), Store("c2", "b"), Store("c3", "c")}, true,
                    kStart);
   LONGS_EQUAL(1, keeper.TakeSearches().size());
   keeper.OnAnswer(InstanceId("c3"), searches[0].number, Origin(), kStart);
@@ -109,12 +109,12 @@
 TEST(OriginKeeper, ControlProcessesThatStartAnewGetTheirCopiesAgain) {
   Begin();
   keeper.SetStores(
-      {Store("c1", "a", 2), Store("c2", "b", 2), Store("c3", "c", 2)},
+      {Store("c1", "a", 2), Store("c2", "b", 2), Store("c3", "c", 2)}, true,
       kStart + Seconds(1));
   LONGS_EQUAL(2, keeper.TakeCopies().size());
-  keeper.SetStores({Store("c2", "b", 2)}, kStart + Seconds(2));
+  keeper.SetStores({Store("c2", "b", 2)}, true, kStart + Seconds(2));
   LONGS_EQUAL(0, keeper.TakeCopies().size());
-  keeper.SetStores({Store("c2", "b", 2), Store("c4", "d")},
+  keeper.SetStores({Store("c2", "b", 2), Store("c4", "d")}, true,
                    kStart + Seconds(3));
   LONGS_EQUAL(1, keeper.TakeCopies().size());
 }
@@ -158,6 +158,19 @@
   LONGS_EQUAL(2, keeper.TakeSearches().size());
 }
 
+// The one that knows the stream may be the one whose connection comes back
+// last.
+TEST(OriginKeeper, ASearchWaitsForAKnownControlInstanceWithoutConnection) {
+  keeper.SetStores({Store("c1", "a")}, false, kStart);
+  keeper.Search(kRequest, kStart);
+  const auto number = keeper.TakeSearches()[0].number;
+  keeper.OnAnswer(InstanceId("c1"), number, std::nullopt, kStart);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, true, kStart);
+  keeper.OnAnswer(InstanceId("c2"), number, Origin(), kStart);
+  CHECK_TRUE(keeper.TakeOutcomes()[0].origin.has_value());
+}
+
 TEST(OriginKeeper, ASearchThatIsNotAnsweredEnds) {
   keeper.Search(kRequest, kStart);
   keeper.CheckTimeouts(kStart + Milliseconds(1499));
