--- a/scripts/mutations/consensus.sh
+++ b/scripts/mutations/consensus.sh
@@ -50,10 +50,10 @@
     tail -5 "$scratch/build.log"
     missed+=("$name")
   elif test=$(run_tests); then
-    echo "$name: NOT NOTICED"
+    echo "$name: MISSED"
     missed+=("$name")
   else
-    echo "$name: noticed by $test: $(grep -m1 -E '^seed|invariant|Failure in|error: ' "$scratch/run.log" || echo 'timeout or crash')"
+    echo "$name: caught by $test: $(grep -m1 -E '^seed|invariant|Failure in|error: ' "$scratch/run.log" || echo 'timeout or crash')"
     caught=$((caught + 1))
   fi
   cp "$scratch.originals/$file" "$scratch/$file"
