Time the first event of each call, not of the request

Each call now has its own time. node_roles_tests pass; no test drives a failover through ForwardedRequest but soak_versions.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -198,6 +198,7 @@
   call_started_ = now;
   connect_deadline_ = now + kConnectTimeout;
   progress_deadline_.reset();
+  call_first_event_at_.reset();
   if (call.answer_timeout > Duration(0)) {
     progress_deadline_ = now + call.answer_timeout;
   }
@@ -322,6 +323,7 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
+  if (!call_first_event_at_.has_value()) call_first_event_at_ = now;
   if (!begun_.has_value()) BeginStream();
   if (holding_) {
     held_events_ += events;
@@ -455,11 +457,10 @@
 
 void ForwardedRequest::FinishCall(WorkOutcome outcome) {
   const Time now = BootTimeNow();
-  const Time first_event_or_end = first_event_at_.value_or(now);
+  const Time first_event_or_end = call_first_event_at_.value_or(now);
   context_.client->Cancel(call_id_);
-  context_.pool->OnFinish(
-      call_->endpoint.id, call_->work, outcome,
-      std::max(Duration(0), first_event_or_end - call_started_), now);
+  context_.pool->OnFinish(call_->endpoint.id, call_->work, outcome,
+                          first_event_or_end - call_started_, now);
   call_.reset();
   progress_deadline_.reset();
 }
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -115,6 +115,8 @@
   /// The part of `relayed_events_` that the endpoint pool has been told of.
   std::int64_t reported_events_ = 0;
   std::optional<Time> first_event_at_;
+  /// First event of the call in progress.
+  std::optional<Time> call_first_event_at_;
   Time last_event_at_{};
   Duration longest_gap_{};
   /// An endpoint has begun the stream; its status and headers go to the caller.
