--- a/servers/membership/membership_received.cc
+++ b/servers/membership/membership_received.cc
@@ -10,7 +10,6 @@
 namespace {
 
 using proto::MemberRecord;
-using proto::MembershipMessage;
 
 // A higher incarnation can only be an error, and accepting it would leave no
 // higher one for a refutation.
--- a/tests/control/rate_limits_test.cc
+++ b/tests/control/rate_limits_test.cc
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr Time kStart{Seconds(100)};
-const EndpointId kEndpoint("e");
+const EndpointId endpoint_id("e");
 
 RateLimitObservation Seen(std::optional<double> rate, Time at,
                           std::uint64_t incarnation = 1) {
-  RateLimitObservation observation{.endpoint = kEndpoint,
+  RateLimitObservation observation{.endpoint = endpoint_id,
                                    .incarnation = Incarnation(incarnation),
                                    .observed_at = at};
   if (rate.has_value()) observation.limit = RequestRate(*rate);
@@ -34,14 +34,14 @@
   Learn(5, kStart, RateLimitChange::kAppeared);
   Learn(2, kStart + Seconds(1), RateLimitChange::kValue);
   Learn(9, kStart + Milliseconds(500), RateLimitChange::kNone);
-  DOUBLES_EQUAL(2, limits.Find(kEndpoint)->value(), 0);
+  DOUBLES_EQUAL(2, limits.Find(endpoint_id)->value(), 0);
 }
 
 TEST(RateLimits, AnOlderAnswerDoesNotBringAnEndedLimitBack) {
   Learn(5, kStart, RateLimitChange::kAppeared);
   Learn(std::nullopt, kStart + Seconds(2), RateLimitChange::kEnded);
   Learn(5, kStart + Seconds(1), RateLimitChange::kNone);
-  CHECK_FALSE(limits.Find(kEndpoint).has_value());
+  CHECK_FALSE(limits.Find(endpoint_id).has_value());
   Learn(5, kStart + Seconds(3), RateLimitChange::kAppeared);
 }
 
@@ -49,7 +49,7 @@
   Learn(5, kStart, RateLimitChange::kAppeared, 1);
   Learn(std::nullopt, kStart - Seconds(1), RateLimitChange::kEnded, 2);
   Learn(5, kStart + Seconds(1), RateLimitChange::kNone, 1);
-  CHECK_FALSE(limits.Find(kEndpoint).has_value());
+  CHECK_FALSE(limits.Find(endpoint_id).has_value());
 }
 
 TEST(RateLimits, LimitsOfEndpointsThatAreGoneAndOldEndsAreForgotten) {
--- a/tests/entry/origin_keeper_test.cc
+++ b/tests/entry/origin_keeper_test.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr Time kStart{Seconds(100)};
-const RequestId kRequest("r1");
+const RequestId request_id("r1");
 
 OriginStore Store(const std::string& name, const std::string& data_centre,
                   std::uint64_t process = 1) {
@@ -34,7 +34,7 @@
                      true, kStart);
   }
   void Begin() {
-    keeper.Begin(kRequest, Origin(), kStart);
+    keeper.Begin(request_id, Origin(), kStart);
     copies = keeper.TakeCopies();
   }
   std::vector<OriginCopy> copies;
@@ -85,7 +85,7 @@
 
 TEST(OriginKeeper, WithoutControlInstancesANewStreamDoesNotWait) {
   keeper.SetStores({}, true, kStart);
-  keeper.Begin(kRequest, Origin(), kStart);
+  keeper.Begin(request_id, Origin(), kStart);
   LONGS_EQUAL(1, keeper.TakeOutcomes().size());
 }
 
@@ -93,7 +93,7 @@
 // silent and refused every stream that was taken up (soak_versions, seed 21).
 TEST(OriginKeeper, ASearchAsksControlInstancesThatAppearMeanwhile) {
   keeper.SetStores({}, true, kStart);
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
   keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, true, kStart);
   const auto searches = keeper.TakeSearches();
@@ -120,7 +120,7 @@
 }
 
 TEST(OriginKeeper, ASearchEndsWithTheFirstControlInstanceThatKnows) {
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   const auto searches = keeper.TakeSearches();
   LONGS_EQUAL(3, searches.size());
   keeper.OnAnswer(InstanceId("c1"), searches[0].number, std::nullopt, kStart);
@@ -132,12 +132,12 @@
   // This instance keeps the copies up from now on, and knows the stream.
   LONGS_EQUAL(1, keeper.streams());
   LONGS_EQUAL(2, keeper.TakeCopies().size());
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   CHECK_TRUE(keeper.TakeOutcomes()[0].origin.has_value());
 }
 
 TEST(OriginKeeper, AStreamThatNobodyKnowsIsUnknownOnceAllHaveAnswered) {
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   for (const char* control : {"c1", "c2", "c3"}) {
     LONGS_EQUAL(0, keeper.TakeOutcomes().size());
@@ -149,7 +149,7 @@
 // The connections of an instance that was frozen are replaced, and what was
 // sent on the old ones is lost.
 TEST(OriginKeeper, AControlInstanceThatDoesNotAnswerIsAskedAgain) {
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   keeper.OnAnswer(InstanceId("c1"), number, std::nullopt, kStart);
   keeper.CheckTimeouts(kStart + Milliseconds(199));
@@ -162,7 +162,7 @@
 // last.
 TEST(OriginKeeper, ASearchWaitsForAKnownControlInstanceWithoutConnection) {
   keeper.SetStores({Store("c1", "a")}, false, kStart);
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   keeper.OnAnswer(InstanceId("c1"), number, std::nullopt, kStart);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
@@ -172,7 +172,7 @@
 }
 
 TEST(OriginKeeper, ASearchThatIsNotAnsweredEnds) {
-  keeper.Search(kRequest, kStart);
+  keeper.Search(request_id, kStart);
   keeper.CheckTimeouts(kStart + Milliseconds(1499));
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
   keeper.CheckTimeouts(kStart + Milliseconds(1500));
--- a/tests/entry/permit_holder_test.cc
+++ b/tests/entry/permit_holder_test.cc
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr Time kStart{Seconds(100)};
-const EndpointId kEndpoint("e");
-const InstanceId kIssuer("control");
+const EndpointId endpoint_id("e");
+const InstanceId issuer_id("control");
 
 }  // namespace
 
@@ -19,18 +19,19 @@
 
   void setup() override {
     holder.SetEntryInstances(10);
-    holder.SetIssuer(kIssuer, kStart);
+    holder.SetIssuer(issuer_id, kStart);
     SetLimit(5, kStart);
   }
   void SetLimit(std::optional<double> rate, Time at) {
-    RateLimitObservation observation{.endpoint = kEndpoint, .observed_at = at};
+    RateLimitObservation observation{.endpoint = endpoint_id,
+                                     .observed_at = at};
     if (rate.has_value()) observation.limit = RequestRate(*rate);
     limits.Observe(observation);
   }
   void Reply(const PermitAsk& ask, int granted, Time now) {
-    holder.OnReply(kIssuer,
+    holder.OnReply(issuer_id,
                    {.number = ask.number,
-                    .endpoint = kEndpoint,
+                    .endpoint = endpoint_id,
                     .granted = granted,
                     .retry_after = Milliseconds(200)},
                    now);
@@ -44,7 +45,7 @@
 
 TEST(PermitHolder, RequestsThatWaitShareOneAsk) {
   for (int i = 0; i < 3; ++i) {
-    CHECK_TRUE(holder.Take(kEndpoint, kStart).state == PermitState::kAsked);
+    CHECK_TRUE(holder.Take(endpoint_id, kStart).state == PermitState::kAsked);
   }
   const auto asks = holder.TakeAsks(kStart);
   LONGS_EQUAL(1, asks.size());
@@ -55,35 +56,36 @@
   CHECK_TRUE(outcomes[1].permit.has_value());
   CHECK_FALSE(outcomes[2].permit.has_value());
   // The limit is used up: refused at once until the issuer has permits again.
-  const PermitResult next = holder.Take(kEndpoint, kStart);
+  const PermitResult next = holder.Take(endpoint_id, kStart);
   CHECK_TRUE(next.state == PermitState::kRefused);
   CHECK_TRUE(next.room_at == kStart + Milliseconds(200));
-  CHECK_TRUE(holder.Take(kEndpoint, next.room_at).state == PermitState::kAsked);
+  CHECK_TRUE(holder.Take(endpoint_id, next.room_at).state ==
+             PermitState::kAsked);
 }
 
 TEST(PermitHolder, APermitOfACallerThatLeftServesTheNextRequestForAWhile) {
-  const PermitResult waiting = holder.Take(kEndpoint, kStart);
+  const PermitResult waiting = holder.Take(endpoint_id, kStart);
   const auto asks = holder.TakeAsks(kStart);
   holder.Cancel(waiting.ticket);
   Reply(asks[0], 1, kStart);
-  CHECK_TRUE(holder.Take(kEndpoint, kStart + Milliseconds(299)).state ==
+  CHECK_TRUE(holder.Take(endpoint_id, kStart + Milliseconds(299)).state ==
              PermitState::kGranted);
   Reply(asks[0], 1, kStart);
-  CHECK_TRUE(holder.Take(kEndpoint, kStart + Milliseconds(300)).state ==
+  CHECK_TRUE(holder.Take(endpoint_id, kStart + Milliseconds(300)).state ==
              PermitState::kAsked);
 }
 
 TEST(PermitHolder, AnIssuerThatDoesNotAnswerIsLeftAsideAndTriedAgain) {
-  holder.Take(kEndpoint, kStart);
+  holder.Take(endpoint_id, kStart);
   const auto asks = holder.TakeAsks(kStart);
   const Time timeout = kStart + Milliseconds(100);
   holder.CheckTimeouts(timeout);
   LONGS_EQUAL(1, holder.TakeOutcomes().size());
-  CHECK_FALSE(holder.Take(kEndpoint, timeout).state == PermitState::kAsked);
+  CHECK_FALSE(holder.Take(endpoint_id, timeout).state == PermitState::kAsked);
   LONGS_EQUAL(0, holder.TakeAsks(timeout).size());
   LONGS_EQUAL(1, holder.TakeAsks(timeout + Milliseconds(400)).size());
   Reply(asks[0], 0, timeout);
-  CHECK_TRUE(holder.Take(kEndpoint, timeout).state == PermitState::kAsked);
+  CHECK_TRUE(holder.Take(endpoint_id, timeout).state == PermitState::kAsked);
 }
 
 TEST(PermitHolder, WithoutAnIssuerAnInstanceGetsItsShare) {
@@ -91,7 +93,7 @@
   int granted = 0;
   for (int ms = 0; ms < 20000; ms += 10) {
     const PermitResult result =
-        holder.Take(kEndpoint, kStart + Milliseconds(ms));
+        holder.Take(endpoint_id, kStart + Milliseconds(ms));
     if (result.state == PermitState::kGranted) ++granted;
   }
   // 5 a second, a tenth of it, for 20 s.
@@ -99,7 +101,7 @@
 }
 
 TEST(PermitHolder, RequestsThatWaitAreLetGoWhenTheLimitEnds) {
-  holder.Take(kEndpoint, kStart);
+  holder.Take(endpoint_id, kStart);
   SetLimit(std::nullopt, kStart + Milliseconds(1));
   holder.CheckTimeouts(kStart + Milliseconds(1));
   const auto outcomes = holder.TakeOutcomes();
@@ -108,9 +110,9 @@
 }
 
 TEST(PermitHolder, RequestsThatWaitAreSettledWhenTheIssuerStops) {
-  holder.Take(kEndpoint, kStart);
+  holder.Take(endpoint_id, kStart);
   holder.TakeAsks(kStart);
-  holder.OnNotIssuer(kIssuer, kStart);
+  holder.OnNotIssuer(issuer_id, kStart);
   LONGS_EQUAL(1, holder.TakeOutcomes().size());
 }
 
--- a/tests/entry/permit_sharing_test.cc
+++ b/tests/entry/permit_sharing_test.cc
@@ -24,7 +24,7 @@
 constexpr double kAllowedFactor = 1.5;
 constexpr int kAllowedRequests = 5;
 constexpr double kUsedShare = 0.5;
-const EndpointId kEndpoint("e");
+const EndpointId endpoint_id("e");
 
 // Entry instances with unequal shares of the requests for one limited endpoint.
 class Sharing {
@@ -114,7 +114,7 @@
         : holder({.random_seed = seed}, &limits) {}
     void Observe(RequestRate limit, Time now) {
       limits.Observe(
-          {.endpoint = kEndpoint, .limit = limit, .observed_at = now});
+          {.endpoint = endpoint_id, .limit = limit, .observed_at = now});
     }
     RateLimits limits;
     PermitHolder holder;
@@ -125,7 +125,7 @@
   };
 
   void Request(Instance& instance) {
-    const PermitResult result = instance.holder.Take(kEndpoint, now_);
+    const PermitResult result = instance.holder.Take(endpoint_id, now_);
     if (result.state == PermitState::kGranted) calls_.push_back(now_);
     if (result.state == PermitState::kRefused) ++refused_;
   }
@@ -152,11 +152,11 @@
     const InstanceId name(
         std::to_string(reinterpret_cast<std::uintptr_t>(&instance)));  // NOLINT
     const PermitGrant grant =
-        issuer_->Grant(name, kEndpoint, limit_, ask.calls, now_);
+        issuer_->Grant(name, endpoint_id, limit_, ask.calls, now_);
     Send([this, &instance, ask, grant, asked] {
       instance.holder.OnReply(asked,
                               {.number = ask.number,
-                               .endpoint = kEndpoint,
+                               .endpoint = endpoint_id,
                                .granted = grant.granted,
                                .retry_after = grant.retry_after},
                               now_);
