--- a/servers/membership/membership.cc
+++ b/servers/membership/membership.cc
@@ -14,7 +14,6 @@
 namespace {
 
 using proto::MemberRecord;
-using proto::MembershipMessage;
 
 // Confirmations that shorten a suspicion to its minimum.
 constexpr std::size_t kExpectedConfirmations = 2;
