Log and count the answers that an instance cuts when it stops

An instance that stops logged its requests as answered once their answers were handed to the HTTP library; nothing said whether an answer left the process. AnswerTracker accounts for the bytes of each answer in the process and in the kernel. answer_cut names the requests whose answers end unsent, answers_cut_total counts them, and answer_not_taken is written when a connection ends before its answer was sent. No decision has changed.

--- /dev/null
+++ b/drivers/answer_tracker.cc
@@ -0,0 +1,150 @@
+#include "drivers/answer_tracker.h"
+
+#include <gio/gio.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
+
+namespace cassiausher {
+namespace {
+
+// The log limits the rate of lines, so one line has many labels.
+constexpr std::size_t kLabelsPerLine = 64;
+
+}  // namespace
+
+std::int64_t UnacknowledgedBytes(GSocket* socket) {
+  const int descriptor = g_socket_get_fd(socket);
+  int bytes = 0;
+  if (descriptor < 0 || ioctl(descriptor, SIOCOUTQ, &bytes) != 0) return 0;
+  return bytes;
+}
+
+AnswerTracker::~AnswerTracker() {
+  for (const auto& [message, answer] : answers_) {
+    g_signal_handler_disconnect(message, answer.wrote_handler);
+  }
+  for (const auto& [socket, connection] : connections_) {
+    g_object_weak_unref(G_OBJECT(socket), &OnSocketFinalized, this);
+  }
+}
+
+void AnswerTracker::Add(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  Answer& answer = answers_[message];
+  answer.message = ShareGObject(message);
+  answer.socket = socket;
+  answer.wrote_handler = g_signal_connect(
+      message, "wrote-body-data",
+      G_CALLBACK(+[](SoupServerMessage* source, guint size, gpointer self) {
+        static_cast<AnswerTracker*>(self)->OnAccepted(source, size);
+      }),
+      this);
+  if (socket == nullptr) return;
+  const auto [connection, is_new] = connections_.try_emplace(socket);
+  connection->second.answering = true;
+  if (is_new) g_object_weak_ref(G_OBJECT(socket), &OnSocketFinalized, this);
+}
+
+void AnswerTracker::OnSocketFinalized(gpointer self, GObject* socket) {
+  static_cast<AnswerTracker*>(self)->connections_.erase(
+      reinterpret_cast<GSocket*>(socket));
+}
+
+void AnswerTracker::SetLabel(SoupServerMessage* message,
+                             std::string_view label) {
+  const auto found = answers_.find(message);
+  if (found != answers_.end()) found->second.label = label;
+}
+
+void AnswerTracker::OnWritten(SoupServerMessage* message, std::int64_t bytes) {
+  const auto found = answers_.find(message);
+  if (found == answers_.end()) return;
+  found->second.process_bytes += bytes;
+  process_bytes_ += bytes;
+}
+
+void AnswerTracker::OnAccepted(SoupServerMessage* message, std::int64_t bytes) {
+  const auto found = answers_.find(message);
+  if (found == answers_.end()) return;
+  const std::int64_t accepted = std::min(bytes, found->second.process_bytes);
+  found->second.process_bytes -= accepted;
+  process_bytes_ -= accepted;
+}
+
+void AnswerTracker::OnHandedOver(SoupServerMessage* message) {
+  const auto found = answers_.find(message);
+  if (found != answers_.end()) found->second.handed_over = true;
+}
+
+void AnswerTracker::OnFinished(SoupServerMessage* message, bool cut) {
+  const auto found = answers_.find(message);
+  if (found == answers_.end()) return;
+  const Answer& answer = found->second;
+  if (cut && answer.handed_over) {
+    Log(LogLevel::kInfo, "answer_not_taken",
+        {{"request", answer.label}, {"process_bytes", answer.process_bytes}});
+  }
+  g_signal_handler_disconnect(message, answer.wrote_handler);
+  process_bytes_ -= answer.process_bytes;
+  const auto connection = connections_.find(answer.socket);
+  if (connection != connections_.end()) {
+    connection->second = {.label = answer.label, .answering = false};
+  }
+  answers_.erase(found);
+}
+
+std::vector<UnsentAnswer> AnswerTracker::Unsent() const {
+  std::vector<UnsentAnswer> unsent;
+  for (const auto& [message, answer] : answers_) {
+    const bool open = connections_.contains(answer.socket);
+    unsent.push_back(
+        {.label = answer.label,
+         .handed_over = answer.handed_over,
+         .process_bytes = answer.process_bytes,
+         .kernel_bytes = open ? UnacknowledgedBytes(answer.socket) : 0});
+  }
+  for (const auto& [socket, connection] : connections_) {
+    if (connection.answering) continue;
+    const std::int64_t bytes = UnacknowledgedBytes(socket);
+    if (bytes == 0) continue;
+    unsent.push_back({.label = connection.label,
+                      .handed_over = true,
+                      .kernel_bytes = bytes});
+  }
+  return unsent;
+}
+
+bool AnswerTracker::HasUnsent() const {
+  if (!answers_.empty()) return true;
+  return std::any_of(connections_.begin(), connections_.end(),
+                     [](const auto& connection) {
+                       return UnacknowledgedBytes(connection.first) > 0;
+                     });
+}
+
+void LogCutAnswers(const std::vector<UnsentAnswer>& answers,
+                   std::string_view server, Metrics& metrics) {
+  for (std::size_t first = 0; first < answers.size(); first += kLabelsPerLine) {
+    const std::size_t end = std::min(answers.size(), first + kLabelsPerLine);
+    std::string labels;
+    std::int64_t process_bytes = 0;
+    std::int64_t kernel_bytes = 0;
+    for (std::size_t i = first; i < end; ++i) {
+      if (!labels.empty()) labels += ' ';
+      labels += answers[i].label.empty() ? "-" : answers[i].label;
+      process_bytes += answers[i].process_bytes;
+      kernel_bytes += answers[i].kernel_bytes;
+    }
+    Log(LogLevel::kError, "answer_cut",
+        {{"server", server},
+         {"answers", end - first},
+         {"requests", labels},
+         {"process_bytes", process_bytes},
+         {"kernel_bytes", kernel_bytes}});
+  }
+  metrics.counter("answers_cut_total").Add(answers.size());
+}
+
+}  // namespace cassiausher
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -58,8 +58,12 @@
 
 }  // namespace
 
-HttpExchange::HttpExchange(SoupServerMessage* message, CloseWatcher* watcher)
-    : message_(ShareGObject(message)), watcher_(watcher) {
+HttpExchange::HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
+                           std::shared_ptr<AnswerTracker> tracker)
+    : message_(ShareGObject(message)),
+      watcher_(watcher),
+      tracker_(std::move(tracker)) {
+  tracker_->Add(message);
   finished_handler_ = g_signal_connect_swapped(
       message, "finished",
       G_CALLBACK(+[](HttpExchange* self) { self->OnTransportFinished(); }),
@@ -122,6 +126,10 @@
   return result;
 }
 
+void HttpExchange::SetLabel(std::string_view label) {
+  tracker_->SetLabel(message_.get(), label);
+}
+
 void HttpExchange::WatchClose(std::function<void()> on_closed) {
   on_closed_ = std::move(on_closed);
   if (watched_descriptor_ >= 0) return;
@@ -185,6 +193,8 @@
         message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
         body.data(), body.size());
   }
+  tracker_->OnWritten(message_.get(), static_cast<std::int64_t>(body.size()));
+  tracker_->OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
 }
@@ -217,6 +227,7 @@
 void HttpExchange::Write(std::string_view bytes) {
   if (finished_ || !streaming_ || bytes.empty()) return;
   unsent_bytes_ += static_cast<std::int64_t>(bytes.size());
+  tracker_->OnWritten(message_.get(), static_cast<std::int64_t>(bytes.size()));
   soup_message_body_append(
       soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
       bytes.data(), bytes.size());
@@ -227,6 +238,7 @@
   if (finished_ || !streaming_) return;
   soup_message_body_complete(
       soup_server_message_get_response_body(message_.get()));
+  tracker_->OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
 }
@@ -258,12 +270,16 @@
                          GHashTable*, gpointer data) {
     auto* self = static_cast<HttpServer*>(data);
     soup_server_message_pause(message);
-    self->handler_(
-        std::make_shared<HttpExchange>(message, self->watcher_.get()));
+    self->handler_(std::make_shared<HttpExchange>(message, self->watcher_.get(),
+                                                  self->tracker_));
   };
   soup_server_add_handler(server_.get(), nullptr, handle, this, nullptr);
   g_signal_connect(server_.get(), "request-started",
                    G_CALLBACK(&HttpServer::OnRequestStarted), this);
+  g_signal_connect(server_.get(), "request-finished",
+                   G_CALLBACK(&HttpServer::OnRequestFinished), this);
+  g_signal_connect(server_.get(), "request-aborted",
+                   G_CALLBACK(&HttpServer::OnRequestAborted), this);
 
   GError* error = nullptr;
   const auto describe = [&error](std::string_view what) {
@@ -312,6 +328,16 @@
   g_slist_free(listeners);
 }
 
+void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
+                                   gpointer self) {
+  static_cast<HttpServer*>(self)->tracker_->OnFinished(message, false);
+}
+
+void HttpServer::OnRequestAborted(SoupServer*, SoupServerMessage* message,
+                                  gpointer self) {
+  static_cast<HttpServer*>(self)->tracker_->OnFinished(message, true);
+}
+
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "drivers/answer_tracker.h"
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
 
@@ -24,7 +25,8 @@
 /// status 500 when its last shared_ptr is released without a response.
 class HttpExchange {
  public:
-  HttpExchange(SoupServerMessage* message, CloseWatcher* watcher);
+  HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
+               std::shared_ptr<AnswerTracker> tracker);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -40,6 +42,9 @@
   /// All request headers, in order.
   HttpHeaders headers() const;
 
+  /// Names the answer in the log if it can't be sent in full.
+  void SetLabel(std::string_view label);
+
   /// Calls `on_closed` once if the caller closes the connection before the
   /// response is complete. Calling it again replaces the callback.
   void WatchClose(std::function<void()> on_closed);
@@ -68,6 +73,7 @@
 
   GObjectPtr<SoupServerMessage> message_;
   CloseWatcher* watcher_;
+  std::shared_ptr<AnswerTracker> tracker_;
   std::function<void()> on_closed_;
   gulong finished_handler_ = 0;
   gulong wrote_handler_ = 0;
@@ -111,8 +117,14 @@
   /// Stops accepting connections; open ones stay open.
   void StopListening();
   std::uint16_t port() const { return port_; }
+  /// Answers that their callers don't have in full.
+  const AnswerTracker& answers() const { return *tracker_; }
 
  private:
+  static void OnRequestFinished(SoupServer* server, SoupServerMessage* message,
+                                gpointer self);
+  static void OnRequestAborted(SoupServer* server, SoupServerMessage* message,
+                               gpointer self);
   static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
@@ -124,6 +136,8 @@
   HttpServerOptions options_;
   Handler handler_;
   LimitHandler limit_handler_;
+  /// Shared with exchanges, which may outlive the server.
+  std::shared_ptr<AnswerTracker> tracker_ = std::make_shared<AnswerTracker>();
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<CloseWatcher> watcher_;
   std::uint16_t port_ = 0;
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -96,11 +96,16 @@
   server_->StopListening();
 }
 
+void ControlNode::LogCut() {
+  LogCutAnswers(server_->answers().Unsent(), "control", metrics_);
+}
+
 // --- HTTP calls ------------------------------------------------------------
 
 void ControlNode::OnCall(HttpExchangePtr exchange) {
   const ControlCall call =
       ReadControlCall(exchange->method(), exchange->path());
+  exchange->SetLabel(exchange->path());
   switch (call.kind) {
     case ControlCallKind::kHeartbeat:
       return OnHeartbeat(call.endpoint, *exchange);
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -44,6 +44,8 @@
   /// Transfers leadership and stops listening. The process may exit shortly
   /// after.
   void Shutdown();
+  /// Logs the answers that the end of the process cuts.
+  void LogCut();
 
  private:
   /// Another control instance.
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -164,6 +164,7 @@
   received_.Add();
   const Time now = BootTimeNow();
   CallerHeaders caller = ReadCallerHeaders(*exchange);
+  exchange->SetLabel(caller.id.value());
   const std::string_view reason = RefusalReason(now);
   if (!reason.empty()) {
     Refuse(*exchange, caller.id, reason);
@@ -421,7 +422,9 @@
     listening_ = false;
   }
   const bool idle = !listening_ && requests_.empty();
-  if (idle || elapsed >= limit) on_done_();
+  if (!idle && elapsed < limit) return;
+  LogCutAnswers(callers_->answers().Unsent(), "callers", metrics_);
+  on_done_();
 }
 
 }  // namespace cassiausher
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -101,6 +101,8 @@
     ServeMetrics(settings);
     WatchSignals();
     g_main_loop_run(loop_);
+    if (control_) control_->LogCut();
+    LogCutAnswers(metrics_server_->answers().Unsent(), "metrics", metrics_);
     Log(LogLevel::kInfo, "stopped", {});
     return EXIT_SUCCESS;
   }
