--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import pathlib
 import signal
@@ -14,6 +15,7 @@
 CALLER_PORT = 7662
 READINESS_PORT = 7663
 RESTART_DELAY_S = 0.3
+SHUTDOWN_GRACE_S = 8
 DATA_CENTRES = ("dc-a", "dc-b", "dc-c")
 
 
@@ -31,6 +33,8 @@
         self.first_start = True
         self.frozen = False
         self.troubles = []
+        # (SIGTERM, end of the process, exit status) of each planned stop.
+        self.stops = []
 
     def running(self):
         return self.process is not None and self.process.returncode is None
@@ -87,7 +91,7 @@
         return {
             "instance": instance.name, "address": instance.ip, "data_centre": instance.data_centre, "listen": listen,
             "peer_port": PEER_PORT, "seeds": [f"{control.ip}:{CONTROL_PORT}" for control in self.controls[:3]],
-            "first_start": instance.first_start, "data_folder": data_folder, "shutdown_grace_s": 8,
+            "first_start": instance.first_start, "data_folder": data_folder, "shutdown_grace_s": SHUTDOWN_GRACE_S,
             "retry_budget": {"ratio": 0.2, "allowance": 52}
         }
 
@@ -102,8 +106,12 @@
     async def restart(self, instance):
         """SIGTERM, then a new process once the old one has ended."""
         instance.trouble()
-        instance.process.terminate()
+        began = time.monotonic()
+        # A process that ended by itself is found by its exit status.
+        with contextlib.suppress(ProcessLookupError):
+            instance.process.terminate()
         await instance.process.wait()
+        instance.stops.append((began, time.monotonic(), instance.process.returncode))
         await asyncio.sleep(RESTART_DELAY_S)
         await self.start_instance(instance)
 
