Retry calls of ZeroMQ that a signal interrupted

An entry instance that ends so cuts all its requests. Every call on a ZeroMQ socket is now repeated if it was interrupted; libzmq has done nothing in that case.

The new test floods the sending thread with signals: before, the process ended with zmq::error_t "Interrupted system call"; now it passes.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <cerrno>
 #include <utility>
 #include <vector>
 #include <zmq.hpp>
@@ -23,6 +24,29 @@
 // Maximum messages handled before the main loop serves other sources.
 constexpr int kMaxReceiveBatch = 256;
 
+// Calls `operation` again if a signal interrupted it, in which case libzmq has
+// neither sent nor received anything.
+template <typename Operation>
+auto RetryIfInterrupted(Operation operation) {
+  for (;;) {
+    try {
+      return operation();
+    } catch (const zmq::error_t& error) {
+      if (error.num() != EINTR) throw;
+    }
+  }
+}
+
+zmq::recv_result_t Receive(zmq::socket_t& socket, zmq::message_t& message,
+                           zmq::recv_flags flags = zmq::recv_flags::none) {
+  return RetryIfInterrupted([&] { return socket.recv(message, flags); });
+}
+
+zmq::send_result_t SendTo(zmq::socket_t& socket, zmq::const_buffer buffer,
+                          zmq::send_flags flags) {
+  return RetryIfInterrupted([&] { return socket.send(buffer, flags); });
+}
+
 // GLib source that is ready when a ZeroMQ socket has input. The socket's
 // descriptor is edge-triggered, so readiness is read from ZMQ_EVENTS.
 struct ZmqSource {
@@ -34,7 +58,9 @@
 bool HasInput(void* socket) {
   int events = 0;
   std::size_t size = sizeof(events);
-  zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size);
+  while (zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size) != 0 &&
+         zmq_errno() == EINTR) {
+  }
   return (events & ZMQ_POLLIN) != 0;
 }
 
@@ -128,7 +154,8 @@
       sockets_->authentication =
           zmq::socket_t(sockets_->context, zmq::socket_type::rep);
       sockets_->authentication.set(zmq::sockopt::linger, 0);
-      sockets_->authentication.bind("inproc://zeromq.zap.01");
+      RetryIfInterrupted(
+          [&] { sockets_->authentication.bind("inproc://zeromq.zap.01"); });
       sockets_->authentication_source = AttachZmqSource(
           sockets_->authentication, context, [this] { HandleZapRequests(); });
     }
@@ -142,7 +169,8 @@
                           options_.keys.secret_key);
       sockets_->inbox.set(zmq::sockopt::zap_domain, "cassiausher");
     }
-    sockets_->inbox.bind("tcp://" + options_.listen);
+    RetryIfInterrupted(
+        [&] { sockets_->inbox.bind("tcp://" + options_.listen); });
     sockets_->inbox_source = AttachZmqSource(sockets_->inbox, context,
                                              [this] { ReceiveMessages(); });
   } catch (const zmq::error_t& error) {
@@ -178,7 +206,7 @@
     entry.socket.set(zmq::sockopt::curve_publickey, options_.keys.public_key);
     entry.socket.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
   }
-  entry.socket.connect("tcp://" + address);
+  RetryIfInterrupted([&] { entry.socket.connect("tcp://" + address); });
   sockets_->peers.emplace(peer, std::move(entry));
 }
 
@@ -199,8 +227,8 @@
     dropped_.Add();
     return false;
   }
-  const auto sent = found->second.socket.send(zmq::buffer(message),
-                                              zmq::send_flags::dontwait);
+  const auto sent = SendTo(found->second.socket, zmq::buffer(message),
+                           zmq::send_flags::dontwait);
   if (!sent.has_value()) {
     dropped_.Add();
     return false;
@@ -213,14 +241,16 @@
 void PeerTransport::ReceiveMessages() {
   for (int i = 0; i < kMaxReceiveBatch; ++i) {
     zmq::message_t routing_id;
-    if (!sockets_->inbox.recv(routing_id, zmq::recv_flags::dontwait)) return;
+    if (!Receive(sockets_->inbox, routing_id, zmq::recv_flags::dontwait)) {
+      return;
+    }
     // A message has a routing id and one body frame; any other is malformed.
     zmq::message_t body;
     bool well_formed =
-        routing_id.more() && sockets_->inbox.recv(body).has_value();
+        routing_id.more() && Receive(sockets_->inbox, body).has_value();
     while (body.more()) {
       well_formed = false;
-      if (!sockets_->inbox.recv(body)) break;
+      if (!Receive(sockets_->inbox, body)) break;
     }
     if (!well_formed) {
       dropped_.Add();
@@ -236,14 +266,14 @@
   for (;;) {
     std::vector<zmq::message_t> frames;
     zmq::message_t frame;
-    if (!sockets_->authentication.recv(frame, zmq::recv_flags::dontwait)) {
+    if (!Receive(sockets_->authentication, frame, zmq::recv_flags::dontwait)) {
       return;
     }
     bool more = frame.more();
     frames.push_back(std::move(frame));
     while (more) {
       zmq::message_t next;
-      if (!sockets_->authentication.recv(next)) break;
+      if (!Receive(sockets_->authentication, next)) break;
       more = next.more();
       frames.push_back(std::move(next));
     }
@@ -268,9 +298,9 @@
         "",
         ""};
     for (std::size_t i = 0; i < reply.size(); ++i) {
-      sockets_->authentication.send(
-          zmq::buffer(reply[i]), i + 1 < reply.size() ? zmq::send_flags::sndmore
-                                                      : zmq::send_flags::none);
+      SendTo(sockets_->authentication, zmq::buffer(reply[i]),
+             i + 1 < reply.size() ? zmq::send_flags::sndmore
+                                  : zmq::send_flags::none);
     }
   }
 }
--- a/tests/drivers/peer_transport_test.cc
+++ b/tests/drivers/peer_transport_test.cc
@@ -3,11 +3,15 @@
 #include "drivers/peer_transport.h"
 
 #include <CppUTest/TestHarness.h>
+#include <pthread.h>
 #include <zmq.h>
 
 #include <array>
+#include <atomic>
+#include <csignal>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "core/metrics.h"
 
@@ -103,3 +107,46 @@
   CHECK(g_get_monotonic_time() - start < G_USEC_PER_SEC);
   LONGS_EQUAL(1000, a.metrics.counter("peer_messages_dropped_total").value());
 }
+
+// Sends a signal with an empty handler to the calling thread, again and again.
+class SignalFlood {
+ public:
+  SignalFlood() : target_(pthread_self()) {
+    std::signal(SIGUSR2, [](int) {});
+    thread_ = std::thread([this] {
+      while (!stopped_.load()) pthread_kill(target_, SIGUSR2);
+    });
+  }
+  ~SignalFlood() {
+    stopped_.store(true);
+    thread_.join();
+  }
+  SignalFlood(const SignalFlood&) = delete;
+  SignalFlood& operator=(const SignalFlood&) = delete;
+
+ private:
+  pthread_t target_;
+  std::atomic<bool> stopped_ = false;
+  std::thread thread_;
+};
+
+// Incident cut-answers: a SIGHUP that interrupted a call of ZeroMQ ended the
+// process, and with it all requests of its callers.
+TEST(PeerTransport, SignalDoesNotEndTheProcess) {
+  constexpr int kMessages = 20000;
+  Node a(kFirstPort + 5, {});
+  Node b(kFirstPort + 6, {});
+  STRCMP_EQUAL("", a.transport.Listen(context).c_str());
+  STRCMP_EQUAL("", b.transport.Listen(context).c_str());
+  a.transport.SetPeer(InstanceId("b"), b.address, "");
+  CHECK(RunUntil(context, [&] {
+    a.transport.Send(InstanceId("b"), "first");
+    return b.received > 0;
+  }));
+  const SignalFlood flood;
+  for (int i = 0; i < kMessages; ++i) {
+    a.transport.Send(InstanceId("b"), "message");
+    g_main_context_iteration(context, FALSE);
+  }
+  CHECK(RunUntil(context, [&] { return b.received > kMessages / 2; }));
+}
