Don't end on a SIGHUP that arrives while cassiausher_node starts

The handlers are now installed before the role starts, and until the settings are read SIGHUP is ignored.

--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -93,13 +93,14 @@
          {"version", CASSIAUSHER_VERSION},
          {"data_centre", settings.data_centre.value()},
          {"first_start", settings.first_start}});
+    // The loop handles signals that arrive during the start.
+    WatchSignals();
     const std::string error = StartRole(settings);
     if (!error.empty()) {
       Log(LogLevel::kError, "start_failed", {{"error", error}});
       return EXIT_FAILURE;
     }
     ServeMetrics(settings);
-    WatchSignals();
     g_main_loop_run(loop_);
     if (control_) control_->LogCut();
     LogCutAnswers(metrics_server_->answers().Unsent(), "metrics", metrics_);
@@ -205,6 +206,9 @@
 };
 
 int Main(int argc, char** argv) {
+  // Until the settings are read, a reload would change nothing. By default the
+  // signal ends the process.
+  std::signal(SIGHUP, SIG_IGN);
   const std::vector<std::string> args(argv + 1, argv + argc);
   const std::map<std::string, docopt::value> arguments = docopt::docopt(
       kUsage, args, true, "cassiausher_node " CASSIAUSHER_VERSION);
