Close connections without discarding the end of the last answer

LingeringCloser shuts the connection down for sending, discards what still arrives, and closes it once everything is acknowledged and the caller has closed its side or was silent for a second. It serves every answer that ends its connection, also while the instance goes on: Connection: close of either side, HTTP/1.0, early refusals.

--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -58,6 +58,11 @@
   if (found != answers_.end()) found->second.label = label;
 }
 
+std::string AnswerTracker::LabelOf(SoupServerMessage* message) const {
+  const auto found = answers_.find(message);
+  return found == answers_.end() ? std::string() : found->second.label;
+}
+
 void AnswerTracker::OnWritten(SoupServerMessage* message, std::int64_t bytes) {
   const auto found = answers_.find(message);
   if (found == answers_.end()) return;
--- a/drivers/answer_tracker.h
+++ b/drivers/answer_tracker.h
@@ -39,6 +39,7 @@
   /// A request was read in full, so that its answer is due.
   void Add(SoupServerMessage* message);
   void SetLabel(SoupServerMessage* message, std::string_view label);
+  std::string LabelOf(SoupServerMessage* message) const;
   /// `bytes` of the body were given to the HTTP library.
   void OnWritten(SoupServerMessage* message, std::int64_t bytes);
   /// The owner has produced all of the answer.
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <cstring>
 
+#include "drivers/clock.h"
+
 namespace cassiausher {
 namespace {
 
@@ -59,11 +61,11 @@
 }  // namespace
 
 HttpExchange::HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
-                           std::shared_ptr<AnswerTracker> tracker)
+                           std::shared_ptr<HttpServerState> server)
     : message_(ShareGObject(message)),
       watcher_(watcher),
-      tracker_(std::move(tracker)) {
-  tracker_->Add(message);
+      server_(std::move(server)) {
+  server_->answers.Add(message);
   finished_handler_ = g_signal_connect_swapped(
       message, "finished",
       G_CALLBACK(+[](HttpExchange* self) { self->OnTransportFinished(); }),
@@ -127,7 +129,7 @@
 }
 
 void HttpExchange::SetLabel(std::string_view label) {
-  tracker_->SetLabel(message_.get(), label);
+  server_->answers.SetLabel(message_.get(), label);
 }
 
 void HttpExchange::WatchClose(std::function<void()> on_closed) {
@@ -171,6 +173,9 @@
   for (const auto& [name, value] : headers) {
     soup_message_headers_replace(target, name.c_str(), value.c_str());
   }
+  if (server_->draining) {
+    soup_message_headers_replace(target, "Connection", "close");
+  }
 }
 
 void HttpExchange::Respond(int status, std::string_view content_type,
@@ -193,8 +198,9 @@
         message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
         body.data(), body.size());
   }
-  tracker_->OnWritten(message_.get(), static_cast<std::int64_t>(body.size()));
-  tracker_->OnHandedOver(message_.get());
+  server_->answers.OnWritten(message_.get(),
+                             static_cast<std::int64_t>(body.size()));
+  server_->answers.OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
 }
@@ -227,7 +233,8 @@
 void HttpExchange::Write(std::string_view bytes) {
   if (finished_ || !streaming_ || bytes.empty()) return;
   unsent_bytes_ += static_cast<std::int64_t>(bytes.size());
-  tracker_->OnWritten(message_.get(), static_cast<std::int64_t>(bytes.size()));
+  server_->answers.OnWritten(message_.get(),
+                             static_cast<std::int64_t>(bytes.size()));
   soup_message_body_append(
       soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
       bytes.data(), bytes.size());
@@ -238,7 +245,7 @@
   if (finished_ || !streaming_) return;
   soup_message_body_complete(
       soup_server_message_get_response_body(message_.get()));
-  tracker_->OnHandedOver(message_.get());
+  server_->answers.OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
 }
@@ -264,6 +271,7 @@
 
 std::string HttpServer::Listen(GMainContext* context) {
   watcher_ = std::make_unique<CloseWatcher>(context);
+  closer_ = std::make_unique<LingeringCloser>(context);
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -271,7 +279,7 @@
     auto* self = static_cast<HttpServer*>(data);
     soup_server_message_pause(message);
     self->handler_(std::make_shared<HttpExchange>(message, self->watcher_.get(),
-                                                  self->tracker_));
+                                                  self->state_));
   };
   soup_server_add_handler(server_.get(), nullptr, handle, this, nullptr);
   g_signal_connect(server_.get(), "request-started",
@@ -328,20 +336,60 @@
   g_slist_free(listeners);
 }
 
+void HttpServer::BeginDrain() { state_->draining = true; }
+
+bool HttpServer::Drained() const {
+  const bool closing = closer_ != nullptr && !closer_->empty();
+  return !closing && !state_->answers.HasUnsent();
+}
+
+std::vector<UnsentAnswer> HttpServer::UnsentAnswers() const {
+  std::vector<UnsentAnswer> unsent = state_->answers.Unsent();
+  if (closer_ == nullptr) return unsent;
+  const std::vector<UnsentAnswer> closing = closer_->Unsent();
+  unsent.insert(unsent.end(), closing.begin(), closing.end());
+  return unsent;
+}
+
+void HttpServer::OnWroteBody(SoupServerMessage* message, gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  const bool ends =
+      self->state_->draining ||
+      soup_message_headers_header_contains(
+          soup_server_message_get_response_headers(message), "Connection",
+          "close") ||
+      soup_message_headers_header_contains(
+          soup_server_message_get_request_headers(message), "Connection",
+          "close") ||
+      soup_server_message_get_http_version(message) == SOUP_HTTP_1_0;
+  if (ends) self->CloseLingering(message);
+}
+
+void HttpServer::CloseLingering(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  EndedConnection ended{.socket = ShareGObject(socket),
+                        .label = state_->answers.LabelOf(message)};
+  state_->answers.OnFinished(message, false);
+  ended.stream.reset(soup_server_message_steal_connection(message));
+  closer_->Close(std::move(ended), BootTimeNow());
+}
+
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
                                    gpointer self) {
-  static_cast<HttpServer*>(self)->tracker_->OnFinished(message, false);
+  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, false);
 }
 
 void HttpServer::OnRequestAborted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
-  static_cast<HttpServer*>(self)->tracker_->OnFinished(message, true);
+  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, true);
 }
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), self);
+  g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -16,17 +16,25 @@
 #include "drivers/answer_tracker.h"
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
+#include "drivers/lingering_closer.h"
 
 namespace cassiausher {
 
 using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
 
+/// What a server shares with its exchanges, which may outlive it.
+struct HttpServerState {
+  AnswerTracker answers;
+  /// Each answer ends its connection.
+  bool draining = false;
+};
+
 /// One request and its response. Belongs to the server's task. Responds with
 /// status 500 when its last shared_ptr is released without a response.
 class HttpExchange {
  public:
   HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
-               std::shared_ptr<AnswerTracker> tracker);
+               std::shared_ptr<HttpServerState> server);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
   HttpExchange& operator=(const HttpExchange&) = delete;
@@ -73,7 +81,7 @@
 
   GObjectPtr<SoupServerMessage> message_;
   CloseWatcher* watcher_;
-  std::shared_ptr<AnswerTracker> tracker_;
+  std::shared_ptr<HttpServerState> server_;
   std::function<void()> on_closed_;
   gulong finished_handler_ = 0;
   gulong wrote_handler_ = 0;
@@ -117,14 +125,23 @@
   /// Stops accepting connections; open ones stay open.
   void StopListening();
   std::uint16_t port() const { return port_; }
+
+  /// From now on each answer ends its connection.
+  void BeginDrain();
+  /// Whether every caller has its answers in full, and no connection is being
+  /// closed. Connections on which no request was read may still be open.
+  bool Drained() const;
   /// Answers that their callers don't have in full.
-  const AnswerTracker& answers() const { return *tracker_; }
+  std::vector<UnsentAnswer> UnsentAnswers() const;
 
  private:
   static void OnRequestFinished(SoupServer* server, SoupServerMessage* message,
                                 gpointer self);
   static void OnRequestAborted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
+  static void OnWroteBody(SoupServerMessage* message, gpointer self);
+  /// Takes the connection over from libsoup, to close it without a reset.
+  void CloseLingering(SoupServerMessage* message);
   static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
@@ -136,10 +153,10 @@
   HttpServerOptions options_;
   Handler handler_;
   LimitHandler limit_handler_;
-  /// Shared with exchanges, which may outlive the server.
-  std::shared_ptr<AnswerTracker> tracker_ = std::make_shared<AnswerTracker>();
+  std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<CloseWatcher> watcher_;
+  std::unique_ptr<LingeringCloser> closer_;
   std::uint16_t port_ = 0;
 };
 
--- /dev/null
+++ b/tests/drivers/http_drain_test.cc
@@ -0,0 +1,238 @@
+// Guards against answers that are cut when their server stops or ends their
+// connection, and against cuts that nothing names.
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <string>
+#include <vector>
+
+#include "drivers/http_server.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr std::size_t kLargeBytes = 6 << 20;
+constexpr int kReceiveBufferBytes = 4096;
+constexpr int kSegmentBytes = 536;
+constexpr std::string_view kRequest = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+
+// A caller with a small window that reads only when told to.
+class SlowCaller {
+ public:
+  explicit SlowCaller(std::uint16_t port)
+      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &kReceiveBufferBytes,
+               sizeof(kReceiveBufferBytes));
+    setsockopt(socket_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes,
+               sizeof(kSegmentBytes));
+    sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(socket_, reinterpret_cast<const sockaddr*>(&address),
+            sizeof(address));
+  }
+  ~SlowCaller() { close(socket_); }
+  SlowCaller(const SlowCaller&) = delete;
+  SlowCaller& operator=(const SlowCaller&) = delete;
+
+  void Send(std::string_view bytes) const {
+    LONGS_EQUAL(bytes.size(),
+                send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
+
+  /// Reads what has arrived.
+  void Read() {
+    std::array<char, 64 << 10> buffer;
+    for (;;) {
+      const ssize_t size =
+          recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size > 0) {
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+        continue;
+      }
+      if (size == 0) closed = true;
+      if (size < 0 && errno != EAGAIN) reset = true;
+      return;
+    }
+  }
+
+  std::string received;
+  bool closed = false;
+  bool reset = false;
+
+ private:
+  int socket_;
+};
+
+}  // namespace
+
+TEST_GROUP(HttpDrain) {
+  GMainContext* context = nullptr;
+  std::unique_ptr<HttpServer> server;
+  std::vector<HttpExchangePtr> held;
+
+  void setup() override {
+    context = g_main_context_new();
+    g_main_context_push_thread_default(context);
+    server = std::make_unique<HttpServer>(
+        HttpServerOptions{.address = "127.0.0.1", .max_body_bytes = 1000},
+        [this](HttpExchangePtr exchange) {
+          held.push_back(std::move(exchange));
+        },
+        [](int, std::string_view message) { return std::string(message); });
+    STRCMP_EQUAL("", server->Listen(context).c_str());
+  }
+  void teardown() override {
+    held.clear();
+    server.reset();
+    g_main_context_pop_thread_default(context);
+    g_main_context_unref(context);
+  }
+
+  bool RunUntil(const std::function<bool()>& done) const {
+    const gint64 deadline = g_get_monotonic_time() + 8 * G_USEC_PER_SEC;
+    while (!done()) {
+      if (g_get_monotonic_time() > deadline) return false;
+      if (!g_main_context_iteration(context, FALSE)) g_usleep(500);
+    }
+    return true;
+  }
+  void RunFor(int milliseconds) const {
+    const gint64 end = g_get_monotonic_time() + 1000 * milliseconds;
+    RunUntil([end] { return g_get_monotonic_time() >= end; });
+  }
+  void Receive(std::size_t requests) const {
+    CHECK(RunUntil([&] { return held.size() >= requests; }));
+  }
+  void CheckWholeAnswer(SlowCaller & caller, std::size_t body_bytes) const {
+    CHECK(RunUntil([&] {
+      caller.Read();
+      return caller.closed || caller.reset;
+    }));
+    CHECK_FALSE(caller.reset);
+    const std::size_t head = caller.received.find("\r\n\r\n") + 4;
+    LONGS_EQUAL(body_bytes, caller.received.size() - head);
+  }
+};
+
+// Incident cut-answers: a stopping instance ended as soon as its answers were
+// handed to the HTTP library.
+TEST(HttpDrain, AnswerIsUnsentUntilItsCallerHasReadIt) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->SetLabel("r-1");
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+  held.clear();
+  RunFor(100);
+  CHECK_FALSE(server->Drained());
+  const auto unsent = server->UnsentAnswers();
+  LONGS_EQUAL(1, unsent.size());
+  STRCMP_EQUAL("r-1", unsent[0].label.c_str());
+  CHECK(unsent[0].handed_over);
+  CheckWholeAnswer(caller, kLargeBytes);
+}
+
+TEST(HttpDrain, StreamIsUnsentUntilItsCallerHasReadIt) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->StartStream(200, "text/event-stream");
+  held[0]->Write(std::string(kLargeBytes, 'x'));
+  held[0]->EndStream();
+  held.clear();
+  server->BeginDrain();
+  RunFor(100);
+  CHECK_FALSE(server->Drained());
+  CHECK(RunUntil([&] {
+    caller.Read();
+    return caller.received.ends_with("0\r\n\r\n");
+  }));
+}
+
+// The connection was reset, which discarded the end of the first answer.
+TEST(HttpDrain, UnreadRequestBehindTheLastAnswerDoesNotCutIt) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+  held.clear();
+  RunFor(50);
+  for (int i = 0; i < 20; ++i) caller.Send(kRequest);
+  CheckWholeAnswer(caller, kLargeBytes);
+  CHECK(RunUntil([&] { return server->Drained(); }));
+  CHECK(held.empty());
+}
+
+TEST(HttpDrain, CallersOwnConnectionCloseDoesNotCutTheAnswer) {
+  SlowCaller caller(server->port());
+  caller.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  Receive(1);
+  held[0]->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+  held.clear();
+  RunFor(50);
+  caller.Send("more bytes than were announced");
+  CheckWholeAnswer(caller, kLargeBytes);
+}
+
+TEST(HttpDrain, RefusedBodyDoesNotCutItsRefusal) {
+  SlowCaller caller(server->port());
+  caller.Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 5000\r\n\r\n" +
+              std::string(5000, 'b') + "GET /y HTTP/1.1\r\nHost: a\r\n\r\n");
+  CHECK(RunUntil([&] {
+    caller.Read();
+    return caller.closed || caller.reset;
+  }));
+  CHECK_FALSE(caller.reset);
+  CHECK(caller.received.starts_with("HTTP/1.1 413"));
+  CHECK(caller.received.ends_with("the body is too large"));
+}
+
+// A caller that sends without end is left after a second.
+TEST(HttpDrain, CallerThatNeverClosesIsLeft) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", "small");
+  held.clear();
+  RunFor(200);
+  CHECK_FALSE(server->Drained());
+  CHECK(RunUntil([&] { return server->Drained(); }));
+  CHECK(server->UnsentAnswers().empty());
+}
+
+TEST(HttpDrain, OpenRequestIsUnsent) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->SetLabel("r-2");
+  server->BeginDrain();
+  CHECK_FALSE(server->Drained());
+  const auto unsent = server->UnsentAnswers();
+  LONGS_EQUAL(1, unsent.size());
+  STRCMP_EQUAL("r-2", unsent[0].label.c_str());
+  CHECK_FALSE(unsent[0].handed_over);
+}
+
+TEST(HttpDrain, IdleKeptConnectionDoesNotDelayTheEnd) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->Respond(200, "text/plain", "small");
+  held.clear();
+  CHECK(RunUntil([&] {
+    caller.Read();
+    return caller.received.ends_with("small");
+  }));
+  RunFor(50);
+  server->BeginDrain();
+  CHECK(server->Drained());
+}
