End an instance only once its callers have their answers

What callers saw: a stream with status 200 whose connection closed in the middle, 10 ms after its runner had completed it, while the entry instance shut down. Cause: an entry instance ended as soon as no request was open, and a request was open only until its answer had been handed to the HTTP library. What its caller's window hadn't taken was lost with the process. A control instance ended 400 ms after SIGTERM, whatever its callers still read.

Entry and control instances and the metrics server now end once HttpServer::Drained(): every answer is acknowledged and no connection is being closed. At the end of the grace period what is left is answered (refused if nothing ran, 504 otherwise; a stream that has begun is broken off), logged with its id and counted. An entry instance asks every 50 ms, not every 500. Operators' calls that arrive after SIGTERM are refused at once.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -24,6 +24,13 @@
 // since ticks may be late.
 constexpr Duration kSyncOverlap = Milliseconds(300);
 
+// Time to send the last messages after a shutdown begins.
+constexpr Duration kLeavePeriod = Milliseconds(400);
+constexpr Duration kShutdownPollPeriod = Milliseconds(20);
+// Part of the shutdown grace period in which the process exits before it is
+// killed.
+constexpr Duration kExitMargin = Milliseconds(600);
+
 constexpr const char* kJson = "application/json";
 
 }  // namespace
@@ -90,14 +97,26 @@
   }
 }
 
-void ControlNode::Shutdown() {
-  if (log_.leading()) log_.TransferLeadership(BootTimeNow());
+void ControlNode::Shutdown(std::function<void()> on_done) {
+  if (on_done_) return;
+  on_done_ = std::move(on_done);
+  shutdown_started_ = BootTimeNow();
+  if (log_.leading()) log_.TransferLeadership(shutdown_started_);
+  server_->BeginDrain();
   operator_calls_.Stop();
   server_->StopListening();
+  shutdown_timer_ = AddTimer(context_, kShutdownPollPeriod,
+                             [this] { AdvanceShutdown(BootTimeNow()); });
 }
 
-void ControlNode::LogCut() {
-  LogCutAnswers(server_->answers().Unsent(), "control", metrics_);
+void ControlNode::AdvanceShutdown(Time now) {
+  const Duration elapsed = now - shutdown_started_;
+  if (elapsed < kLeavePeriod) return;
+  const Duration limit = settings_.shutdown_grace - kExitMargin;
+  if (!server_->Drained() && elapsed < limit) return;
+  shutdown_timer_.reset();
+  LogCutAnswers(server_->UnsentAnswers(), "control", metrics_);
+  on_done_();
 }
 
 // --- HTTP calls ------------------------------------------------------------
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -5,6 +5,7 @@
 #define MAIN_CONTROL_NODE_H_
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,11 +42,10 @@
   std::string Start();
   /// Applies new seeds; other settings need a restart.
   void Reload(const NodeSettings& settings);
-  /// Transfers leadership and stops listening. The process may exit shortly
-  /// after.
-  void Shutdown();
-  /// Logs the answers that the end of the process cuts.
-  void LogCut();
+  /// Transfers leadership and stops listening. Calls `on_done` once the last
+  /// messages had time to be sent and callers have their answers, or the grace
+  /// period nearly ends.
+  void Shutdown(std::function<void()> on_done);
 
  private:
   /// Another control instance.
@@ -80,6 +80,7 @@
   std::vector<InstanceId> KnownControls() const;
   std::vector<InstanceId> LiveControls() const;
 
+  void AdvanceShutdown(Time now);
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
   void Tick();
@@ -123,6 +124,10 @@
   std::unique_ptr<HttpServer> server_;
   GSourcePtr timer_;
   GSourcePtr batch_timer_;
+  /// Set by Shutdown().
+  std::function<void()> on_done_;
+  GSourcePtr shutdown_timer_;
+  Time shutdown_started_{};
 };
 
 }  // namespace cassiausher
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -30,6 +30,9 @@
 // Part of the shutdown grace period in which the process exits before it is
 // killed.
 constexpr Duration kExitMargin = Milliseconds(600);
+// Time to send the answers of requests that the end of the grace period cuts.
+constexpr Duration kLastAnswerPeriod = Milliseconds(150);
+constexpr Duration kShutdownPollPeriod = Milliseconds(50);
 // Fraction of the shared retry budget that is used, since the budget windows of
 // two instances don't start together.
 constexpr double kBudgetFraction = 0.8;
@@ -119,20 +122,18 @@
   refused_.Add();
   Log(LogLevel::kWarning, "request_refused",
       {{"request", id.value()}, {"reason", reason}});
-  HttpHeaders headers = {RetryAfterHeader(kRefusalRetryAfter)};
-  if (closing_connections_) headers.emplace_back("Connection", "close");
   exchange.Respond(503, kJson,
                    FormatError({.type = "unavailable",
                                 .code = "refused",
                                 .message = std::string(reason),
                                 .not_run = true,
                                 .retry_after = kRefusalRetryAfter}),
-                   headers);
+                   {RetryAfterHeader(kRefusalRetryAfter)});
 }
 
 std::string_view EntryNode::RefusalReason(Time now) const {
   const bool stopping =
-      closing_connections_ && now - shutdown_started_ >= kShutdownAcceptPeriod;
+      on_done_ && now - shutdown_started_ >= kShutdownAcceptPeriod;
   if (stopping) return "the instance stops";
   if (configuration_.routes() == nullptr) return "no configuration yet";
   if (configuration_.freshness().IsOverdue(now)) {
@@ -209,8 +210,7 @@
                                   .origins = &origins_,
                                   .answers = &answers_[service],
                                   .metrics = &metrics_,
-                                  .context = context_,
-                                  .closing = &closing_connections_};
+                                  .context = context_};
   auto request = std::make_shared<ForwardedRequest>(
       context, std::move(exchange), std::move(caller), std::move(facts), *route,
       routes->version());
@@ -398,7 +398,6 @@
     controls_.Learn(InstanceId(seed.ip), now);
   }
   SendFollowMessages(now);
-  if (on_done_) AdvanceShutdown(now);
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryPeriod;
   pool_.Expire(now);
@@ -410,8 +409,15 @@
 void EntryNode::Shutdown(std::function<void()> on_done) {
   if (on_done_) return;
   on_done_ = std::move(on_done);
-  closing_connections_ = true;
   shutdown_started_ = BootTimeNow();
+  callers_->BeginDrain();
+  readiness_->BeginDrain();
+  shutdown_timer_ = AddTimer(context_, kShutdownPollPeriod,
+                             [this] { AdvanceShutdown(BootTimeNow()); });
+}
+
+bool EntryNode::Idle() const {
+  return requests_.empty() && callers_->Drained() && readiness_->Drained();
 }
 
 void EntryNode::AdvanceShutdown(Time now) {
@@ -421,10 +427,19 @@
     callers_->StopListening();
     listening_ = false;
   }
-  const bool idle = !listening_ && requests_.empty();
-  if (!idle && elapsed < limit) return;
-  LogCutAnswers(callers_->answers().Unsent(), "callers", metrics_);
+  if (!cut_ && elapsed >= limit) CutRequests();
+  const bool idle = !listening_ && Idle();
+  if (!idle && elapsed < limit + kLastAnswerPeriod) return;
+  shutdown_timer_.reset();
+  LogCutAnswers(callers_->UnsentAnswers(), "callers", metrics_);
   on_done_();
 }
 
+void EntryNode::CutRequests() {
+  cut_ = true;
+  // Each one erases itself from the map.
+  const auto requests = requests_;
+  for (const auto& [number, request] : requests) request->Cut();
+}
+
 }  // namespace cassiausher
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -42,8 +42,8 @@
   std::string Start();
   /// Applies the seed list of the new settings; nothing else is reloaded.
   void Reload(const NodeSettings& settings);
-  /// Stops accepting callers, waits for open requests until the grace period
-  /// nearly ends, then calls `on_done`.
+  /// Stops accepting callers, waits until callers have the answers of all
+  /// requests or the grace period nearly ends, then calls `on_done`.
   void Shutdown(std::function<void()> on_done);
 
  private:
@@ -76,6 +76,9 @@
   void SendFollowMessages(Time now);
   void Tick();
   void AdvanceShutdown(Time now);
+  /// Ends the requests in progress, since the grace period ends.
+  void CutRequests();
+  bool Idle() const;
 
   NodeSettings settings_;
   Metrics& metrics_;
@@ -106,9 +109,9 @@
   /// Set by Shutdown().
   std::function<void()> on_done_;
   Time shutdown_started_{};
-  /// Answers carry `Connection: close`.
-  bool closing_connections_ = false;
+  GSourcePtr shutdown_timer_;
   bool listening_ = true;
+  bool cut_ = false;
 };
 
 }  // namespace cassiausher
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -75,6 +75,7 @@
 constexpr int kOk = 200;
 constexpr int kMultipleChoices = 300;
 constexpr int kServerError = 500;
+constexpr int kGatewayTimeout = 504;
 
 bool IsSuccess(int status) {
   return status >= kOk && status < kMultipleChoices;
@@ -175,8 +176,7 @@
     return;
   }
   if (const auto* fail = std::get_if<Fail>(&step)) {
-    exchange_->Respond(fail->status, kJson, FailureBody(fail->reason),
-                       WithConnectionClose({}));
+    exchange_->Respond(fail->status, kJson, FailureBody(fail->reason));
     End("failed", fail->status, fail->reason);
     return;
   }
@@ -186,9 +186,8 @@
 
 void ForwardedRequest::RespondRefused(std::string_view reason,
                                       Duration retry_after) {
-  HttpHeaders headers = {RetryAfterHeader(retry_after)};
   exchange_->Respond(503, kJson, RefusalBody(reason, retry_after),
-                     WithConnectionClose(std::move(headers)));
+                     {RetryAfterHeader(retry_after)});
   End("refused", 503, reason);
 }
 
@@ -358,8 +357,7 @@
 
 void ForwardedRequest::ReleaseHeldEvents() {
   holding_ = false;
-  exchange_->StartStream(begun_->status, "",
-                         WithConnectionClose(begun_->headers));
+  exchange_->StartStream(begun_->status, "", begun_->headers);
   if (!held_events_.empty()) exchange_->Write(std::exchange(held_events_, {}));
   if (complete_) EndStream();
 }
@@ -418,8 +416,7 @@
 }
 
 void ForwardedRequest::RespondBuffered() {
-  exchange_->Respond(answer_->status, "", body_,
-                     WithConnectionClose(answer_->headers));
+  exchange_->Respond(answer_->status, "", body_, answer_->headers);
 }
 
 void ForwardedRequest::FailCall(CallFailure failure, std::string_view reason) {
@@ -471,6 +468,23 @@
   End("caller_gone", 0, "");
 }
 
+void ForwardedRequest::Cut() {
+  if (ended_) return;
+  constexpr std::string_view kReason = "the instance stops";
+  const bool runs = call_.has_value() && call_->kind == CallKind::kRun &&
+                    context_.client->WasSent(call_id_);
+  const bool may_have_run =
+      runs || (forwarder_.has_value() && forwarder_->MayHaveRun());
+  if (call_.has_value()) FinishCall(WorkOutcome::kAbandoned);
+  if (!may_have_run) return RespondRefused(kReason, kUnknownRetryAfter);
+  if (exchange_->streaming()) {
+    exchange_->Abort();
+  } else {
+    exchange_->Respond(kGatewayTimeout, kJson, FailureBody(kReason));
+  }
+  End("cut", 0, kReason);
+}
+
 void ForwardedRequest::ArmTimer() {
   const Time now = BootTimeNow();
   Time next = facts_.deadline;
@@ -524,11 +538,6 @@
   ArmTimer();
 }
 
-HttpHeaders ForwardedRequest::WithConnectionClose(HttpHeaders headers) const {
-  if (*context_.closing) headers.emplace_back("Connection", "close");
-  return headers;
-}
-
 void ForwardedRequest::ReleaseHandle() {
   if (!forwarder_.has_value()) return;
   const auto unused = forwarder_->TakeUnusedHandle();
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -34,8 +34,6 @@
   AnswerEstimate* answers = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
-  /// Whether answers carry `Connection: close`, since the instance shuts down.
-  const bool* closing = nullptr;
 };
 
 /// Lives until the caller has its answer or has disconnected. Used only on the
@@ -51,6 +49,9 @@
   /// `on_end` is called once, when the caller has its answer or has
   /// disconnected.
   void Start(std::function<void()> on_end);
+  /// Ends the request at once, since the instance stops. A request that no
+  /// endpoint may have run is refused.
+  void Cut();
 
   void OnHeaders(int status, SoupMessageHeaders* headers) override;
   void OnBody(std::string_view bytes) override;
@@ -84,7 +85,6 @@
   void ArmTimer();
   void End(std::string_view outcome, int status, std::string_view reason);
   void ReleaseHandle();
-  HttpHeaders WithConnectionClose(HttpHeaders headers) const;
 
   ForwardingContext context_;
   HttpExchangePtr exchange_;
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -12,6 +12,7 @@
 
 #include "core/log.h"
 #include "core/metrics.h"
+#include "drivers/clock.h"
 #include "drivers/http_server.h"
 #include "main/control_node.h"
 #include "main/entry_node.h"
@@ -46,8 +47,9 @@
 constexpr int kExitBadSettings = 2;
 constexpr std::uint16_t kMetricsPort = 9464;
 constexpr guint kReloadPeriodMs = 5000;
-// Time to send the last messages of a control instance after SIGTERM.
-constexpr guint kControlLeaveMs = 400;
+// After a role has ended, callers of the metrics get this long to take them.
+constexpr Duration kMetricsDrainTimeout = Milliseconds(200);
+constexpr guint kDrainPollMs = 10;
 
 enum class Role { kEntry, kControl };
 
@@ -102,8 +104,7 @@
     }
     ServeMetrics(settings);
     g_main_loop_run(loop_);
-    if (control_) control_->LogCut();
-    LogCutAnswers(metrics_server_->answers().Unsent(), "metrics", metrics_);
+    LogCutAnswers(metrics_server_->UnsentAnswers(), "metrics", metrics_);
     Log(LogLevel::kInfo, "stopped", {});
     return EXIT_SUCCESS;
   }
@@ -157,21 +158,34 @@
   static gboolean OnTerminate(gpointer data) {
     auto* self = static_cast<Node*>(data);
     Log(LogLevel::kInfo, "stopping", {});
+    const auto on_done = [self] { self->EndMetrics(); };
+    self->metrics_server_->BeginDrain();
     if (self->entry_) {
-      self->entry_->Shutdown([self] { g_main_loop_quit(self->loop_); });
+      self->entry_->Shutdown(on_done);
     } else {
-      self->control_->Shutdown();
-      g_timeout_add(
-          kControlLeaveMs,
-          [](gpointer loop) -> gboolean {
-            g_main_loop_quit(static_cast<GMainLoop*>(loop));
-            return G_SOURCE_REMOVE;
-          },
-          self->loop_);
+      self->control_->Shutdown(on_done);
     }
     return G_SOURCE_CONTINUE;
   }
 
+  // Ends the process once callers of the metrics have their answers.
+  void EndMetrics() {
+    metrics_server_->StopListening();
+    metrics_deadline_ = BootTimeNow() + kMetricsDrainTimeout;
+    g_timeout_add(
+        kDrainPollMs,
+        [](gpointer data) -> gboolean {
+          auto* self = static_cast<Node*>(data);
+          const bool drained = self->metrics_server_->Drained();
+          if (!drained && BootTimeNow() < self->metrics_deadline_) {
+            return G_SOURCE_CONTINUE;
+          }
+          g_main_loop_quit(self->loop_);
+          return G_SOURCE_REMOVE;
+        },
+        this);
+  }
+
   static gboolean OnReload(gpointer data) {
     static_cast<Node*>(data)->Reload(true);
     return G_SOURCE_CONTINUE;
@@ -203,6 +217,7 @@
   std::unique_ptr<EntryNode> entry_;
   std::unique_ptr<ControlNode> control_;
   std::unique_ptr<HttpServer> metrics_server_;
+  Time metrics_deadline_{};
 };
 
 int Main(int argc, char** argv) {
--- a/main/operator_calls.cc
+++ b/main/operator_calls.cc
@@ -29,6 +29,7 @@
 
 void OperatorCalls::Submit(HttpExchangePtr exchange, VersionedDocument document,
                            Time now) {
+  if (stopping_) return RespondStopping(*exchange);
   const std::uint64_t id = NextId();
   const bool in_force = document.version <= log_->current().version;
   calls_[id] = {.exchange = std::move(exchange),
@@ -42,6 +43,7 @@
 }
 
 void OperatorCalls::Read(HttpExchangePtr exchange, Time now) {
+  if (stopping_) return RespondStopping(*exchange);
   const std::uint64_t id = NextId();
   calls_[id] = {.exchange = std::move(exchange), .started = now};
   SendToLeader(id, now);
@@ -99,11 +101,13 @@
   }
 }
 
+void OperatorCalls::RespondStopping(HttpExchange& exchange) {
+  RespondControlError(exchange, kUnavailable, "stopping", "the instance stops");
+}
+
 void OperatorCalls::Stop() {
-  for (auto& [id, call] : calls_) {
-    RespondControlError(*call.exchange, kUnavailable, "stopping",
-                        "the instance stops");
-  }
+  stopping_ = true;
+  for (auto& [id, call] : calls_) RespondStopping(*call.exchange);
   calls_.clear();
 }
 
--- a/main/operator_calls.h
+++ b/main/operator_calls.h
@@ -33,7 +33,7 @@
   void Read(HttpExchangePtr exchange, Time now);
   /// Sends calls to the leader again, and answers 503 to those that timed out.
   void Retry(Time now);
-  /// Answers 503 to all calls.
+  /// Answers 503 to all calls, and to later ones.
   void Stop();
 
   // The leader's answers; unknown ids are ignored.
@@ -52,6 +52,7 @@
     VersionedDocument document;
   };
 
+  static void RespondStopping(HttpExchange& exchange);
   /// May finish the call.
   void SendToLeader(std::uint64_t id, Time now);
 
@@ -60,6 +61,7 @@
   NodeLink* link_;
   std::map<std::uint64_t, Call> calls_;
   std::uint64_t next_id_ = 1;
+  bool stopping_ = false;
 };
 
 }  // namespace cassiausher
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -153,6 +153,8 @@
   /// instead; see TakeServerErrorRetry().
   ForwardStep OnCallFailed(CallFailure failure, Time now);
   ForwardStep OnDeadline();
+  /// Whether an earlier call may have run the request.
+  bool MayHaveRun() const { return begun_ || runs_ > 0; }
   /// The first event of the stream arrived from the current endpoint. From now
   /// on only endpoints with its software version can continue the stream.
   void OnBegun();
