--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -87,7 +87,9 @@
   const auto found = answers_.find(message);
   if (found == answers_.end()) return;
   const Answer& answer = found->second;
-  if (cut && answer.handed_over) {
+  // libsoup also reports an answer with status 500 as aborted.
+  const bool sent = !cut || answer.process_bytes == 0;
+  if (!sent && answer.handed_over) {
     Log(LogLevel::kInfo, "answer_not_taken",
         {{"request", answer.label}, {"process_bytes", answer.process_bytes}});
   }
