Refuse requests that a stopping instance can't answer in full

An entry instance accepted requests for 2.9 s after SIGTERM, whatever their answers take; those that were still running when the grace period ended were cut. It now keeps the mean and deviation of the time that a service's answers take, and refuses a request at once, with Retry-After, if mean and two deviations reach beyond the serving period. scripts/explain_request.py also finds a request in the lines that name many.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -142,6 +142,18 @@
   return {};
 }
 
+bool EntryNode::CanComplete(const ServiceId& service, Time now) const {
+  const auto found = completions_.find(service);
+  if (!on_done_ || found == completions_.end()) return true;
+  const auto taken = found->second.UpperBound();
+  if (!taken.has_value()) return true;
+  return now + *taken < shutdown_started_ + ServingPeriod();
+}
+
+Duration EntryNode::ServingPeriod() const {
+  return settings_.shutdown_grace - kExitMargin;
+}
+
 void EntryNode::AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
                                    Time now) {
   // The route may belong to a newer configuration, so 404, which is final,
@@ -178,6 +190,10 @@
     return;
   }
   const ServiceId service = PickTarget(*route, random_.Unit()).service;
+  if (!CanComplete(service, now)) {
+    Refuse(*exchange, caller.id, "the instance stops before the answer ends");
+    return;
+  }
   const ServiceSpec& spec = routes->configuration().services.at(service);
   const Duration timeout =
       std::min(caller.timeout.value_or(route->timeout), route->timeout);
@@ -209,6 +225,7 @@
                                   .permits = &permits_,
                                   .origins = &origins_,
                                   .answers = &answers_[service],
+                                  .completion = &completions_[service],
                                   .metrics = &metrics_,
                                   .context = context_};
   auto request = std::make_shared<ForwardedRequest>(
@@ -422,7 +439,7 @@
 
 void EntryNode::AdvanceShutdown(Time now) {
   const Duration elapsed = now - shutdown_started_;
-  const Duration limit = settings_.shutdown_grace - kExitMargin;
+  const Duration limit = ServingPeriod();
   if (listening_ && elapsed >= std::min(kBalancerDelay, limit)) {
     callers_->StopListening();
     listening_ = false;
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -24,6 +24,7 @@
 #include "main/permit_client.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
+#include "servers/entry/completion_time.h"
 #include "servers/entry/control_directory.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/route_shares.h"
@@ -58,6 +59,8 @@
   void OnCallerRequest(HttpExchangePtr exchange);
   /// The reason to refuse every request for now; empty if there is none.
   std::string_view RefusalReason(Time now) const;
+  /// Whether answers of the service are complete before the process ends.
+  bool CanComplete(const ServiceId& service, Time now) const;
   void Refuse(HttpExchange& exchange, const RequestId& id,
               std::string_view reason);
   void AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
@@ -75,6 +78,8 @@
   void SetChangingEndpoints(const EndpointNames& names, Time now);
   void SendFollowMessages(Time now);
   void Tick();
+  /// Part of the shutdown grace period in which requests are answered.
+  Duration ServingPeriod() const;
   void AdvanceShutdown(Time now);
   /// Ends the requests in progress, since the grace period ends.
   void CutRequests();
@@ -93,6 +98,7 @@
   ControlDirectory controls_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
+  std::map<ServiceId, CompletionTime> completions_;
   std::map<ServiceId, RouteShares> shares_;
   /// Requests in progress.
   std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> requests_;
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -18,6 +18,7 @@
 #include "main/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
+#include "servers/entry/completion_time.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/event_splitter.h"
 #include "servers/entry/request_forwarder.h"
@@ -32,6 +33,7 @@
   PermitClient* permits = nullptr;
   OriginClient* origins = nullptr;
   AnswerEstimate* answers = nullptr;
+  CompletionTime* completion = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
 };
--- a/scripts/explain_request.py
+++ b/scripts/explain_request.py
@@ -39,8 +39,13 @@
     return f"{entry['time_ms'] - start_ms:8d} ms  {entry['instance']:<24} {entry['event']:<20} {fields}"
 
 
+def concerns(entry, request):
+    """Lines of answers that were cut name many requests."""
+    return entry.get("request") == request or request in entry.get("requests", "").split()
+
+
 def explain(request, entries):
-    request_entries = [entry for entry in entries if entry.get("request") == request]
+    request_entries = [entry for entry in entries if concerns(entry, request)]
     if not request_entries:
         return None
     start, end = request_entries[0]["time_ms"], request_entries[-1]["time_ms"]
