--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -442,6 +442,7 @@
   const Duration limit = ServingPeriod();
   if (listening_ && elapsed >= std::min(kBalancerDelay, limit)) {
     callers_->StopListening();
+    readiness_->StopListening();
     listening_ = false;
   }
   if (!cut_ && elapsed >= limit) CutRequests();
