--- a/servers/entry/completion_time.cc
+++ b/servers/entry/completion_time.cc
@@ -9,7 +9,7 @@
 
 // Averages over about the last 50 answers.
 constexpr double kNewestWeight = 0.02;
-constexpr int kMinObserved = 20;
+constexpr int kMinObserved = 5;
 constexpr double kDeviations = 2;
 
 }  // namespace
