Close connections that their callers left, and don't count them as unsent

HttpExchange now takes the connection over and closes it, and a reset connection has no unsent bytes.

An exchange that outlives its server no longer uses the server's watcher.

--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -2,7 +2,10 @@
 
 #include <gio/gio.h>
 #include <linux/sockios.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 
@@ -12,12 +15,23 @@
 // The log limits the rate of lines, so one line has many labels.
 constexpr std::size_t kLabelsPerLine = 64;
 
+// A connection that was reset keeps the count of its unsent bytes.
+bool WasReset(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return false;
+  }
+  return info.tcpi_state == TCP_CLOSE;
+}
+
 }  // namespace
 
 std::int64_t UnacknowledgedBytes(GSocket* socket) {
   const int descriptor = g_socket_get_fd(socket);
   int bytes = 0;
   if (descriptor < 0 || ioctl(descriptor, SIOCOUTQ, &bytes) != 0) return 0;
+  if (bytes == 0 || WasReset(descriptor)) return 0;
   return bytes;
 }
 
@@ -52,6 +66,16 @@
       reinterpret_cast<GSocket*>(socket));
 }
 
+void AnswerTracker::Forget(GSocket* socket) {
+  if (connections_.erase(socket) == 0) return;
+  g_object_weak_unref(G_OBJECT(socket), &OnSocketFinalized, this);
+}
+
+bool AnswerTracker::IsAnswering(GSocket* socket) const {
+  const auto found = connections_.find(socket);
+  return found != connections_.end() && found->second.answering;
+}
+
 void AnswerTracker::SetLabel(SoupServerMessage* message,
                              std::string_view label) {
   const auto found = answers_.find(message);
@@ -87,9 +111,7 @@
   const auto found = answers_.find(message);
   if (found == answers_.end()) return;
   const Answer& answer = found->second;
-  // libsoup also reports an answer with status 500 as aborted.
-  const bool sent = !cut || answer.process_bytes == 0;
-  if (!sent && answer.handed_over) {
+  if (cut && answer.handed_over) {
     Log(LogLevel::kInfo, "answer_not_taken",
         {{"request", answer.label}, {"process_bytes", answer.process_bytes}});
   }
--- a/drivers/answer_tracker.h
+++ b/drivers/answer_tracker.h
@@ -44,6 +44,10 @@
   void OnWritten(SoupServerMessage* message, std::int64_t bytes);
   /// The owner has produced all of the answer.
   void OnHandedOver(SoupServerMessage* message);
+  /// The connection is closed elsewhere, or its bytes are accounted for there.
+  void Forget(GSocket* socket);
+  /// Whether a request on the connection is being answered.
+  bool IsAnswering(GSocket* socket) const;
   /// The HTTP library is done with the message; `cut` if the connection ended
   /// before the whole answer was passed to the kernel.
   void OnFinished(SoupServerMessage* message, bool cut);
@@ -82,7 +86,7 @@
 };
 
 /// Bytes that were sent on a connection and that its other end hasn't
-/// acknowledged; 0 if unknown.
+/// acknowledged; 0 if unknown or if the connection was reset.
 std::int64_t UnacknowledgedBytes(GSocket* socket);
 
 /// Logs the labels of answers that end unsent, and counts them in
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -10,6 +10,7 @@
 #include <cstring>
 
 #include "drivers/clock.h"
+#include "drivers/task.h"
 
 namespace cassiausher {
 namespace {
@@ -58,13 +59,15 @@
 // GObject data key for the number of body bytes received for a message.
 constexpr const char* kBodyBytesKey = "cassiausher-body-bytes";
 
+constexpr guint kServerError = 500;
+// libsoup handles the end of a connection in this time.
+constexpr Duration kIdleClosePeriod = Milliseconds(50);
+
 }  // namespace
 
-HttpExchange::HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
+HttpExchange::HttpExchange(SoupServerMessage* message,
                            std::shared_ptr<HttpServerState> server)
-    : message_(ShareGObject(message)),
-      watcher_(watcher),
-      server_(std::move(server)) {
+    : message_(ShareGObject(message)), server_(std::move(server)) {
   server_->answers.Add(message);
   finished_handler_ = g_signal_connect_swapped(
       message, "finished",
@@ -73,6 +76,7 @@
 }
 
 HttpExchange::~HttpExchange() {
+  if (!finished_ && server_->stopped) Finish();
   if (!finished_) {
     if (streaming_) {
       EndStream();
@@ -138,7 +142,7 @@
   GSocket* socket = soup_server_message_get_socket(message_.get());
   if (socket == nullptr || finished_) return;
   watched_descriptor_ = g_socket_get_fd(socket);
-  watcher_->Add(watched_descriptor_, [this] {
+  server_->watcher->Add(watched_descriptor_, [this] {
     watched_descriptor_ = -1;
     OnCallerClosed();
   });
@@ -147,8 +151,7 @@
 void HttpExchange::OnCallerClosed() {
   if (finished_) return;
   Finish();
-  // Lets libsoup notice the closed socket and drop the connection.
-  soup_server_message_unpause(message_.get());
+  DropConnection();
   const std::function<void()> on_closed = std::move(on_closed_);
   if (on_closed) on_closed();
 }
@@ -163,7 +166,7 @@
 void HttpExchange::Finish() {
   finished_ = true;
   if (watched_descriptor_ < 0) return;
-  watcher_->Remove(watched_descriptor_);
+  server_->watcher->Remove(watched_descriptor_);
   watched_descriptor_ = -1;
 }
 
@@ -252,11 +255,22 @@
 
 void HttpExchange::Abort() {
   if (finished_) return;
-  GSocket* socket = soup_server_message_get_socket(message_.get());
   Finish();
-  if (socket != nullptr) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-  // libsoup notices the closed socket and drops the connection.
-  soup_server_message_unpause(message_.get());
+  DropConnection();
+}
+
+void HttpExchange::DropConnection() {
+  GSocket* socket = soup_server_message_get_socket(message_.get());
+  if (socket == nullptr) return;
+  const GObjectPtr<GSocket> held = ShareGObject(socket);
+  server_->answers.OnFinished(message_.get(), true);
+  server_->answers.Forget(socket);
+  const GObjectPtr<GIOStream> stream(
+      soup_server_message_steal_connection(message_.get()));
+  // The stream is released after its socket is closed, so that it doesn't
+  // write to it.
+  g_socket_shutdown(held.get(), TRUE, TRUE, nullptr);
+  g_socket_close(held.get(), nullptr);
 }
 
 HttpServer::HttpServer(HttpServerOptions options, Handler handler,
@@ -266,11 +280,13 @@
       limit_handler_(std::move(limit_handler)) {}
 
 HttpServer::~HttpServer() {
+  state_->stopped = true;
   if (server_) soup_server_disconnect(server_.get());
 }
 
 std::string HttpServer::Listen(GMainContext* context) {
-  watcher_ = std::make_unique<CloseWatcher>(context);
+  context_ = context;
+  state_->watcher = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
@@ -278,8 +294,7 @@
                          GHashTable*, gpointer data) {
     auto* self = static_cast<HttpServer*>(data);
     soup_server_message_pause(message);
-    self->handler_(std::make_shared<HttpExchange>(message, self->watcher_.get(),
-                                                  self->state_));
+    self->handler_(std::make_shared<HttpExchange>(message, self->state_));
   };
   soup_server_add_handler(server_.get(), nullptr, handle, this, nullptr);
   g_signal_connect(server_.get(), "request-started",
@@ -353,8 +368,9 @@
 
 void HttpServer::OnWroteBody(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
+  // A connection whose answer didn't announce its end stays open: its caller
+  // may have sent another request, which is refused.
   const bool ends =
-      self->state_->draining ||
       soup_message_headers_header_contains(
           soup_server_message_get_response_headers(message), "Connection",
           "close") ||
@@ -371,18 +387,49 @@
   EndedConnection ended{.socket = ShareGObject(socket),
                         .label = state_->answers.LabelOf(message)};
   state_->answers.OnFinished(message, false);
+  state_->answers.Forget(socket);
   ended.stream.reset(soup_server_message_steal_connection(message));
   closer_->Close(std::move(ended), BootTimeNow());
 }
 
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
-                                   gpointer self) {
-  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, false);
+                                   gpointer data) {
+  auto* self = static_cast<HttpServer*>(data);
+  self->state_->answers.OnFinished(message, false);
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) self->WatchIdle(socket);
 }
 
-void HttpServer::OnRequestAborted(SoupServer*, SoupServerMessage* message,
-                                  gpointer self) {
-  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, true);
+void HttpServer::OnRequestAborted(SoupServer* server,
+                                  SoupServerMessage* message, gpointer data) {
+  // libsoup also reports an answer with status 500 as aborted.
+  if (soup_server_message_get_status(message) == kServerError) {
+    return OnRequestFinished(server, message, data);
+  }
+  auto* self = static_cast<HttpServer*>(data);
+  self->state_->answers.OnFinished(message, true);
+}
+
+void HttpServer::WatchIdle(GSocket* socket) {
+  const int descriptor = g_socket_get_fd(socket);
+  if (descriptor < 0) return;
+  const std::shared_ptr<GSocket> held(ShareGObject(socket));
+  state_->watcher->Add(descriptor, [this, held] {
+    closed_by_callers_.push_back(ShareGObject(held.get()));
+    if (close_timer_) return;
+    close_timer_ =
+        AddTimer(context_, kIdleClosePeriod, [this] { CloseIdle(); });
+  });
+}
+
+void HttpServer::CloseIdle() {
+  const auto closed = std::move(closed_by_callers_);
+  closed_by_callers_.clear();
+  close_timer_.reset();
+  for (const GObjectPtr<GSocket>& socket : closed) {
+    if (state_->answers.IsAnswering(socket.get())) continue;
+    g_socket_close(socket.get(), nullptr);
+  }
 }
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
@@ -393,9 +440,10 @@
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) {
-    g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  }
+  if (socket == nullptr) return;
+  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  static_cast<HttpServer*>(self)->state_->watcher->Remove(
+      g_socket_get_fd(socket));
 }
 
 void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -25,15 +25,19 @@
 /// What a server shares with its exchanges, which may outlive it.
 struct HttpServerState {
   AnswerTracker answers;
+  /// Set by HttpServer::Listen().
+  std::unique_ptr<CloseWatcher> watcher;
   /// Each answer ends its connection.
   bool draining = false;
+  /// The server was destroyed, and its connections with it.
+  bool stopped = false;
 };
 
 /// One request and its response. Belongs to the server's task. Responds with
 /// status 500 when its last shared_ptr is released without a response.
 class HttpExchange {
  public:
-  HttpExchange(SoupServerMessage* message, CloseWatcher* watcher,
+  HttpExchange(SoupServerMessage* message,
                std::shared_ptr<HttpServerState> server);
   ~HttpExchange();
   HttpExchange(const HttpExchange&) = delete;
@@ -77,10 +81,12 @@
   void Finish();
   void OnTransportFinished();
   void OnCallerClosed();
+  /// Takes the connection over from libsoup and closes it. libsoup doesn't see
+  /// that a connection was closed while a message on it is paused.
+  void DropConnection();
   void SetHeaders(const HttpHeaders& headers);
 
   GObjectPtr<SoupServerMessage> message_;
-  CloseWatcher* watcher_;
   std::shared_ptr<HttpServerState> server_;
   std::function<void()> on_closed_;
   gulong finished_handler_ = 0;
@@ -140,6 +146,10 @@
   static void OnRequestAborted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
   static void OnWroteBody(SoupServerMessage* message, gpointer self);
+  /// Closes a kept connection once its caller has closed it. libsoup 3.2 leaves
+  /// its descriptor open.
+  void WatchIdle(GSocket* socket);
+  void CloseIdle();
   /// Takes the connection over from libsoup, to close it without a reset.
   void CloseLingering(SoupServerMessage* message);
   static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
@@ -155,8 +165,11 @@
   LimitHandler limit_handler_;
   std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
   GObjectPtr<SoupServer> server_;
-  std::unique_ptr<CloseWatcher> watcher_;
   std::unique_ptr<LingeringCloser> closer_;
+  GMainContext* context_ = nullptr;
+  /// Kept connections that their callers have closed.
+  std::vector<GObjectPtr<GSocket>> closed_by_callers_;
+  GSourcePtr close_timer_;
   std::uint16_t port_ = 0;
 };
 
--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -8,6 +8,8 @@
 
 #include <array>
 #include <cerrno>
+#include <filesystem>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -69,6 +71,16 @@
   int socket_;
 };
 
+// Changes by the directory's own descriptor cancel out.
+int OpenDescriptors() {
+  int count = 0;
+  for ([[maybe_unused]] const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd")) {
+    ++count;
+  }
+  return count;
+}
+
 }  // namespace
 
 TEST_GROUP(HttpDrain) {
@@ -222,6 +234,135 @@
   CHECK_FALSE(unsent[0].handed_over);
 }
 
+// libsoup doesn't see that a connection was closed while its message waits for
+// more of the answer: the server was never drained, and kept its descriptor.
+TEST(HttpDrain, CallerThatLeavesInMidStreamIsNotUnsent) {
+  const int before = OpenDescriptors();
+  auto caller = std::make_unique<SlowCaller>(server->port());
+  caller->Send(kRequest);
+  Receive(1);
+  bool closed = false;
+  held[0]->WatchClose([&] { closed = true; });
+  held[0]->StartStream(200, "text/event-stream");
+  held[0]->Write("an event");
+  RunFor(50);
+  caller.reset();
+  CHECK(RunUntil([&] { return closed; }));
+  held.clear();
+  server->BeginDrain();
+  CHECK(server->Drained());
+  CHECK(server->UnsentAnswers().empty());
+  CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
+}
+
+TEST(HttpDrain, CallerThatLeavesBeforeItsAnswerIsNotUnsent) {
+  const int before = OpenDescriptors();
+  auto caller = std::make_unique<SlowCaller>(server->port());
+  caller->Send(kRequest);
+  Receive(1);
+  bool closed = false;
+  held[0]->WatchClose([&] { closed = true; });
+  caller.reset();
+  CHECK(RunUntil([&] { return closed; }));
+  held.clear();
+  CHECK(server->Drained());
+  CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
+}
+
+TEST(HttpDrain, AbortedAnswerIsNotUnsent) {
+  const int before = OpenDescriptors();
+  auto caller = std::make_unique<SlowCaller>(server->port());
+  caller->Send(kRequest);
+  Receive(1);
+  held[0]->StartStream(200, "text/event-stream");
+  held[0]->Write("an event");
+  RunFor(50);
+  held[0]->Abort();
+  held.clear();
+  CHECK(RunUntil([&] {
+    caller->Read();
+    return caller->closed || caller->reset;
+  }));
+  CHECK(server->Drained());
+  caller.reset();
+  CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
+}
+
+// The kernel keeps the count of unsent bytes of a connection that was reset.
+TEST(HttpDrain, CallerThatClosesWithTheAnswerUnreadIsNotUnsent) {
+  auto caller = std::make_unique<SlowCaller>(server->port());
+  caller->Send(kRequest);
+  Receive(1);
+  held[0]->Respond(200, "text/plain", std::string(100000, 'x'));
+  held.clear();
+  RunFor(100);
+  caller.reset();
+  CHECK(RunUntil([&] { return server->Drained(); }));
+}
+
+// libsoup 3.2 leaves the descriptor of a kept connection open that its caller
+// closes.
+TEST(HttpDrain, KeptConnectionsThatCallersCloseAreClosed) {
+  constexpr int kCallers = 20;
+  const int before = OpenDescriptors();
+  for (int i = 0; i < kCallers; ++i) {
+    SlowCaller caller(server->port());
+    caller.Send(kRequest);
+    Receive(1);
+    held[0]->Respond(200, "text/plain", "small");
+    held.clear();
+    CHECK(RunUntil([&] {
+      caller.Read();
+      return caller.received.ends_with("small");
+    }));
+  }
+  CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
+}
+
+// The next request on a connection whose answer didn't announce its end was
+// read and dropped.
+TEST(HttpDrain, RequestBehindAnAnswerThatBeganBeforeTheDrainIsAnswered) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->StartStream(200, "text/event-stream");
+  held[0]->Write("an event");
+  RunFor(20);
+  server->BeginDrain();
+  caller.Send(kRequest);
+  held[0]->EndStream();
+  Receive(2);
+  held[1]->Respond(503, "text/plain", "refused");
+  held.clear();
+  CHECK(RunUntil([&] {
+    caller.Read();
+    return caller.closed || caller.reset;
+  }));
+  CHECK_FALSE(caller.reset);
+  CHECK(caller.received.ends_with("refused"));
+  CHECK(caller.received.find("Connection: close") != std::string::npos);
+}
+
+TEST(HttpDrain, LingeringAnswerCountsOnce) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", std::string(60000, 'x'));
+  held.clear();
+  RunFor(100);
+  LONGS_EQUAL(1, server->UnsentAnswers().size());
+}
+
+TEST(HttpDrain, ExchangeMayOutliveItsServer) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->WatchClose([] {});
+  server.reset();
+  held.clear();
+}
+
 TEST(HttpDrain, IdleKeptConnectionDoesNotDelayTheEnd) {
   SlowCaller caller(server->port());
   caller.Send(kRequest);
