Log what the end of the process cuts in one place, after its last work

The cuts were logged when a role was done, up to 200 ms before the process ended. A stream whose run was complete and only waited for its origin's confirmation was answered 504 at the end of the grace period; it is released instead. Requests that arrive after that moment are refused whatever the grace period's length.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -115,10 +115,13 @@
   const Duration limit = settings_.shutdown_grace - kExitMargin;
   if (!server_->Drained() && elapsed < limit) return;
   shutdown_timer_.reset();
-  LogCutAnswers(server_->UnsentAnswers(), "control", metrics_);
   on_done_();
 }
 
+void ControlNode::LogCut() const {
+  LogCutAnswers(server_->UnsentAnswers(), "control", metrics_);
+}
+
 // --- HTTP calls ------------------------------------------------------------
 
 void ControlNode::OnCall(HttpExchangePtr exchange) {
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -132,9 +132,9 @@
 }
 
 std::string_view EntryNode::RefusalReason(Time now) const {
-  const bool stopping =
+  const bool late =
       on_done_ && now - shutdown_started_ >= kShutdownAcceptPeriod;
-  if (stopping) return "the instance stops";
+  if (late || cut_) return "the instance stops";
   if (configuration_.routes() == nullptr) return "no configuration yet";
   if (configuration_.freshness().IsOverdue(now)) {
     return "a newer configuration is in force";
@@ -449,10 +449,14 @@
   const bool idle = !listening_ && Idle();
   if (!idle && elapsed < limit + kLastAnswerPeriod) return;
   shutdown_timer_.reset();
-  LogCutAnswers(callers_->UnsentAnswers(), "callers", metrics_);
   on_done_();
 }
 
+void EntryNode::LogCut() const {
+  LogCutAnswers(callers_->UnsentAnswers(), "callers", metrics_);
+  LogCutAnswers(readiness_->UnsentAnswers(), "readiness", metrics_);
+}
+
 void EntryNode::CutRequests() {
   cut_ = true;
   // Each one erases itself from the map.
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -46,6 +46,8 @@
   /// Stops accepting callers, waits until callers have the answers of all
   /// requests or the grace period nearly ends, then calls `on_done`.
   void Shutdown(std::function<void()> on_done);
+  /// Logs the answers that the end of the process cuts.
+  void LogCut() const;
 
  private:
   using EndpointRecords =
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -470,6 +470,7 @@
 
 void ForwardedRequest::Cut() {
   if (ended_) return;
+  if (complete_) return ReleaseHeldEvents();
   constexpr std::string_view kReason = "the instance stops";
   const bool runs = call_.has_value() && call_->kind == CallKind::kRun &&
                     context_.client->WasSent(call_id_);
@@ -479,10 +480,10 @@
   if (!may_have_run) return RespondRefused(kReason, kUnknownRetryAfter);
   if (exchange_->streaming()) {
     exchange_->Abort();
-  } else {
-    exchange_->Respond(kGatewayTimeout, kJson, FailureBody(kReason));
+    return End("cut", 0, kReason);
   }
-  End("cut", 0, kReason);
+  exchange_->Respond(kGatewayTimeout, kJson, FailureBody(kReason));
+  End("cut", kGatewayTimeout, kReason);
 }
 
 void ForwardedRequest::ArmTimer() {
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -104,6 +104,8 @@
     }
     ServeMetrics(settings);
     g_main_loop_run(loop_);
+    if (entry_) entry_->LogCut();
+    if (control_) control_->LogCut();
     LogCutAnswers(metrics_server_->UnsentAnswers(), "metrics", metrics_);
     Log(LogLevel::kInfo, "stopped", {});
     return EXIT_SUCCESS;
