--- a/tests/soak/drain_checks.py
+++ b/tests/soak/drain_checks.py
@@ -10,7 +10,7 @@
     """`passed_on` holds the requests that reached an endpoint."""
     breaches = []
     for attempt in attempts:
-        if attempt.complete or attempt.stalled or _may_be_unread(attempt, passed_on):
+        if attempt.complete or attempt.stalled or attempt.left or _may_be_unread(attempt, passed_on):
             continue
         after_s = attempt.ended_at - attempt.sent_at
         if attempt.error != "timeout" and attempt.request not in passed_on and after_s <= CROSSING_S:
@@ -38,6 +38,14 @@
     return breaches
 
 
+def find_short(attempts, bytes_by_path):
+    """Answers that look complete and lack a part."""
+    return [f"request {attempt.request} ({attempt.path} at {attempt.entry}): complete with {attempt.body_bytes} bytes"
+            for attempt in attempts
+            if attempt.complete and attempt.status == 200
+            and attempt.body_bytes != bytes_by_path.get(attempt.path, attempt.body_bytes)]
+
+
 def find_cut_reads(reads):
     """Calls of operators whose answer began and didn't end."""
     return [f"{read.path} at {read.instance}: {read.error} after {read.received} bytes, {read.ended_at - read.sent_at:.3f} s"
--- a/tests/soak/drain_checks_test.py
+++ b/tests/soak/drain_checks_test.py
@@ -33,6 +33,18 @@
         self.assertEqual(len(drain_checks.find_cut([attempt(error="timeout")], set())), 1)
 
 
+    def test_caller_that_left_is_none(self):
+        self.assertEqual(drain_checks.find_cut([attempt(began=True, left=True)], {"r"}), [])
+
+
+class FindShort(unittest.TestCase):
+
+    def test_complete_answer_that_lacks_a_part_is_a_breach(self):
+        short = attempt(path="/stream/", complete=True, status=200, body_bytes=7)
+        self.assertEqual(len(drain_checks.find_short([short], {"/stream/": 8})), 1)
+        self.assertEqual(drain_checks.find_short([short], {"/stream/": 7}), [])
+
+
 class FindLateStops(unittest.TestCase):
 
     def test_instance_is_gone_before_its_grace_ends(self):
--- a/tests/soak/drain_soak.py
+++ b/tests/soak/drain_soak.py
@@ -8,6 +8,7 @@
 import collections
 import copy
 import dataclasses
+import json
 import random
 import signal
 import time
@@ -36,6 +37,12 @@
     event_bytes: int
     period_s: float
 
+    def event(self, number):
+        return f"id: {number}\ndata: {'x' * self.event_bytes}\n\n".encode()
+
+    def body_bytes(self):
+        return sum(len(self.event(number)) for number in range(1, self.events + 1))
+
 
 # The long ones are the last work of an instance that stops; its slowest callers still read them when they end.
 STREAMS = {"/stream/": StreamShape(60, 4000, 0.01), "/long/": StreamShape(33, 20_000, 0.1)}
@@ -46,11 +53,11 @@
 STALLED_READ_BYTES = 4096
 
 
-def route(name, path, kind, service):
+def route(name, path, kind, service, resumable=False):
     return {
         "name": name, "host": HOST, "path-prefix": path, "kind": kind, "timeout-ms": ROUTE_TIMEOUT_MS,
         "target-latency-ms": 900, "priority": 1, "service": service, "attempts": 2, "session-affinity": False,
-        "resumable": False, "gap-target-ms": 300
+        "resumable": resumable, "gap-target-ms": 300
     }
 
 
@@ -58,7 +65,7 @@
     "version": 1,
     "routes": [
         route("r-large", "/large/", "unsafe", SERVICE), route("r-small", "/small/", "safe", SERVICE),
-        route("r-stream", "/stream/", "stream", SERVICE), route("r-long", "/long/", "stream", SERVICE),
+        route("r-stream", "/stream/", "stream", SERVICE, resumable=True), route("r-long", "/long/", "stream", SERVICE),
         route("r-empty", "/empty/", "safe", EMPTY_SERVICE)
     ] + [route(f"r-filler-{index}", f"/filler/{index}/", "safe", SERVICE) for index in range(FILLER_ROUTES)],
     "services": [{"name": name, "health-path": "/health", "max-conns": 290, "protocol": "h1", "tls": False}
@@ -85,7 +92,7 @@
         response = web.StreamResponse(headers=headers | {"Content-Type": "text/event-stream"})
         await response.prepare(request)
         for number in range(1, shape.events + 1):
-            await response.write(f"id: {number}\ndata: {'x' * shape.event_bytes}\n\n".encode())
+            await response.write(shape.event(number))
             await asyncio.sleep(shape.period_s)
         await response.write_eof()
         return response
@@ -204,6 +211,20 @@
     return attempt
 
 
+def find_false_cuts(run, stalled):
+    """Nothing but the answers to callers that never read is logged as cut."""
+    expected = {attempt.request for attempt in stalled}
+    breaches = []
+    for instance in run.deployment.instances():
+        for line in (instance.folder / "log").read_text(errors="replace").splitlines():
+            if '"answer_cut"' not in line:
+                continue
+            others = set(json.loads(line)["requests"].split()) - expected
+            if others:
+                breaches.append(f"{instance.name} logged as cut: {sorted(others)}")
+    return breaches
+
+
 def find_unlogged(run, stalled):
     """Each cut answer stands in the log of its instance with its id."""
     entries = {entry.name: entry for entry in run.deployment.entries}
@@ -241,7 +262,10 @@
         stalled = await asyncio.gather(*(stall(run, index) for index in range(STALLED_CALLERS)))
         print_summary(callers, reads, run)
         breaches = drain_checks.find_cut(callers.attempts, {arrival.request for arrival in arrivals})
+        breaches += drain_checks.find_short(callers.attempts,
+                                            {path: shape.body_bytes() for path, shape in STREAMS.items()})
         breaches += drain_checks.find_cut_reads(reads)
+        breaches += find_false_cuts(run, stalled)
         breaches += drain_checks.find_late_stops(run.deployment.instances())
         breaches += find_unlogged(run, stalled)
         return run.report(breaches, planned.log)
--- a/tests/soak/slow_callers.py
+++ b/tests/soak/slow_callers.py
@@ -1,6 +1,7 @@
 """Callers that read large answers at their own pace, through small windows, on connections that they keep."""
 
 import asyncio
+import contextlib
 import dataclasses
 import random
 import socket
@@ -18,6 +19,10 @@
 PATHS = ("/large/", "/large/", "/stream/", "/long/", "/long/", "/small/", "/unknown/", "/empty/")
 MAX_REQUESTS_PER_CONNECTION = 6
 PIPELINED_SHARE = 0.3
+# These close their connection in the middle of an answer.
+LEAVING_SHARE = 0.1
+LEAVING_READS = 3
+LEAVING_TIMEOUT_S = 0.5
 HEAD_END = b"\r\n\r\n"
 
 
@@ -39,6 +44,8 @@
     after_close: bool = False
     # The caller never reads the end of the answer.
     stalled: bool = False
+    # The caller closed the connection before the end of the answer.
+    left: bool = False
     error: str = ""
 
 
@@ -151,6 +158,8 @@
             return await asyncio.sleep(0.05)
         due = []
         try:
+            if self.random.random() < LEAVING_SHARE:
+                return await self._leave(connection, entry)
             for _ in range(self.random.randint(1, MAX_REQUESTS_PER_CONNECTION)):
                 wanted = 2 if self.random.random() < PIPELINED_SHARE else 1
                 if await self._exchange(connection, entry, due, wanted):
@@ -160,6 +169,14 @@
         finally:
             connection.close()
 
+    async def _leave(self, connection, entry):
+        with contextlib.suppress(ConnectionError, ConnectionEnded, TimeoutError):
+            attempt = await self._send(connection, entry, pipelined=False)
+            attempt.left = True
+            async with asyncio.timeout(LEAVING_TIMEOUT_S):
+                for _ in range(self.random.randrange(LEAVING_READS)):
+                    await connection.receive()
+
     async def _exchange(self, connection, entry, due, wanted):
         """Sends until `wanted` requests are due and reads the answer to the first. Returns whether the connection has ended."""
         try:
