Sync what the log loads before it counts as durable

A process that was killed between its write and the sync leaves records that the next process reads from the page cache. They counted as durable: a follower acknowledged them, and a vote was repeated, without another sync. A loss of power then removed them.

FileLog::Load() now syncs the last segment and the folder. The fault disk gains a loss of power, which keeps, drops or tears each unsynced change, and keeps or drops each unsynced name; and a limit of operations after which the process is killed.

--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -90,6 +90,7 @@
     const bool is_last = i + 1 == segments_.size();
     BOOST_LEAF_CHECK(ReplaySegment(name, is_last, replay));
   }
+  BOOST_LEAF_CHECK(SyncLoaded());
   BOOST_LEAF_AUTO(snapshot, LoadSnapshot());
   // The segments store this replica's votes; without them it could vote twice
   // in a term.
@@ -99,6 +100,15 @@
   return ReconcileWithSnapshot(std::move(replay), std::move(snapshot));
 }
 
+boost::leaf::result<void> FileLog::SyncLoaded() {
+  // Earlier segments were synced before the last one was created.
+  if (!segments_.empty()) {
+    const std::string name = SegmentName(segments_.back().sequence);
+    BOOST_LEAF_CHECK(files_->SyncFile(name));
+  }
+  return files_->SyncFolder();
+}
+
 boost::leaf::result<void> FileLog::ReplaySegment(const std::string& name,
                                                  bool is_last, Replay& replay) {
   BOOST_LEAF_AUTO(content, files_->Read(name));
--- a/modules/file_log/file_log.h
+++ b/modules/file_log/file_log.h
@@ -62,6 +62,9 @@
     LogIndex last() const { return base + entries.size(); }
   };
 
+  /// Syncs what Load() found. A process that was killed before its sync leaves
+  /// changes that can be read but would be lost with the power.
+  boost::leaf::result<void> SyncLoaded();
   /// Applies all records of a segment to `replay`.
   boost::leaf::result<void> ReplaySegment(const std::string& name, bool is_last,
                                           Replay& replay);
--- a/tests/modules/fault_file_system.h
+++ b/tests/modules/fault_file_system.h
@@ -1,5 +1,5 @@
-// In-memory file system with fault injection: a crash loses unsynced writes
-// wholly or in part, the disk runs full, syncs fail.
+// In-memory file system with fault injection: a crash or a loss of power loses
+// unsynced writes wholly or in part, the disk runs full, syncs fail.
 #ifndef TESTS_MODULES_FAULT_FILE_SYSTEM_H_
 #define TESTS_MODULES_FAULT_FILE_SYSTEM_H_
 
@@ -9,6 +9,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,9 +23,18 @@
 /// Files of a simulated disk. Must outlive the FileSystem objects that use it.
 class FaultDisk {
  public:
+  /// A write or a truncation since the last sync of its file.
+  struct Change {
+    std::uint64_t offset = 0;
+    std::string bytes;
+    /// The file ends at `offset`; `bytes` is empty.
+    bool truncates = false;
+  };
   struct File {
     std::string synced;
     std::string current;
+    /// Changes that turn `synced` into `current`.
+    std::vector<Change> unsynced;
   };
   using Folder = std::map<std::string, std::shared_ptr<File>>;
 
@@ -35,6 +45,9 @@
   std::uint64_t space = std::numeric_limits<std::uint64_t>::max();
   /// Number of syncs that succeed before all further ones fail.
   std::uint64_t syncs_left = std::numeric_limits<std::uint64_t>::max();
+  /// Number of changes and syncs before the process that uses the disk is
+  /// killed: further ones fail and change nothing.
+  std::uint64_t operations_left = std::numeric_limits<std::uint64_t>::max();
 
   /// Simulates a crash that loses unsynced data. Of each file, the unsynced
   /// appended bytes after a random point are truncated or become zeros, or all
@@ -59,7 +72,33 @@
         }
       }
       file->synced = file->current;
+      file->unsynced.clear();
+    }
+  }
+
+  /// Simulates a loss of power. Each change of a file since its last sync is
+  /// present, missing or torn, or all are missing. Each name that was created,
+  /// renamed or removed since the last SyncFolder() is durable or not,
+  /// independently of the others.
+  void LosePower(Random& random) {
+    const Folder before = std::move(synced);
+    const bool folder_lost = random.Chance(0.25);
+    Folder after;
+    const auto choose = [&](const std::string& name) {
+      const bool keep_new = !folder_lost && random.Chance(0.5);
+      const Folder& source = keep_new ? current : before;
+      const auto found = source.find(name);
+      if (found != source.end()) after[name] = found->second;
+    };
+    for (const auto& [name, file] : before) choose(name);
+    for (const auto& [name, file] : current) {
+      if (!before.contains(name)) choose(name);
     }
+    current = after;
+    synced = std::move(after);
+    std::set<File*> files;
+    for (const auto& [name, file] : current) files.insert(file.get());
+    for (File* file : files) LoseUnsynced(*file, random);
   }
 
   std::uint64_t UsedBytes() const {
@@ -78,6 +117,65 @@
     copy.synced = copy.current;
     return copy;
   }
+
+  /// Applies a change to the content of a file.
+  static void Apply(const Change& change, std::string& content) {
+    if (change.truncates) {
+      content.resize(change.offset, '\0');
+      return;
+    }
+    const std::size_t end = change.offset + change.bytes.size();
+    if (content.size() < end) content.resize(end, '\0');
+    content.replace(change.offset, change.bytes.size(), change.bytes);
+  }
+
+ private:
+  /// Unit that a disk writes wholly or not at all.
+  static constexpr std::uint64_t kSectorBytes = 512;
+
+  static void LoseUnsynced(File& file, Random& random) {
+    std::string content = file.synced;
+    const bool all_lost = random.Chance(0.25);
+    for (const Change& change : file.unsynced) {
+      if (all_lost || random.Chance(0.2)) continue;
+      if (change.truncates || random.Chance(0.3)) {
+        Apply(change, content);
+      } else {
+        ApplyTorn(change, random, content);
+      }
+    }
+    file.current = file.synced = std::move(content);
+    file.unsynced.clear();
+  }
+
+  /// Applies a part of the write: the bytes before a random point, or random
+  /// sectors. The file may have its full size either way.
+  static void ApplyTorn(const Change& change, Random& random,
+                        std::string& content) {
+    if (random.Chance(0.5)) {
+      Change prefix = change;
+      prefix.bytes.resize(random.Below(change.bytes.size() + 1));
+      Apply(prefix, content);
+    } else {
+      ApplySectors(change, random, content);
+    }
+    const std::size_t end = change.offset + change.bytes.size();
+    if (content.size() < end && random.Chance(0.5)) content.resize(end, '\0');
+  }
+
+  static void ApplySectors(const Change& change, Random& random,
+                           std::string& content) {
+    const std::uint64_t end = change.offset + change.bytes.size();
+    std::uint64_t begin = change.offset;
+    while (begin < end) {
+      const std::uint64_t next =
+          std::min(end, (begin / kSectorBytes + 1) * kSectorBytes);
+      const std::string bytes =
+          change.bytes.substr(begin - change.offset, next - begin);
+      if (random.Chance(0.5)) Apply({begin, bytes}, content);
+      begin = next;
+    }
+  }
 };
 
 /// FileSystem on a FaultDisk, with the faults that are set in it.
@@ -98,6 +196,7 @@
   }
   boost::leaf::result<void> Write(const std::string& name, std::uint64_t offset,
                                   std::string_view bytes) override {
+    BOOST_LEAF_CHECK(Use(name));
     auto& file = disk_.current[name];
     if (!file) file = std::make_shared<FaultDisk::File>();
     std::string& content = file->current;
@@ -108,6 +207,7 @@
     const std::uint64_t possible = std::min(added, disk_.space);
     const auto part = bytes.substr(0, overwritten + possible);
     content.replace(offset, overwritten, part);
+    file->unsynced.push_back({offset, std::string(part)});
     disk_.space -= possible;
     if (possible == added) return {};
     return boost::leaf::new_error(StorageError{
@@ -115,19 +215,24 @@
   }
   boost::leaf::result<void> Truncate(const std::string& name,
                                      std::uint64_t size) override {
-    std::string& content = disk_.current.at(name)->current;
-    if (content.size() > size) FreeSpace(content.size() - size);
-    content.resize(size, '\0');
+    BOOST_LEAF_CHECK(Use(name));
+    FaultDisk::File& file = *disk_.current.at(name);
+    if (file.current.size() > size) FreeSpace(file.current.size() - size);
+    file.unsynced.push_back({.offset = size, .truncates = true});
+    FaultDisk::Apply(file.unsynced.back(), file.current);
     return {};
   }
   boost::leaf::result<void> SyncFile(const std::string& name) override {
+    BOOST_LEAF_CHECK(Use(name));
     if (disk_.syncs_left == 0) return Fail(name, "sync failed");
     --disk_.syncs_left;
     FaultDisk::File& file = *disk_.current.at(name);
     file.synced = file.current;
+    file.unsynced.clear();
     return {};
   }
   boost::leaf::result<void> SyncFolder() override {
+    BOOST_LEAF_CHECK(Use("."));
     if (disk_.syncs_left == 0) return Fail(".", "sync failed");
     --disk_.syncs_left;
     disk_.synced = disk_.current;
@@ -135,6 +240,7 @@
   }
   boost::leaf::result<void> Rename(const std::string& from,
                                    const std::string& to) override {
+    BOOST_LEAF_CHECK(Use(to));
     if (disk_.current.contains(to)) {
       FreeSpace(disk_.current.at(to)->current.size());
     }
@@ -143,6 +249,7 @@
     return {};
   }
   boost::leaf::result<void> Remove(const std::string& name) override {
+    BOOST_LEAF_CHECK(Use(name));
     const auto found = disk_.current.find(name);
     if (found == disk_.current.end()) return {};
     FreeSpace(found->second->current.size());
@@ -159,6 +266,12 @@
       disk_.space += bytes;
     }
   }
+  /// Counts an operation; fails if the process has been killed before.
+  boost::leaf::result<void> Use(const std::string& name) {
+    if (disk_.operations_left == 0) return Fail(name, "process killed");
+    --disk_.operations_left;
+    return {};
+  }
   boost::leaf::error_id Fail(const std::string& name, const char* message) {
     return boost::leaf::new_error(
         StorageError{StorageError::Code::kInputOutput, Path(name), 0, message});
--- a/tests/modules/file_log_test.cc
+++ b/tests/modules/file_log_test.cc
@@ -82,6 +82,8 @@
   return Attempt([&] { return log->Load(); });
 }
 
+constexpr std::uint64_t kUnlimited = 1'000'000'000;
+
 /// Appends `count` entries, each with its own hard state and sync.
 void Fill(FileLog& log, LogIndex first, LogIndex count) {
   for (LogIndex index = first; index < first + count; ++index) {
@@ -91,10 +93,34 @@
   }
 }
 
+/// Changes entries, hard state and snapshot, and kills the process at a random
+/// operation of the sync.
+void WriteAndKill(FaultDisk& disk, FileLog& log, Random& random) {
+  CHECK(Succeeded(log.SaveHardState({7, {InstanceId("b"), 7}, 0, 42})));
+  CHECK(Succeeded(log.TruncateSuffix(1)));
+  for (LogIndex index = 1; index <= 1 + random.Below(8); ++index) {
+    CHECK(Succeeded(log.Append({Entry(index, 7)})));
+  }
+  if (random.Chance(0.3)) {
+    CHECK(Succeeded(log.SaveSnapshot(SnapshotAt(1, 7))));
+  }
+  disk.operations_left = random.Below(12);
+  static_cast<void>(ErrorOf([&] { return log.Sync(); }));
+  disk.operations_left = kUnlimited;
+}
+
 }  // namespace
 
 TEST_GROUP(FileLog) {
   FaultDisk disk;
+  /// Printed if the test fails; 0 in tests without random faults.
+  std::uint64_t seed = 0;
+
+  void teardown() override {
+    if (seed != 0 && UtestShell::getCurrent()->hasFailed()) {
+      std::printf("seed %lu\n", seed);
+    }
+  }
 
   void CheckEntries(const StoredState& state, LogIndex first, LogIndex last) {
     LONGS_EQUAL(last + 1 - first, state.entries.size());
@@ -329,6 +355,28 @@
   }
 }
 
+// What a log has loaded counts as durable. Guards against a log that loads the
+// unsynced changes of a process that was killed and loses them when the power
+// fails afterwards.
+TEST(FileLog, LoadedChangesOfAKilledProcessSurviveALossOfPower) {
+  for (seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    FaultDisk killed;
+    auto log = OpenLog(killed, kSmallSegments);
+    CHECK(Succeeded(log->Load()));
+    Fill(*log, 1, 1 + random.Below(5));
+    WriteAndKill(killed, *log, random);
+    const auto loaded = LoadFrom(killed, kSmallSegments);
+    CHECK_TEXT(loaded.value.has_value(), "a kill was reported as corruption");
+    killed.LosePower(random);
+    const auto again = LoadFrom(killed, kSmallSegments);
+    CHECK_TEXT(again.value.has_value(), "power loss reported as corruption");
+    CHECK(again.value->hard_state == loaded.value->hard_state);
+    CHECK(again.value->entries == loaded.value->entries);
+    CHECK(again.value->snapshot == loaded.value->snapshot);
+  }
+}
+
 // Guards against a log that stays unusable after a crash between saving a
 // received snapshot and resetting the log.
 TEST(FileLog, SnapshotAheadOfTheLogReplacesTheLog) {
