Cut a failed write durably before a new segment follows

After a failed write or sync the segment was truncated without a sync. If the retry didn't fit and started the next segment, a loss of power could bring the failed write back into the middle of the log: the earlier segment then ended behind the start of the next one, and the log was refused as corrupt.

The truncation is now synced before the next segment is created.

--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -422,6 +422,7 @@
   const bool needs_segment =
       segments_.empty() || synced_size_ + bytes.size() > options_.segment_bytes;
   if (needs_segment) {
+    BOOST_LEAF_CHECK(CutFailedWrite());
     BOOST_LEAF_CHECK(StartSegment());
   } else {
     const std::string name = SegmentName(segments_.back().sequence);
@@ -431,11 +432,13 @@
     };
     auto written = write();
     if (!written) {
+      has_failed_write_ = true;
       // Discards the partial write, which also frees its disk space.
       IgnoreFailure([&] { return files_->Truncate(name, synced_size_); });
       return written;
     }
     synced_size_ += bytes.size();
+    has_failed_write_ = false;
   }
   Segment& segment = segments_.back();
   segment.max_index = std::max(segment.max_index, pending_max_index_);
@@ -446,6 +449,15 @@
   return {};
 }
 
+boost::leaf::result<void> FileLog::CutFailedWrite() {
+  if (!has_failed_write_) return {};
+  const std::string name = SegmentName(segments_.back().sequence);
+  BOOST_LEAF_CHECK(files_->Truncate(name, synced_size_));
+  BOOST_LEAF_CHECK(files_->SyncFile(name));
+  has_failed_write_ = false;
+  return {};
+}
+
 boost::leaf::result<void> FileLog::StartSegment() {
   const std::uint64_t sequence =
       segments_.empty() ? 1 : segments_.back().sequence + 1;
--- a/modules/file_log/file_log.h
+++ b/modules/file_log/file_log.h
@@ -91,6 +91,9 @@
   boost::leaf::result<void> SyncSnapshot();
   /// Writes and syncs the pending records, in a new segment if they don't fit.
   boost::leaf::result<void> SyncRecords();
+  /// Removes the rest of a failed write from the last segment durably, so that
+  /// it doesn't return after a loss of power once a later segment exists.
+  boost::leaf::result<void> CutFailedWrite();
   /// Creates the next segment with the pending records.
   boost::leaf::result<void> StartSegment();
   /// Removes the leading segments whose entries are all compacted.
@@ -107,6 +110,8 @@
   std::deque<Segment> segments_;
   /// Synced bytes of the last segment. Bytes beyond are not durable.
   std::uint64_t synced_size_ = 0;
+  /// A write to the last segment failed and none succeeded since.
+  bool has_failed_write_ = false;
   /// Last index and hard state on disk, stored at the start of a new segment.
   LogIndex durable_last_index_ = 0;
   HardState durable_hard_state_;
--- a/tests/modules/file_log_test.cc
+++ b/tests/modules/file_log_test.cc
@@ -377,6 +377,31 @@
   }
 }
 
+// Guards against a partial write that stays in a segment although a later
+// segment follows it: the cut after the failed write was not durable.
+TEST(FileLog, FailedWriteBeforeANewSegmentDoesNotReturnWhenPowerFails) {
+  for (seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    FaultDisk failing;
+    auto log = OpenLog(failing, kSmallSegments);
+    CHECK(Succeeded(log->Load()));
+    const LogIndex filled = 1 + random.Below(4);
+    Fill(*log, 1, filled);
+    CHECK(Succeeded(log->Append({Entry(filled + 1)})));
+    failing.syncs_left = 0;
+    CHECK(ErrorOf([&] { return log->Sync(); }).has_value());
+    failing.syncs_left = kUnlimited;
+    for (LogIndex index = filled + 2; index <= 16; ++index) {
+      CHECK(Succeeded(log->Append({Entry(index)})));
+    }
+    CHECK(Succeeded(log->Sync()));
+    failing.LosePower(random);
+    const auto loaded = LoadFrom(failing, kSmallSegments);
+    CHECK_TEXT(loaded.value.has_value(), "a failed write returned");
+    CheckEntries(*loaded.value, 1, 16);
+  }
+}
+
 // Guards against a log that stays unusable after a crash between saving a
 // received snapshot and resetting the log.
 TEST(FileLog, SnapshotAheadOfTheLogReplacesTheLog) {
