Repair a write that lost sectors in its middle

After a loss of power the sectors of an unsynced write are on the disk in any combination. If the last one was there and an earlier one wasn't, the log was refused as corrupt: either because a valid record of the same write followed the damaged one, or because the file didn't end in zeros. With one disk of three lost, the other two then had no quorum.

Records that continue a write now carry a mark in their payload, in a field that earlier versions ignore. Damage is repaired if the file ends within the record or a whole sector is zero from there on, and no later write follows. A lost sector before a later write is still refused, as is each flipped bit.

--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -1,6 +1,7 @@
 #include "modules/file_log/file_log.h"
 
 #include <fmt/format.h>
+#include <google/protobuf/unknown_field_set.h>
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
@@ -46,6 +47,56 @@
   return sequence;
 }
 
+/// Field of the payload that marks a record as written together with the one
+/// before it. No message of proto/ has it, and readers ignore unknown fields.
+/// Records of versions without this mark count as written on their own.
+constexpr int kContinuesWriteField = 1000;
+
+std::string ContinuesWriteMark() {
+  google::protobuf::UnknownFieldSet fields;
+  fields.AddVarint(kContinuesWriteField, 1);
+  std::string bytes;
+  fields.SerializeToString(&bytes);
+  return bytes;
+}
+
+bool ContinuesWrite(const Record& record) {
+  google::protobuf::UnknownFieldSet fields;
+  if (!fields.ParseFromString(record.payload)) return false;
+  for (int i = 0; i < fields.field_count(); ++i) {
+    if (fields.field(i).number() == kContinuesWriteField) return true;
+  }
+  return false;
+}
+
+/// Returns true if a valid record that begins a write starts at any byte after
+/// `offset`. Everything before it was synced.
+bool HasWriteAfter(std::string_view file, std::uint64_t seed,
+                   std::uint64_t offset) {
+  Record record;
+  std::uint64_t size = 0;
+  for (++offset; offset + kRecordHeaderBytes <= file.size(); ++offset) {
+    const RecordCheck check = DecodeRecord(file, seed, offset, record, size);
+    if (check == RecordCheck::kValid && !ContinuesWrite(record)) return true;
+  }
+  return false;
+}
+
+/// Appends the encoded records of one write that begins at `offset`. `bytes`
+/// holds what of it was encoded before.
+void EncodeWrite(const std::vector<Record>& records, std::uint64_t seed,
+                 std::uint64_t offset, std::string& bytes) {
+  const std::string mark = ContinuesWriteMark();
+  for (const Record& record : records) {
+    if (bytes.empty()) {
+      EncodeRecord(record, seed, offset, bytes);
+      continue;
+    }
+    EncodeRecord({record.kind, record.payload + mark}, seed,
+                 offset + bytes.size(), bytes);
+  }
+}
+
 }  // namespace
 
 FileLog::FileLog(std::unique_ptr<FileSystem> files, FileLogOptions options)
@@ -141,11 +192,11 @@
 boost::leaf::result<void> FileLog::TruncateTornTail(
     const std::string& name, std::uint64_t sequence, const std::string& content,
     std::uint64_t offset, bool is_last, RecordCheck check, Replay& replay) {
-  // After a crash, an unsynced write is either truncated or ends in zeros, and
-  // no valid record follows it. Anything else is corruption of synced data.
-  const bool zeros_at_end = !content.empty() && content.back() == '\0';
-  const bool torn = check == RecordCheck::kIncomplete || zeros_at_end;
-  if (!is_last || !torn || HasRecordAfter(content, sequence, offset)) {
+  // After a crash, an unsynced write is truncated or lacks sectors, and no
+  // later write follows it. Anything else is corruption of synced data.
+  const bool torn =
+      check == RecordCheck::kIncomplete || HasLostSector(content, offset);
+  if (!is_last || !torn || HasWriteAfter(content, sequence, offset)) {
     return Corrupt(name, offset,
                    check == RecordCheck::kIncomplete
                        ? "the file ends within a record"
@@ -413,12 +464,10 @@
 boost::leaf::result<void> FileLog::SyncRecords() {
   if (pending_records_.empty()) return {};
   std::string bytes;
-  const auto encode = [&](std::uint64_t seed, std::uint64_t start_offset) {
-    for (const Record& record : pending_records_) {
-      EncodeRecord(record, seed, start_offset + bytes.size(), bytes);
-    }
-  };
-  if (!segments_.empty()) encode(segments_.back().sequence, synced_size_);
+  if (!segments_.empty()) {
+    EncodeWrite(pending_records_, segments_.back().sequence, synced_size_,
+                bytes);
+  }
   const bool needs_segment =
       segments_.empty() || synced_size_ + bytes.size() > options_.segment_bytes;
   if (needs_segment) {
@@ -468,9 +517,7 @@
   std::string bytes;
   EncodeRecord({RecordKind::kSegmentStart, start.SerializeAsString()}, sequence,
                0, bytes);
-  for (const Record& record : pending_records_) {
-    EncodeRecord(record, sequence, bytes.size(), bytes);
-  }
+  EncodeWrite(pending_records_, sequence, 0, bytes);
   const std::string name = SegmentName(sequence);
   auto write = [&]() -> boost::leaf::result<void> {
     BOOST_LEAF_CHECK(files_->Remove(name));
--- a/modules/file_log/record.cc
+++ b/modules/file_log/record.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+/// Smallest unit that disks write wholly or not at all.
+constexpr std::uint64_t kSectorBytes = 512;
 constexpr char kEndByte = '\xA5';
 /// Size of the header without its own checksum.
 constexpr std::size_t kChecksummedHeaderBytes = 16;
@@ -86,14 +88,13 @@
   return RecordCheck::kValid;
 }
 
-bool HasRecordAfter(std::string_view file, std::uint64_t seed,
-                    std::uint64_t offset) {
-  Record record;
-  std::uint64_t size = 0;
-  for (++offset; offset + kRecordHeaderBytes <= file.size(); ++offset) {
-    if (DecodeRecord(file, seed, offset, record, size) == RecordCheck::kValid) {
-      return true;
-    }
+bool HasLostSector(std::string_view file, std::uint64_t offset) {
+  if (file.empty() || file.back() == '\0') return true;
+  while (offset < file.size()) {
+    const std::uint64_t next = (offset / kSectorBytes + 1) * kSectorBytes;
+    const std::string_view sector = file.substr(offset, next - offset);
+    if (sector.find_first_not_of('\0') == std::string_view::npos) return true;
+    offset = next;
   }
   return false;
 }
--- a/modules/file_log/record.h
+++ b/modules/file_log/record.h
@@ -50,9 +50,9 @@
                          std::uint64_t offset, Record& record,
                          std::uint64_t& size);
 
-/// Returns true if a valid record starts at any byte after `offset`.
-bool HasRecordAfter(std::string_view file, std::uint64_t seed,
-                    std::uint64_t offset);
+/// Returns true if a whole sector of the disk, or its part from `offset` on, is
+/// zero, or the last byte is: a write from `offset` on was not completed.
+bool HasLostSector(std::string_view file, std::uint64_t offset);
 
 }  // namespace cassiausher
 
--- a/scripts/mutations/consensus.sh
+++ b/scripts/mutations/consensus.sh
@@ -193,7 +193,19 @@
   'IgnoreFailure([&] { return files_->Truncate(name, synced_size_); });' ''
 # Corruption at the end of the log is treated as a torn write.
 mutate damage_taken_for_torn $file_log \
-  'check == RecordCheck::kIncomplete || zeros_at_end;' 'true;'
+  'check == RecordCheck::kIncomplete || HasLostSector(content, offset);' 'true;'
+# A write that lacks sectors in its middle is taken for damage.
+mutate lost_sector_taken_for_damage $file_log \
+  'check == RecordCheck::kValid && !ContinuesWrite(record)' \
+  'check == RecordCheck::kValid'
+# What a killed process left unsynced counts as durable.
+mutate loaded_not_synced $file_log \
+  '  BOOST_LEAF_CHECK(SyncLoaded());
+' ''
+# A failed write is cut without a sync before a new segment follows.
+mutate failed_write_returns $file_log \
+  '    BOOST_LEAF_CHECK(CutFailedWrite());
+' ''
 # Compaction removes segments with entries that no snapshot covers.
 mutate compact_too_far $file_log \
   'segments_.front().max_index <= compact_to_' 'true'
--- a/tests/modules/file_log_test.cc
+++ b/tests/modules/file_log_test.cc
@@ -84,6 +84,13 @@
 
 constexpr std::uint64_t kUnlimited = 1'000'000'000;
 
+/// Spans up to four sectors.
+LogEntry LargeEntry(LogIndex index, Random& random) {
+  LogEntry entry = Entry(index);
+  entry.data.resize(100 + random.Below(1900), 'x');
+  return entry;
+}
+
 /// Appends `count` entries, each with its own hard state and sync.
 void Fill(FileLog& log, LogIndex first, LogIndex count) {
   for (LogIndex index = first; index < first + count; ++index) {
@@ -377,6 +384,59 @@
   }
 }
 
+// Guards against a log that takes a write for damage of synced data because
+// power failed when only some of its sectors were on the disk.
+TEST(FileLog, WriteTornBetweenSectorsIsRepaired) {
+  for (seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    FaultDisk torn;
+    auto log = OpenLog(torn);
+    CHECK(Succeeded(log->Load()));
+    Fill(*log, 1, 3);
+    for (LogIndex index = 4; index < 5 + random.Below(8); ++index) {
+      CHECK(Succeeded(log->Append({LargeEntry(index, random)})));
+    }
+    // The write takes effect, its sync doesn't.
+    torn.operations_left = 1;
+    CHECK(ErrorOf([&] { return log->Sync(); }).has_value());
+    torn.operations_left = kUnlimited;
+    torn.LosePower(random);
+    const auto loaded = LoadFrom(torn);
+    CHECK_TEXT(loaded.value.has_value(), "a torn write was not repaired");
+    CHECK(loaded.value->entries.size() >= 3);
+    for (LogIndex index = 1; index <= 3; ++index) {
+      CHECK(loaded.value->entries[index - 1] == Entry(index));
+    }
+  }
+}
+
+// Guards against a lost sector of a synced write that is taken for a torn write
+// although a later write follows it.
+TEST(FileLog, LostSectorBeforeALaterWriteIsReported) {
+  {
+    Random random(1);
+    auto log = OpenLog(disk);
+    CHECK(Succeeded(log->Load()));
+    for (LogIndex index = 1; index <= 6; index += 2) {
+      CHECK(Succeeded(log->Append(
+          {LargeEntry(index, random), LargeEntry(index + 1, random)})));
+      CHECK(Succeeded(log->Sync()));
+    }
+    Fill(*log, 7, 1);
+  }
+  const std::string name = disk.current.begin()->first;
+  const std::size_t size = disk.current[name]->current.size();
+  CHECK(size >= 8 * 512);
+  // The last sector may belong to the last write.
+  for (std::size_t at = 0; at + 2 * 512 < size; at += 512) {
+    FaultDisk copy = disk.Copy();
+    copy.current[name]->current.replace(at, 512, 512, '\0');
+    const auto loaded = LoadFrom(copy);
+    CHECK_TEXT(loaded.error.has_value(), "a lost sector was not detected");
+    CHECK(loaded.error->code == StorageError::Code::kCorrupt);
+  }
+}
+
 // Guards against a partial write that stays in a segment although a later
 // segment follows it: the cut after the failed write was not durable.
 TEST(FileLog, FailedWriteBeforeANewSegmentDoesNotReturnWhenPowerFails) {
@@ -402,6 +462,65 @@
   }
 }
 
+// Guards against any loss of synced state over kills, failed syncs, a full disk
+// and losses of power in one run.
+TEST(FileLog, SyncedStateSurvivesKillsFaultsAndLossesOfPower) {
+  constexpr FileLogOptions kOptions{.segment_bytes = 4000};
+  for (seed = 1; seed <= 1500; ++seed) {
+    Random random(seed);
+    FaultDisk faulty;
+    HardState synced_state;
+    std::vector<LogEntry> written;
+    LogIndex synced = 0;
+    LogIndex snapshot = 0;
+    for (int restart = 0; restart < 5; ++restart) {
+      faulty.operations_left = faulty.syncs_left = faulty.space = kUnlimited;
+      auto log = OpenLog(faulty, kOptions);
+      const auto loaded = Attempt([&] { return log->Load(); });
+      CHECK_TEXT(loaded.value.has_value(), "a fault was taken for corruption");
+      const StoredState& state = *loaded.value;
+      const LogIndex base = state.snapshot ? state.snapshot->index : 0;
+      const LogIndex found = base + state.entries.size();
+      CHECK(base >= snapshot);
+      CHECK(found >= synced && found <= written.size());
+      CHECK(state.hard_state.term >= synced_state.term);
+      for (const LogEntry& entry : state.entries) {
+        CHECK(entry == written[entry.index - 1]);
+      }
+      written.resize(found);
+      synced = found;
+      snapshot = base;
+      synced_state = state.hard_state;
+      HardState next = synced_state;
+      if (random.Chance(0.5)) faulty.operations_left = random.Below(60);
+      for (int step = 0; step < 20; ++step) {
+        const LogIndex index = written.size() + 1;
+        const bool large = random.Chance(0.3);
+        written.push_back(large ? LargeEntry(index, random) : Entry(index));
+        CHECK(Succeeded(log->Append({written.back()})));
+        ++next.term;
+        CHECK(Succeeded(log->SaveHardState(next)));
+        if (random.Chance(0.1) && synced > snapshot) {
+          CHECK(Succeeded(log->SaveSnapshot(SnapshotAt(synced))));
+          CHECK(Succeeded(log->CompactPrefix(synced)));
+          snapshot = synced;
+        }
+        if (random.Chance(0.1)) faulty.syncs_left = random.Below(3);
+        if (random.Chance(0.1)) faulty.space = random.Below(900);
+        if (random.Chance(0.5)) faulty.syncs_left = kUnlimited;
+        if (random.Chance(0.5)) faulty.space = kUnlimited;
+        if (random.Chance(0.4)) continue;
+        if (ErrorOf([&] { return log->Sync(); })) continue;
+        synced = written.size();
+        synced_state = next;
+      }
+      // A snapshot that was not synced may be lost.
+      snapshot = 0;
+      if (random.Chance(0.7)) faulty.LosePower(random);
+    }
+  }
+}
+
 // Guards against a log that stays unusable after a crash between saving a
 // received snapshot and resetting the log.
 TEST(FileLog, SnapshotAheadOfTheLogReplacesTheLog) {
