Sync the names of the log's folder and its parents

The log synced its files and its own folder, but not the folders above. On the first start these had just been created, so that a loss of power removed the whole log after changes were acknowledged; the instance came back as a replica that has lost its disk.

PosixFileSystem::Open() now syncs each parent that the user can change, on the same device, also if it exists, as an earlier process may have been killed before.

--- a/modules/file_log/file_system.h
+++ b/modules/file_log/file_system.h
@@ -17,7 +17,8 @@
  public:
   virtual ~FileSystem() = default;
 
-  /// Creates the directory if needed and locks it against other processes.
+  /// Creates the directory if needed, makes its name durable and locks it
+  /// against other processes.
   virtual boost::leaf::result<void> Open() = 0;
   /// Returns the file names in alphabetical order.
   virtual boost::leaf::result<std::vector<std::string>> List() = 0;
--- a/modules/file_log/posix_file_system.cc
+++ b/modules/file_log/posix_file_system.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -30,6 +31,20 @@
           file, offset, std::string(call) + ": " + std::strerror(error)};
 }
 
+boost::leaf::result<void> SyncFolderAt(const std::string& path) {
+  const int folder = ::open(path.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+  if (folder < 0) {
+    return boost::leaf::new_error(SystemError(path, 0, "open", errno));
+  }
+  const int outcome = ::fsync(folder);
+  const int error = errno;
+  ::close(folder);
+  if (outcome != 0) {
+    return boost::leaf::new_error(SystemError(path, 0, "fsync", error));
+  }
+  return {};
+}
+
 }  // namespace
 
 PosixFileSystem::PosixFileSystem(std::string folder)
@@ -51,6 +66,7 @@
     return boost::leaf::new_error(
         SystemError(folder_, 0, "mkdir", error.value()));
   }
+  BOOST_LEAF_CHECK(SyncParents());
   const std::string path = Path(kLockFileName);
   lock_ = ::open(path.c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode);
   if (lock_ < 0) {
@@ -65,6 +81,29 @@
   return {};
 }
 
+boost::leaf::result<void> PosixFileSystem::SyncParents() {
+  std::error_code error;
+  std::filesystem::path path = std::filesystem::canonical(folder_, error);
+  if (error) {
+    return boost::leaf::new_error(
+        SystemError(folder_, 0, "realpath", error.value()));
+  }
+  struct stat status {};
+  if (::stat(path.c_str(), &status) != 0) {
+    return boost::leaf::new_error(SystemError(folder_, 0, "stat", errno));
+  }
+  const dev_t device = status.st_dev;
+  while (path.has_relative_path()) {
+    path = path.parent_path();
+    if (::stat(path.c_str(), &status) != 0) return {};
+    if (status.st_dev != device) return {};
+    // A folder that can't be written to was not created by this user.
+    if (::access(path.c_str(), R_OK | W_OK) != 0) return {};
+    BOOST_LEAF_CHECK(SyncFolderAt(path.string()));
+  }
+  return {};
+}
+
 boost::leaf::result<std::vector<std::string>> PosixFileSystem::List() {
   std::error_code error;
   std::vector<std::string> names;
@@ -166,18 +205,7 @@
 }
 
 boost::leaf::result<void> PosixFileSystem::SyncFolder() {
-  const int folder =
-      ::open(folder_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-  if (folder < 0) {
-    return boost::leaf::new_error(SystemError(folder_, 0, "open", errno));
-  }
-  const int outcome = ::fsync(folder);
-  const int error = errno;
-  ::close(folder);
-  if (outcome != 0) {
-    return boost::leaf::new_error(SystemError(folder_, 0, "fsync", error));
-  }
-  return {};
+  return SyncFolderAt(folder_);
 }
 
 boost::leaf::result<void> PosixFileSystem::Rename(const std::string& from,
--- a/modules/file_log/posix_file_system.h
+++ b/modules/file_log/posix_file_system.h
@@ -32,6 +32,9 @@
   std::string Path(const std::string& name) const override;
 
  private:
+  /// Makes the folder's own name and those of its parents durable, up to the
+  /// first one that this user can't change or that is on another device.
+  boost::leaf::result<void> SyncParents();
   /// Opens or creates the file. The descriptor stays open until another file is
   /// used, so that consecutive writes to one file don't reopen it.
   boost::leaf::result<int> Descriptor(const std::string& name);
