Abandon the replacement of a voter that is itself lost

While a voter was being replaced, the planner waited for the replacement without a limit. If the replacement lost its disk meanwhile, it never caught up, and no lost voter was replaced from then on: the group stayed one voter short until the next loss cost its quorum.

The planner now removes a replacement that has been silent for as long as a lost voter, whether it is still a learner or already a voter; the lost voter then gets another one.

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -246,6 +246,9 @@
   } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
     subject = replace->replacement;
     result = raft.ReplaceVoter(replace->lost, subject, now);
+  } else if (const auto* abandon = std::get_if<AbandonReplacementStep>(&step)) {
+    subject = abandon->replacement;
+    result = raft.Remove(subject, now);
   } else {
     subject = std::get<RemoveLearnerStep>(step).learner;
     result = raft.Remove(subject, now);
--- a/servers/control/voter_planner.cc
+++ b/servers/control/voter_planner.cc
@@ -16,6 +16,12 @@
   return spares;
 }
 
+bool IsSilent(const VoterPlannerOptions& options, const VoterView& view,
+              const ReplicaId& replica) {
+  const auto found = view.silence.find(replica);
+  return found != view.silence.end() && found->second >= options.replace_after;
+}
+
 // The voter that has been silent for longest, if for at least `replace_after`.
 std::optional<ReplicaId> LostVoter(const VoterPlannerOptions& options,
                                    const VoterView& view) {
@@ -42,9 +48,7 @@
 std::optional<ReplicaId> LostLearner(const VoterPlannerOptions& options,
                                      const VoterView& view) {
   for (const ReplicaId& learner : view.configuration.learners) {
-    const auto found = view.silence.find(learner);
-    if (found == view.silence.end()) continue;
-    if (found->second >= options.replace_after) return learner;
+    if (IsSilent(options, view, learner)) return learner;
   }
   return std::nullopt;
 }
@@ -53,7 +57,11 @@
 
 VoterStep PlanVoters(const VoterPlannerOptions& options,
                      const VoterView& view) {
-  if (view.configuration.replacement.has_value()) return NoStep{};
+  if (const auto& plan = view.configuration.replacement; plan.has_value()) {
+    // Otherwise no lost voter could be replaced any more.
+    if (!IsSilent(options, view, plan->replacement)) return NoStep{};
+    return AbandonReplacementStep{plan->replacement};
+  }
   const std::set<ReplicaId> spares = AvailableSpares(options, view);
   const std::optional<ReplicaId> lost = LostVoter(options, view);
   if (lost.has_value()) {
--- a/servers/control/voter_planner.h
+++ b/servers/control/voter_planner.h
@@ -44,9 +44,14 @@
 struct RemoveLearnerStep {
   ReplicaId learner;
 };
+/// Removes a replacement that was itself lost, whether it is still a learner or
+/// already a voter. The lost voter then gets another one.
+struct AbandonReplacementStep {
+  ReplicaId replacement;
+};
 struct NoStep {};
 using VoterStep = std::variant<NoStep, AddLearnerStep, PromoteStep, ReplaceStep,
-                               RemoveLearnerStep>;
+                               RemoveLearnerStep, AbandonReplacementStep>;
 
 /// Returns the next membership change, which the leader proposes while no
 /// earlier one is pending. The group grows by two voters at a time to keep
--- a/tests/control/voter_planner_test.cc
+++ b/tests/control/voter_planner_test.cc
@@ -93,6 +93,27 @@
   CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
 }
 
+// Guards against a group that can replace no lost voter any more because the
+// replacement of one lost its disk or its power.
+TEST(VoterPlanner, SilentReplacementIsAbandoned) {
+  VoterView view = ThreeVoters();
+  view.configuration.replacement = {Replica("c"), Replica("d")};
+  view.configuration.learners.insert(Replica("d"));
+  view.silence[Replica("d")] = Milliseconds(100);
+  view.unconfigured[Replica("d", 2)] = Milliseconds(100);
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+  view.silence[Replica("d")] = Seconds(3);
+  VoterStep step = PlanVoters(options, view);
+  CHECK_TRUE(Is<AbandonReplacementStep>(step));
+  CHECK_TRUE(std::get<AbandonReplacementStep>(step).replacement ==
+             Replica("d"));
+  // It may have become a voter before it was lost.
+  view.configuration.learners.clear();
+  view.configuration.voters.insert(Replica("d"));
+  step = PlanVoters(options, view);
+  CHECK_TRUE(Is<AbandonReplacementStep>(step));
+}
+
 // A lost learner would block every later membership change.
 TEST(VoterPlanner, SilentLearnerIsRemoved) {
   VoterView view = ThreeVoters();
