Replace a lost voter by a learner that answers

A spare that was added as a learner, to grow the group, was no longer counted as a spare. If a voter was lost before a second spare came, the lost one was never replaced and the learner never promoted, although it had a copy of the log.

The planner now also chooses from the learners that answer.

--- a/servers/control/voter_planner.cc
+++ b/servers/control/voter_planner.cc
@@ -22,6 +22,17 @@
   return found != view.silence.end() && found->second >= options.replace_after;
 }
 
+// Replicas that can replace a voter: the spares, and learners that answer. A
+// spare that was added as a learner to grow the group is no longer one.
+std::set<ReplicaId> Replacements(const VoterPlannerOptions& options,
+                                 const VoterView& view,
+                                 std::set<ReplicaId> spares) {
+  for (const ReplicaId& learner : view.configuration.learners) {
+    if (!IsSilent(options, view, learner)) spares.insert(learner);
+  }
+  return spares;
+}
+
 // The voter that has been silent for longest, if for at least `replace_after`.
 std::optional<ReplicaId> LostVoter(const VoterPlannerOptions& options,
                                    const VoterView& view) {
@@ -65,8 +76,9 @@
   const std::set<ReplicaId> spares = AvailableSpares(options, view);
   const std::optional<ReplicaId> lost = LostVoter(options, view);
   if (lost.has_value()) {
-    if (spares.empty()) return NoStep{};
-    return ReplaceStep{*lost, ChooseSpare(spares, *lost)};
+    const auto replacements = Replacements(options, view, spares);
+    if (replacements.empty()) return NoStep{};
+    return ReplaceStep{*lost, ChooseSpare(replacements, *lost)};
   }
   if (const auto learner = LostLearner(options, view)) {
     return RemoveLearnerStep{*learner};
--- a/tests/control/voter_planner_test.cc
+++ b/tests/control/voter_planner_test.cc
@@ -114,6 +114,21 @@
   CHECK_TRUE(Is<AbandonReplacementStep>(step));
 }
 
+// Guards against a lost voter that stays a member although an instance that
+// could replace it was added as a learner shortly before.
+TEST(VoterPlanner, SilentVoterIsReplacedByALearnerThatAnswers) {
+  VoterView view = ThreeVoters();
+  view.silence[Replica("c")] = Seconds(3);
+  view.configuration.learners.insert(Replica("d"));
+  view.silence[Replica("d")] = Milliseconds(100);
+  const VoterStep step = PlanVoters(options, view);
+  CHECK_TRUE(Is<ReplaceStep>(step));
+  CHECK_TRUE(std::get<ReplaceStep>(step).lost == Replica("c"));
+  CHECK_TRUE(std::get<ReplaceStep>(step).replacement == Replica("d"));
+  view.silence[Replica("d")] = Seconds(3);
+  CHECK_FALSE(Is<ReplaceStep>(PlanVoters(options, view)));
+}
+
 // A lost learner would block every later membership change.
 TEST(VoterPlanner, SilentLearnerIsRemoved) {
   VoterView view = ThreeVoters();
