Play losses of power in the Raft simulation

Before that come kills in the middle of a sync, full and failing disks, partitions, lost and replaced disks and instances, and membership changes in progress. The Raft core runs on real file logs above the fault disk, and voters are planned as the control instances do. What was applied anywhere must be in the log afterwards, and the history of each register must be linearizable.

--- a/tests/consensus/raft_random_test.cc
+++ b/tests/consensus/raft_random_test.cc
@@ -1,9 +1,11 @@
 // Randomised simulation. Guards against violations of Raft's safety properties
 // under any combination of faults, and against a group that does not recover
-// once the faults end. CASSIAUSHER_CONSENSUS_SEEDS sets the number of seeds,
-// CASSIAUSHER_CONSENSUS_FIRST_SEED the first one.
+// once the faults end. CASSIAUSHER_CONSENSUS_SEEDS sets the number of seeds of
+// the first test, and of the others in proportion;
+// CASSIAUSHER_CONSENSUS_FIRST_SEED sets the first one.
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <cstdio>
@@ -21,6 +23,8 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 4000;
+constexpr std::uint64_t kPowerLossSeeds = 2000;
+constexpr std::uint64_t kEightInstancesSeeds = 500;
 constexpr int kThreads = 4;
 
 std::uint64_t FromEnvironment(const char* name, std::uint64_t default_value) {
@@ -37,46 +41,96 @@
   to.failed_syncs += from.failed_syncs;
   to.reads += from.reads;
   to.writes += from.writes;
+  to.kills += from.kills;
+  to.power_losses += from.power_losses;
+  to.lost_disks += from.lost_disks;
+  to.losses_after_write += from.losses_after_write;
+  to.losses_during_change += from.losses_during_change;
 }
 
-}  // namespace
-
-TEST_GROUP(RaftRandom){};
+struct Outcome {
+  std::uint64_t seeds = 0;
+  SimulationCounts total;
+  std::vector<std::string> violations;
+};
 
-TEST(RaftRandom, SafetyAndRecoveryOverManySeeds) {
+/// Runs `default_seeds` seeds, or a part of them or more if the environment
+/// tells.
+Outcome RunSeeds(std::uint64_t default_seeds,
+                 const SimulationOptions& options) {
   const std::uint64_t first =
       FromEnvironment("CASSIAUSHER_CONSENSUS_FIRST_SEED", 1);
-  const std::uint64_t seeds =
+  const std::uint64_t wanted =
       FromEnvironment("CASSIAUSHER_CONSENSUS_SEEDS", kSeeds);
+  Outcome outcome;
+  outcome.seeds = std::max<std::uint64_t>(1, default_seeds * wanted / kSeeds);
   std::atomic<std::uint64_t> next{first};
   std::mutex mutex;
-  SimulationCounts total;
-  std::vector<std::string> violations;
   const auto run_seeds = [&] {
-    for (std::uint64_t seed = next++; seed < first + seeds; seed = next++) {
-      Simulation simulation(seed);
+    for (std::uint64_t seed = next++; seed < first + outcome.seeds;
+         seed = next++) {
+      Simulation simulation(seed, options);
       const std::string violation = simulation.Run();
       const std::lock_guard lock(mutex);
-      Add(simulation.counts(), total);
-      if (!violation.empty()) {
-        violations.push_back("seed " + std::to_string(seed) + ": " + violation);
-      }
+      Add(simulation.counts(), outcome.total);
+      if (violation.empty()) continue;
+      outcome.violations.push_back("seed " + std::to_string(seed) + ": " +
+                                   violation);
     }
   };
   std::vector<std::thread> threads;
   for (int i = 0; i < kThreads; ++i) threads.emplace_back(run_seeds);
   for (std::thread& thread : threads) thread.join();
+  return outcome;
+}
+
+void PrintViolations(const Outcome& outcome) {
+  for (std::size_t i = 0; i < outcome.violations.size() && i < 10; ++i) {
+    std::printf("%s\n", outcome.violations[i].c_str());
+  }
+}
+
+void CheckPowerLosses(std::uint64_t default_seeds,
+                      const SimulationOptions& options) {
+  const Outcome outcome = RunSeeds(default_seeds, options);
+  const SimulationCounts& total = outcome.total;
+  std::printf(
+      "%d instances, %lu seeds: %lu power losses (%lu after a write, %lu "
+      "during a change), %lu disks lost, %lu replacements, %lu kills, %lu "
+      "crashes, %lu failed syncs, %lu writes, %zu violations\n",
+      options.instances, outcome.seeds, total.power_losses,
+      total.losses_after_write, total.losses_during_change, total.lost_disks,
+      total.replacements, total.kills, total.crashes, total.failed_syncs,
+      total.writes, outcome.violations.size());
+  PrintViolations(outcome);
+  CHECK(outcome.violations.empty());
+  // Ensures that the faults occurred and that operations completed.
+  if (outcome.seeds < default_seeds) return;
+  const std::uint64_t seeds = outcome.seeds;
+  CHECK(total.power_losses == seeds * options.days);
+  CHECK(total.losses_after_write > seeds / 4);
+  CHECK(total.losses_during_change > seeds / 20);
+  CHECK(total.kills > seeds / 2 && total.failed_syncs > seeds / 4);
+  CHECK(total.replacements > seeds && total.writes > 10 * seeds);
+}
+
+}  // namespace
+
+TEST_GROUP(RaftRandom){};
+
+TEST(RaftRandom, SafetyAndRecoveryOverManySeeds) {
+  const Outcome outcome = RunSeeds(kSeeds, {});
+  const std::uint64_t seeds = outcome.seeds;
+  const SimulationCounts& total = outcome.total;
   std::printf(
       "%lu seeds: %lu elections, %lu entries, %lu crashes, %lu replacements, "
       "%lu snapshots installed, %lu failed syncs, %lu reads, %lu writes, "
       "%zu violations\n",
       seeds, total.elections, total.committed, total.crashes,
       total.replacements, total.snapshots_installed, total.failed_syncs,
-      total.reads, total.writes, violations.size());
-  for (std::size_t i = 0; i < violations.size() && i < 10; ++i) {
-    std::printf("%s\n", violations[i].c_str());
-  }
-  CHECK(violations.empty());
+      total.reads, total.writes, outcome.violations.size());
+  PrintViolations(outcome);
+  CHECK(outcome.violations.empty());
   // Ensures that the faults occurred and that operations completed.
   if (seeds >= kSeeds) {
     CHECK(total.crashes > seeds && total.replacements > seeds / 4);
@@ -86,6 +140,19 @@
   }
 }
 
+// Guards against acknowledged changes that are lost, reads of an older state
+// and a group that does not recover when as many disks as tolerated are lost
+// while all other machines lose power, after other faults of any kind.
+TEST(RaftRandom, AcknowledgedChangesSurviveLostDisksAndLossOfPower) {
+  CheckPowerLosses(kPowerLossSeeds,
+                   {.instances = 3, .days = 2, .tolerated_disks = 1});
+}
+
+TEST(RaftRandom, AcknowledgedChangesOfEightSurviveTwoLostDisksAndLossOfPower) {
+  CheckPowerLosses(kEightInstancesSeeds,
+                   {.instances = 8, .days = 2, .tolerated_disks = 2});
+}
+
 TEST_GROUP(Linearizability){};
 
 TEST(Linearizability, StaleReadIsNotLinearizable) {
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -16,6 +16,12 @@
 constexpr int kRecoverySteps = 1000;
 constexpr int kRegisters = 3;
 constexpr Duration kClientTimeout = Milliseconds(1500);
+constexpr int kPowerLossRecoverySteps = 3000;
+constexpr std::uint64_t kMaxDaySteps = 250;
+constexpr std::uint64_t kUnlimited = 100'000'000;
+/// The intervals of the control instances, shortened like those of Raft.
+constexpr VoterPlannerOptions kVoterPlanner{.replace_after = Milliseconds(450),
+                                            .spare_expiry = Milliseconds(450)};
 
 const std::set<InstanceId>& InitialVoters() {
   static const std::set<InstanceId> initial_voters{
@@ -62,7 +68,8 @@
 
 }  // namespace
 
-Simulation::Simulation(std::uint64_t seed) : random_(seed) {
+Simulation::Simulation(std::uint64_t seed, const SimulationOptions& options)
+    : options_(options), random_(seed) {
   const auto sometimes = [&](double probability) {
     return random_.Chance(0.5) ? probability : 0.0;
   };
@@ -80,7 +87,16 @@
              .replacement = random_.Chance(0.5),
              .automatic_replacement = random_.Chance(0.5)};
   losses_left_ = faults_.replacement ? 2 : 0;
-  for (const InstanceId& name : InitialVoters()) AddMachine(name.value());
+  if (options_.days > 0) {
+    faults_.kill = sometimes(0.02);
+    faults_.lose_disk = sometimes(0.01);
+    faults_.replacement = false;
+    faults_.automatic_replacement = true;
+    losses_left_ = 0;
+  }
+  for (int i = 0; i < options_.instances; ++i) {
+    AddMachine(std::string(1, static_cast<char>('a' + i)));
+  }
   clients_.resize(3);
 }
 
@@ -89,6 +105,14 @@
 }
 
 std::string Simulation::Run() {
+  for (int day = 0; day < options_.days && violation_.empty(); ++day) RunDay();
+  if (options_.days > 0) {
+    if (violation_.empty()) CheckLogsMatch();
+    if (violation_.empty()) CheckHistories();
+    counts_.committed = committed_.size();
+    counts_.elections = leaders_.size();
+    return violation_;
+  }
   for (int step = 0; step < kFaultySteps && violation_.empty(); ++step) {
     InjectFaults();
     Step();
@@ -114,15 +138,219 @@
   now_ += kStep;
   Deliver();
   for (auto& [name, machine] : machines_) {
-    if (!machine->process) continue;
+    if (!machine->process || power_fails_) continue;
     machine->process->raft->Tick(LocalTime(*machine));
     Write(*machine);
+    if (machine->disk.operations_left == 0) {
+      Kill(name);
+      continue;
+    }
     Collect(name);
   }
-  DriveReplacement();
+  if (power_fails_) return;
+  if (options_.days > 0) {
+    DriveVoters();
+  } else {
+    DriveReplacement();
+  }
   DriveClients();
 }
 
+// --- Losses of power -------------------------------------------------------
+
+void Simulation::RunDay() {
+  const Faults faults = faults_;
+  const std::uint64_t steps = 50 + random_.Below(kMaxDaySteps);
+  for (std::uint64_t i = 0; i < steps && violation_.empty(); ++i) {
+    InjectFaults();
+    Step();
+  }
+  Heal();
+  for (int i = 0; violation_.empty() && !IsTolerant(); ++i) {
+    if (i == kPowerLossRecoverySteps) {
+      ReportViolation("the group does not get its voters");
+    }
+    Step();
+  }
+  faults_ = faults;
+  faults_.lose_disk = 0;
+  lost_since_tolerant_ = 0;
+  // A membership change may be in progress when the power fails.
+  if (random_.Chance(0.4)) LoseDisk(RandomMachine());
+  if (violation_.empty()) RunUntilPowerFails();
+  if (violation_.empty()) LosePower();
+  faults_ = faults;
+  if (violation_.empty()) Recover();
+}
+
+void Simulation::RunUntilPowerFails() {
+  const std::uint64_t steps = random_.Below(120);
+  for (std::uint64_t i = 0; i < steps && violation_.empty(); ++i) {
+    InjectFaults();
+    Step();
+  }
+  moment_ = static_cast<Moment>(random_.Below(3));
+  proposed_ = false;
+  for (int i = 0; i < 200 && moment_ != Moment::kAny; ++i) {
+    if (power_fails_ || proposed_ || !violation_.empty()) break;
+    InjectFaults();
+    Step();
+  }
+  if (power_fails_) ++counts_.losses_after_write;
+  if (!proposed_) return;
+  // 5 to 400 ms after the change was sent.
+  const std::uint64_t later = random_.Below(40);
+  for (std::uint64_t i = 0; i < later && violation_.empty(); ++i) Step();
+}
+
+void Simulation::LosePower() {
+  ++counts_.power_losses;
+  const std::string leader = Leader();
+  if (!leader.empty()) {
+    const RaftConfiguration& configuration =
+        machines_[leader]->process->raft->configuration();
+    const bool even = configuration.voters.size() % 2 == 0;
+    if (even || configuration.replacement) ++counts_.losses_during_change;
+  }
+  const int losses =
+      options_.tolerated_disks - static_cast<int>(lost_since_tolerant_);
+  for (auto& [name, machine] : machines_) {
+    machine->process.reset();
+    machine->disk.LosePower(random_);
+  }
+  for (int i = 0; i < losses; ++i) {
+    const bool lose_leader = i == 0 && random_.Chance(0.5);
+    LoseDisk(lose_leader && !leader.empty() ? leader : RandomMachine());
+  }
+  if (random_.Chance(0.7)) network_.clear();
+  moment_ = Moment::kAny;
+  power_fails_ = false;
+}
+
+void Simulation::Recover() {
+  const Faults faults = faults_;
+  faults_ = {.heal = 0.1, .restart = 0.05, .automatic_replacement = true};
+  const std::uint64_t steps = random_.Below(100);
+  for (std::uint64_t i = 0; i < steps && violation_.empty(); ++i) {
+    InjectFaults();
+    Step();
+  }
+  Heal();
+  int step = 0;
+  while (violation_.empty() && !(IsTolerant() && HasConverged())) {
+    if (++step > kPowerLossRecoverySteps) {
+      ReportViolation("no progress after the loss of power");
+    }
+    Step();
+  }
+  if (violation_.empty()) ReadRegisters();
+  faults_ = faults;
+}
+
+void Simulation::ReadRegisters() {
+  const std::string leader = Leader();
+  const Process& process = *machines_[leader]->process;
+  for (int key = 0; key < kRegisters; ++key) {
+    const auto found = process.registers.find(key);
+    RegisterOperation operation{.is_write = false,
+                                .invoked = now_.time_since_epoch().count()};
+    operation.value = found == process.registers.end() ? 0 : found->second;
+    operation.returned = now_.time_since_epoch().count() + 1;
+    histories_[key].push_back(operation);
+  }
+}
+
+int Simulation::LostVoters() {
+  const std::string leader = Leader();
+  if (leader.empty()) return options_.tolerated_disks;
+  int lost = 0;
+  const Raft& raft = *machines_[leader]->process->raft;
+  for (const ReplicaId& voter : raft.configuration().voters) {
+    const auto found = machines_.find(voter.instance.value());
+    const bool present =
+        found != machines_.end() && found->second->replica == voter;
+    if (!present) ++lost;
+  }
+  return lost;
+}
+
+bool Simulation::IsTolerant() {
+  const std::string leader = Leader();
+  if (leader.empty() || LostVoters() > 0) return false;
+  const Raft& raft = *machines_[leader]->process->raft;
+  const int voters = static_cast<int>(raft.configuration().voters.size());
+  return raft.configuration_committed() && !raft.configuration().replacement &&
+         committed_.size() > 3 && voters >= 2 * options_.tolerated_disks + 1;
+}
+
+std::string Simulation::RandomMachine() {
+  const auto steps =
+      static_cast<std::ptrdiff_t>(random_.Below(machines_.size()));
+  return std::next(machines_.begin(), steps)->first;
+}
+
+void Simulation::LoseDisk(const std::string& name) {
+  ++counts_.lost_disks;
+  ++lost_since_tolerant_;
+  const bool same_address = random_.Chance(0.5);
+  const std::string address =
+      same_address ? name : fmt::format("n{}", next_address_++);
+  machines_.erase(name);
+  machines_[address] = std::make_unique<Machine>();
+  machines_[address]->may_bootstrap = false;
+  if (!power_fails_) Start(address);
+}
+
+void Simulation::Kill(const std::string& name) {
+  machines_[name]->process.reset();
+  ++counts_.kills;
+}
+
+void Simulation::DriveVoters() {
+  const std::string name = Leader();
+  if (name.empty()) return;
+  Machine& machine = *machines_[name];
+  Raft& raft = *machine.process->raft;
+  if (!raft.configuration_committed()) return;
+  const Time now = LocalTime(machine);
+  VoterView view{.configuration = raft.configuration(),
+                 .silence = raft.TimeSinceLastReply()};
+  for (const auto& [replica, heard_at] : raft.unconfigured_replicas()) {
+    view.unconfigured[replica] = now - heard_at;
+  }
+  const VoterStep step = PlanVoters(kVoterPlanner, view);
+  if (const auto* add = std::get_if<AddLearnerStep>(&step)) {
+    raft.AddLearner(add->learner, now);
+  } else if (const auto* promote = std::get_if<PromoteStep>(&step)) {
+    raft.Promote(promote->learner, now);
+  } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
+    if (raft.ReplaceVoter(replace->lost, replace->replacement, now)
+            .accepted()) {
+      ++counts_.replacements;
+    }
+  } else if (const auto* remove = std::get_if<RemoveLearnerStep>(&step)) {
+    raft.Remove(remove->learner, now);
+  } else if (const auto* abandon = std::get_if<AbandonReplacementStep>(&step)) {
+    raft.Remove(abandon->replacement, now);
+  }
+  ResetReplaced(raft);
+}
+
+void Simulation::ResetReplaced(const Raft& leader) {
+  for (auto& [name, machine] : machines_) {
+    if (!machine->process) continue;
+    const Raft& raft = *machine->process->raft;
+    const bool own_group =
+        raft.configuration().group == leader.configuration().group;
+    if (!own_group || leader.commit_index() < raft.commit_index()) continue;
+    if (!leader.configuration_committed()) continue;
+    if (leader.configuration().IsMember(raft.replica())) continue;
+    machine = std::make_unique<Machine>();
+    machine->may_bootstrap = false;
+    Start(name);
+  }
+}
+
 // --- Faults ----------------------------------------------------------------
 
 void Simulation::InjectFaults() {
@@ -155,6 +383,13 @@
       machine.disk.syncs_left = random_.Below(3);
     }
     if (random_.Chance(0.05)) machine.disk.syncs_left = 100000000;
+    if (machine.process && faults_.kill > 0 && random_.Chance(faults_.kill)) {
+      machine.disk.operations_left = 1 + random_.Below(10);
+    }
+  }
+  if (faults_.lose_disk > 0 && random_.Chance(faults_.lose_disk) &&
+      IsTolerant()) {
+    LoseDisk(RandomMachine());
   }
   const std::string leader = Leader();
   if (!leader.empty() && random_.Chance(faults_.transfer)) {
@@ -173,6 +408,7 @@
   for (auto& [name, machine] : machines_) {
     machine->disk.space = 100000000;
     machine->disk.syncs_left = 100000000;
+    machine->disk.operations_left = kUnlimited;
     if (!machine->process) Start(name);
   }
 }
@@ -181,10 +417,12 @@
   const std::string leader = Leader();
   if (leader.empty() || pending_replacement_) return false;
   Raft& raft = *machines_[leader]->process->raft;
-  if (raft.configuration().voters.size() != 3) return false;
+  if (options_.days == 0 && raft.configuration().voters.size() != 3) {
+    return false;
+  }
   for (const ReplicaId& voter : raft.configuration().voters) {
     const auto found = machines_.find(voter.instance.value());
-    if (found == machines_.end()) return false;
+    if (found == machines_.end() || !found->second->process) return false;
     if (found->second->process->raft->replica() != voter) return false;
     if (found->second->process->applied != raft.last_index()) return false;
   }
@@ -209,6 +447,8 @@
                                 FileLogOptions{.segment_bytes = 2000});
   StoredState stored;
   machine.disk.syncs_left = 100000000;
+  machine.disk.operations_left = kUnlimited;
+  if (options_.days > 0) machine.new_storage_id = next_storage_++;
   const std::string error = ErrorText([&]() -> boost::leaf::result<void> {
     BOOST_LEAF_AUTO(loaded, process->log->Load());
     stored = std::move(loaded);
@@ -224,7 +464,8 @@
   const RaftOptions options{
       .self = InstanceId(name),
       .new_storage_id = machine.new_storage_id,
-      .initial_voters = InitialVoters(),
+      .initial_voters = machine.may_bootstrap ? InitialVoters() : Seeds(),
+      .may_bootstrap = machine.may_bootstrap,
       .heartbeat = Milliseconds(40),
       .election_timeout_min = Milliseconds(200),
       .election_timeout_max = Milliseconds(400),
@@ -236,12 +477,27 @@
       .replace_same_instance = faults_.automatic_replacement,
       .promotion_lag_entries = 4};
   process->raft = std::make_unique<Raft>(options, stored, LocalTime(machine));
+  machine.replica = process->raft->replica();
   machine.process = std::move(process);
 }
 
+std::set<InstanceId> Simulation::Seeds() const {
+  std::set<InstanceId> seeds;
+  for (const auto& [name, machine] : machines_) {
+    if (seeds.size() < 3) seeds.insert(InstanceId(name));
+  }
+  return seeds;
+}
+
 void Simulation::Crash(const std::string& name) {
   Machine& machine = *machines_[name];
   machine.process.reset();
+  if (options_.days > 0) {
+    if (random_.Chance(0.5)) return Kill(name);
+    machine.disk.LosePower(random_);
+    ++counts_.crashes;
+    return;
+  }
   machine.disk.Crash(random_);
   ++counts_.crashes;
 }
@@ -334,7 +590,8 @@
 }
 
 void Simulation::Deliver() {
-  while (!network_.empty() && network_.begin()->first <= now_) {
+  while (!network_.empty() && network_.begin()->first <= now_ &&
+         !power_fails_) {
     const proto::RaftMessage message =
         std::move(network_.extract(network_.begin()).mapped());
     const auto to = machines_.find(message.to().instance());
@@ -389,8 +646,10 @@
       process.write_ends = now_ + Milliseconds(slow ? 100 : 0);
     }
     if (now_ < process.write_ends) return;
-    if (batch.must_sync &&
-        !ErrorText([&] { return process.log->Sync(); }).empty()) {
+    const bool failed = batch.must_sync &&
+                        !ErrorText([&] { return process.log->Sync(); }).empty();
+    if (machine.disk.operations_left == 0) return;
+    if (failed) {
       ++counts_.failed_syncs;
       process.raft->OnPersistFailed(LocalTime(machine));
       process.write_ends = now_ + Milliseconds(50);
@@ -526,9 +785,15 @@
                               .invoked = now_.time_since_epoch().count()};
   if (operation.is_write) {
     operation.value = next_value_++;
-    const ProposeResult result = process.raft->Propose(
-        fmt::format("{}={}", client.key, operation.value), LocalTime(machine));
+    std::string data = fmt::format("{}={}", client.key, operation.value);
+    // Documents that span several sectors.
+    if (options_.days > 0 && random_.Chance(0.2)) {
+      data += " " + std::string(random_.Below(1500), 'x');
+    }
+    const ProposeResult result =
+        process.raft->Propose(std::move(data), LocalTime(machine));
     if (!result.accepted()) return;
+    proposed_ = moment_ == Moment::kAfterProposal;
     client.index = result.index;
     client.term = result.term;
   } else {
@@ -565,6 +830,7 @@
     histories_[client.key][client.operation].returned =
         now_.time_since_epoch().count();
     ++counts_.writes;
+    if (moment_ == Moment::kAfterAcknowledgement) power_fails_ = true;
   }
 }
 
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -1,7 +1,9 @@
 // Simulates a replicated register service in virtual time: Raft on file logs, a
 // network that drops, delays, duplicates and reorders messages, processes that
 // crash and lose unsynced data, clocks that jump, disks that fill up, machines
-// that are permanently lost and replaced. Deterministic for a given seed.
+// that are permanently lost and replaced, and days that end with the loss of
+// some disks and of the power of all other machines. Deterministic for a given
+// seed.
 #ifndef TESTS_CONSENSUS_SIMULATION_H_
 #define TESTS_CONSENSUS_SIMULATION_H_
 
@@ -18,6 +20,7 @@
 #include "core/random.h"
 #include "modules/file_log/file_log.h"
 #include "servers/consensus/raft.h"
+#include "servers/control/voter_planner.h"
 #include "tests/consensus/linearizability.h"
 #include "tests/modules/fault_file_system.h"
 
@@ -33,11 +36,29 @@
   std::uint64_t failed_syncs = 0;
   std::uint64_t reads = 0;
   std::uint64_t writes = 0;
+  std::uint64_t kills = 0;
+  std::uint64_t power_losses = 0;
+  std::uint64_t lost_disks = 0;
+  /// Losses of power right after an acknowledgement, and while a voter was
+  /// being replaced or added.
+  std::uint64_t losses_after_write = 0;
+  std::uint64_t losses_during_change = 0;
+};
+
+struct SimulationOptions {
+  /// Control instances. The first three bootstrap the group, which grows as the
+  /// voter planner chooses.
+  int instances = 3;
+  /// Days, each of which ends with a loss of power. 0 for a run without.
+  int days = 0;
+  /// Disks that may be lost at the same time.
+  int tolerated_disks = 1;
 };
 
 class Simulation {
  public:
-  explicit Simulation(std::uint64_t seed);
+  explicit Simulation(std::uint64_t seed,
+                      const SimulationOptions& options = {});
 
   /// Runs with faults, then without. Returns the first violation, or "".
   std::string Run();
@@ -58,6 +79,10 @@
     double disk_full = 0;
     double transfer = 0;
     double slow_sync = 0;
+    /// A process is killed during a sync; unsynced changes stay readable.
+    double kill = 0;
+    /// A disk is lost while no other lost one waits for its replacement.
+    double lose_disk = 0;
     bool replacement = false;
     /// The leader replaces voters with an empty disk by itself.
     bool automatic_replacement = false;
@@ -78,8 +103,14 @@
     std::unique_ptr<Process> process;
     Duration clock{0};
     std::uint64_t new_storage_id = 0;
+    /// Of the process that ran last.
+    ReplicaId replica;
     Term highest_sent_term = 0;
+    /// False for a machine that took the place of a lost one.
+    bool may_bootstrap = true;
   };
+  /// When the power fails.
+  enum class Moment { kAny, kAfterAcknowledgement, kAfterProposal };
   struct Client {
     bool waiting = false;
     std::string machine;
@@ -92,6 +123,28 @@
     Time deadline;
   };
 
+  /// One day: faults, then the loss of power, then recovery.
+  void RunDay();
+  void RunUntilPowerFails();
+  void LosePower();
+  /// Runs until the group has recovered and each register was read.
+  void Recover();
+  void ReadRegisters();
+  /// No voter is lost, and the voters tolerate the loss of `tolerated_disks`.
+  bool IsTolerant();
+  int LostVoters();
+  /// Loses a disk. The machine returns with an empty one at the same address or
+  /// at a new one.
+  void LoseDisk(const std::string& name);
+  void Kill(const std::string& name);
+  /// What the control instances do beside Raft: voters are planned, and a
+  /// replica that is no longer a member restarts with an empty log.
+  void DriveVoters();
+  void ResetReplaced(const Raft& leader);
+  std::string RandomMachine();
+  /// The addresses that a machine with an empty disk asks for the group.
+  std::set<InstanceId> Seeds() const;
+
   void Step();
   void InjectFaults();
   void Heal();
@@ -123,6 +176,7 @@
   Time LocalTime(const Machine& machine) const { return now_ + machine.clock; }
   void ReportViolation(const std::string& what);
 
+  SimulationOptions options_;
   Random random_;
   Faults faults_;
   Time now_{Seconds(100)};
@@ -134,6 +188,13 @@
 
   std::optional<std::pair<ReplicaId, std::string>> pending_replacement_;
   int losses_left_ = 0;
+  int next_address_ = 1;
+  /// Disks lost since the group last had all its voters.
+  std::uint64_t lost_since_tolerant_ = 0;
+  /// The power fails at the next acknowledgement or proposal, or now.
+  Moment moment_ = Moment::kAny;
+  bool power_fails_ = false;
+  bool proposed_ = false;
 
   std::vector<LogEntry> committed_;
   std::map<Term, ReplicaId> leaders_;
--- a/tests/modules/fault_file_system.h
+++ b/tests/modules/fault_file_system.h
@@ -96,9 +96,11 @@
     }
     current = after;
     synced = std::move(after);
-    std::set<File*> files;
-    for (const auto& [name, file] : current) files.insert(file.get());
-    for (File* file : files) LoseUnsynced(*file, random);
+    // A renamed file may have both names; its changes are lost once.
+    std::set<File*> done;
+    for (const auto& [name, file] : current) {
+      if (done.insert(file.get()).second) LoseUnsynced(*file, random);
+    }
   }
 
   std::uint64_t UsedBytes() const {
