Start the ids of operators' calls at random in each process

A control instance numbered the calls that it passes to the leader from 1 in each process. After it was killed and started again, the leader's answer to a call of the old process was taken for the answer to a new one: a change was acknowledged before it was committed, and a read could show an older version.

The numbers now start at random. AnswersToAnEarlierProcessAreIgnored fails without the change: a change that no leader has seen is answered 200.

--- a/main/operator_calls.h
+++ b/main/operator_calls.h
@@ -13,6 +13,7 @@
 #include "drivers/http_server.h"
 #include "main/configuration_log.h"
 #include "main/node_link.h"
+#include "main/raft_host.h"
 #include "servers/control/configuration_register.h"
 
 namespace cassiausher {
@@ -60,7 +61,9 @@
   ConfigurationLog* log_;
   NodeLink* link_;
   std::map<std::uint64_t, Call> calls_;
-  std::uint64_t next_id_ = 1;
+  /// Starts at random, so that answers to calls of an earlier process at this
+  /// address match none.
+  std::uint64_t next_id_ = RandomNonZero();
   bool stopping_ = false;
 };
 
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/compression.h"
 #include "core/metrics.h"
@@ -153,12 +154,15 @@
     return response.status;
   }
 
-  void StartControl() {
+  /// `seeds` bootstrap the log; with several, the control node has no leader.
+  void StartControl(const std::vector<std::string>& seeds = {kNodeIp}) {
     static const bool registered = (RegisterFileLog(), true);
     CHECK_TRUE(registered);
     NodeSettings settings = SettingsOf(kNodeIp);
     settings.control = SocketAddress{kNodeIp, kHttpPort};
-    settings.seeds = {SocketAddress{kNodeIp, kHttpPort}};
+    for (const std::string& seed : seeds) {
+      settings.seeds.push_back({seed, kHttpPort});
+    }
     settings.first_start = true;
     settings.data_folder = folder;
     control = std::make_unique<ControlNode>(settings, codec, metrics, context);
@@ -273,6 +277,40 @@
   }));
 }
 
+// Guards against a control instance that takes the leader's answer to a call of
+// its previous process, which was killed, for the answer to one of its own: a
+// change was acknowledged before it was committed, and a read showed an older
+// version.
+TEST(NodeRoles, AnswersToAnEarlierProcessAreIgnored) {
+  StartControl({kNodeIp, kPeerIp});
+  GSource* timer = g_timeout_source_new(50);
+  g_source_set_callback(
+      timer,
+      [](gpointer data) -> gboolean {
+        // The calls of a process that served a few before it was killed.
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+          proto::NodeMessage submitted;
+          submitted.mutable_submit_result()->set_submission(id);
+          submitted.mutable_submit_result()->set_committed(true);
+          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), submitted);
+          proto::NodeMessage read;
+          read.mutable_read_result()->set_read(id);
+          read.mutable_read_result()->set_served(true);
+          read.mutable_read_result()->mutable_document()->set_version(1);
+          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), read);
+        }
+        return G_SOURCE_CONTINUE;
+      },
+      peer.get(), nullptr);
+  g_source_attach(timer, context);
+  const int submitted = Call("PUT", "/api/config", Document(2, 1));
+  const int read = Call("GET", "/api/config", "");
+  g_source_destroy(timer);
+  g_source_unref(timer);
+  LONGS_EQUAL(503, submitted);
+  LONGS_EQUAL(503, read);
+}
+
 // Incident inc1: a route of a confirmed change was answered 404 by an entry
 // instance that hadn't received the change.
 TEST(NodeRoles, UnknownRouteIsNotRejectedWhileANewerVersionIsKnown) {
