Let spare control instances pass operators' calls to the leader

With 8 control instances seven are voters. The eighth is a spare, hears nothing from the leader's Raft and so answered each change and each read with 503, for as long as it ran.

A replica that knows no leader from Raft now sends the calls to the instance that last sent the members, which is the leader; another instance ignores them. SpareSendsOperatorsCallsToTheLeader fails without the change.

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -17,6 +17,8 @@
 // Interval between attempts to start a replica anew, for example while the disk
 // is full.
 constexpr Duration kResetRetryPeriod = Milliseconds(500);
+// The leader sends the members every 600 ms.
+constexpr Duration kMembersExpiry = Seconds(2);
 constexpr Duration kHeartbeat = Milliseconds(200);
 constexpr Duration kElectionTimeoutMin = Milliseconds(900);
 constexpr Duration kElectionTimeoutMax = Milliseconds(1700);
@@ -78,6 +80,7 @@
     next_reset_ = now + kResetRetryPeriod;
     ResetReplica();
   }
+  if (now - members_received_ >= kMembersExpiry) members_sender_ = {};
   if (host_ == nullptr) return;
   host_->Tick();
   if (leading()) AdvanceVoters(now);
@@ -114,8 +117,9 @@
 }
 
 InstanceId ConfigurationLog::leader() const {
-  if (host_ == nullptr) return {};
-  return host_->raft().leader().instance;
+  if (host_ == nullptr) return members_sender_;
+  const InstanceId& known = host_->raft().leader().instance;
+  return known.empty() ? members_sender_ : known;
 }
 
 void ConfigurationLog::Submit(const InstanceId& origin,
@@ -272,7 +276,10 @@
   return members;
 }
 
-void ConfigurationLog::OnMembers(const proto::Members& members) {
+void ConfigurationLog::OnMembers(const InstanceId& from,
+                                 const proto::Members& members, Time now) {
+  members_sender_ = from;
+  members_received_ = now;
   if (host_ == nullptr) return;
   const Raft& raft = host_->raft();
   const auto configuration = FromProto(members.configuration());
--- a/main/configuration_log.h
+++ b/main/configuration_log.h
@@ -53,7 +53,8 @@
   bool leading() const;
   /// Leader only.
   Term term() const { return host_->raft().term(); }
-  /// Empty if unknown.
+  /// Empty if unknown. A replica that isn't a member knows the leader from the
+  /// members that it sends.
   InstanceId leader() const;
   const VersionedDocument& current() const { return register_.current(); }
   /// When a quorum last confirmed that this leader's current() was the newest;
@@ -72,7 +73,8 @@
   std::unique_ptr<proto::Members> Members() const;
   /// A replica that was replaced while it was unreachable restarts with an
   /// empty log, as a spare.
-  void OnMembers(const proto::Members& members);
+  void OnMembers(const InstanceId& from, const proto::Members& members,
+                 Time now);
 
  private:
   struct Waiter {
@@ -113,6 +115,9 @@
   std::uint64_t next_read_ = 1;
   int entries_since_compaction_ = 0;
   std::size_t bytes_since_compaction_ = 0;
+  /// Sent the members last, as the leader; empty once that is too long ago.
+  InstanceId members_sender_;
+  Time members_received_{};
   /// The replica is to be replaced by one with an empty log.
   bool reset_due_ = false;
   Time next_reset_{};
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -388,7 +388,7 @@
   if (changed) followers_.OnChange(now);
   OnNotice(sync.notice(), now);
   AddControls(sync.control_instances());
-  if (sync.has_members()) log_.OnMembers(sync.members());
+  if (sync.has_members()) log_.OnMembers(from, sync.members(), BootTimeNow());
   if (sync.whole_registry()) synced_with_.insert(from);
   if (!sync.wants_registry()) return;
   proto::Sync whole;
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -277,6 +277,34 @@
   }));
 }
 
+// Guards against a control instance that answers no operator because it is a
+// spare: it isn't a member of the log and hears nothing from the leader's Raft.
+TEST(NodeRoles, SpareSendsOperatorsCallsToTheLeader) {
+  StartControl({kNodeIp, kPeerIp});
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    if (!message.has_read_current()) return;
+    proto::NodeMessage answer;
+    auto* result = answer.mutable_read_result();
+    result->set_read(message.read_current().read());
+    result->set_served(true);
+    result->mutable_document()->set_version(3);
+    result->mutable_document()->set_document("{}");
+    peer->link.Send(InstanceId(kNodeIp), answer);
+  };
+  CHECK_TRUE(RunUntil([&] {
+    proto::NodeMessage message;
+    auto* members = message.mutable_sync()->mutable_members();
+    members->set_commit(5);
+    members->mutable_configuration()->set_group(1);
+    auto* voter = members->mutable_configuration()->add_voters();
+    voter->set_instance(kPeerIp);
+    voter->set_storage(1);
+    peer->link.Send(InstanceId(kNodeIp), message);
+    RunFor(Milliseconds(100));
+    return Call("GET", "/api/config", "") == 200;
+  }));
+}
+
 // Guards against a control instance that takes the leader's answer to a call of
 // its previous process, which was killed, for the answer to one of its own: a
 // change was acknowledged before it was committed, and a read showed an older
