Move the log of a replaced replica away before removing it

A replica that was replaced while it was unreachable removed its log file by file and began a new one in the same folder. A kill or a loss of power in between left a part of the old log, which was refused as damaged at each later start: the instance never came back.

The folder is now renamed, which the opening of the new log makes durable, and removed afterwards, also at the next start. RemainsOfAReplacedLogAreRemoved covers the removal at the start; a kill in the middle of the reset is not played by a test.

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -27,6 +27,12 @@
   return settings.data_folder + "/log";
 }
 
+/// Where the log of a replaced replica waits for its removal. Removed in place,
+/// a part of it could remain after a crash and be taken for a damaged log.
+std::string ReplacedLogFolder(const NodeSettings& settings) {
+  return settings.data_folder + "/log.replaced";
+}
+
 }  // namespace
 
 ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
@@ -61,8 +67,13 @@
   }
   host_ = std::make_unique<RaftHost>(context_, metrics_, *this,
                                      [] { return BootTimeNow(); });
-  return host_->Start(options,
-                      LogStorages().Create("file_log", LogFolder(settings_)));
+  std::string fault = host_->Start(
+      options, LogStorages().Create("file_log", LogFolder(settings_)));
+  // Opening the new log has made the old one's new name durable.
+  if (fault.empty()) {
+    std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
+  }
+  return fault;
 }
 
 void ConfigurationLog::OnRaft(const std::string& bytes) {
@@ -93,7 +104,9 @@
   proposals_.clear();
   reads_.clear();
   std::error_code error;
-  std::filesystem::remove_all(LogFolder(settings_), error);
+  std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
+  std::filesystem::rename(LogFolder(settings_), ReplacedLogFolder(settings_),
+                          error);
   const std::string fault = StartReplica(false);
   reset_due_ = !fault.empty();
   if (fault.empty()) return;
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -339,6 +339,18 @@
   LONGS_EQUAL(503, read);
 }
 
+// Guards against the log of a replaced replica that stays on the disk because
+// the process was killed before it had removed all of it.
+TEST(NodeRoles, RemainsOfAReplacedLogAreRemoved) {
+  const std::string remains = folder + "/log.replaced";
+  std::filesystem::create_directories(remains);
+  CHECK_TRUE(std::ofstream(remains + "/segment-0000000000000002").good());
+  StartControl();
+  CHECK_FALSE(std::filesystem::exists(remains));
+  CHECK_TRUE(RunUntil(
+      [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
+}
+
 // Incident inc1: a route of a confirmed change was answered 404 by an entry
 // instance that hadn't received the change.
 TEST(NodeRoles, UnknownRouteIsNotRejectedWhileANewerVersionIsKnown) {
