Start the ids of the daemon's requests to the leader at random

cassiausherd numbered the changes and ledger commands that it passes to the leader from 1 in each process, like the control instances did. After a kill, an answer to the old process could be taken for one to the new process, and a new change for a retry of an old one that was still open at the leader.

The numbers now start at random. No test plays this in the daemon; AnswersToAnEarlierProcessAreIgnored does for the control instances.

--- a/main/configuration_service.h
+++ b/main/configuration_service.h
@@ -143,7 +143,9 @@
   bool had_valid_lease_ = false;
   AdmissionGate gate_;
 
-  std::uint64_t next_id_ = 1;
+  /// Starts at random, so that answers to an earlier process of this instance
+  /// match none, and its open submissions aren't taken for those of this one.
+  std::uint64_t next_id_ = RandomNonZero();
   std::map<std::uint64_t, PendingChange> changes_;
   std::map<std::uint64_t, PendingCommand> commands_;
   // While leading: submissions and ledger commands of all instances.
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -55,6 +55,7 @@
         self.block = block
         self.entries = [self._instance("entry", i, 0) for i in range(entries)]
         self.controls = [self._instance("control", i, 100) for i in range(controls)]
+        self.controls_ever = controls
 
     def _instance(self, role, index, offset):
         ip = f"127.{self.block}.{offset + index // 200}.{1 + index % 200}"
@@ -62,6 +63,14 @@
         data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
         return Instance(role, name, ip, data_centre, self.folder / name)
 
+    def replace_control(self, lost):
+        """Puts a control instance at a new address in the place of one that has ended; the caller starts it."""
+        replacement = self._instance("control", self.controls_ever, 100)
+        self.controls_ever += 1
+        replacement.first_start = False
+        self.controls[self.controls.index(lost)] = replacement
+        return replacement
+
     def control_urls(self):
         return [f"http://{control.ip}:{CONTROL_PORT}" for control in self.controls]
 
