--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -17,6 +17,8 @@
 // Interval between attempts to start a replica anew, for example while the disk
 // is full.
 constexpr Duration kResetRetryPeriod = Milliseconds(500);
+// The leader sends the members every 600 ms.
+constexpr Duration kMembersExpiry = Seconds(2);
 constexpr Duration kHeartbeat = Milliseconds(200);
 constexpr Duration kElectionTimeoutMin = Milliseconds(900);
 constexpr Duration kElectionTimeoutMax = Milliseconds(1700);
@@ -25,6 +27,12 @@
   return settings.data_folder + "/log";
 }
 
+/// Where the log of a replaced replica waits for its removal. Removed in place,
+/// a part of it could remain after a crash and be taken for a damaged log.
+std::string ReplacedLogFolder(const NodeSettings& settings) {
+  return settings.data_folder + "/log.replaced";
+}
+
 }  // namespace
 
 ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
@@ -59,8 +67,13 @@
   }
   host_ = std::make_unique<RaftHost>(context_, metrics_, *this,
                                      [] { return BootTimeNow(); });
-  return host_->Start(options,
-                      LogStorages().Create("file_log", LogFolder(settings_)));
+  std::string fault = host_->Start(
+      options, LogStorages().Create("file_log", LogFolder(settings_)));
+  // Opening the new log has made the old one's new name durable.
+  if (fault.empty()) {
+    std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
+  }
+  return fault;
 }
 
 void ConfigurationLog::OnRaft(const std::string& bytes) {
@@ -78,6 +91,7 @@
     next_reset_ = now + kResetRetryPeriod;
     ResetReplica();
   }
+  if (now - members_received_ >= kMembersExpiry) members_sender_ = {};
   if (host_ == nullptr) return;
   host_->Tick();
   if (leading()) AdvanceVoters(now);
@@ -90,7 +104,9 @@
   proposals_.clear();
   reads_.clear();
   std::error_code error;
-  std::filesystem::remove_all(LogFolder(settings_), error);
+  std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
+  std::filesystem::rename(LogFolder(settings_), ReplacedLogFolder(settings_),
+                          error);
   const std::string fault = StartReplica(false);
   reset_due_ = !fault.empty();
   if (fault.empty()) return;
@@ -114,8 +130,9 @@
 }
 
 InstanceId ConfigurationLog::leader() const {
-  if (host_ == nullptr) return {};
-  return host_->raft().leader().instance;
+  if (host_ == nullptr) return members_sender_;
+  const InstanceId& known = host_->raft().leader().instance;
+  return known.empty() ? members_sender_ : known;
 }
 
 void ConfigurationLog::Submit(const InstanceId& origin,
@@ -246,6 +263,9 @@
   } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
     subject = replace->replacement;
     result = raft.ReplaceVoter(replace->lost, subject, now);
+  } else if (const auto* abandon = std::get_if<AbandonReplacementStep>(&step)) {
+    subject = abandon->replacement;
+    result = raft.Remove(subject, now);
   } else {
     subject = std::get<RemoveLearnerStep>(step).learner;
     result = raft.Remove(subject, now);
@@ -269,7 +289,10 @@
   return members;
 }
 
-void ConfigurationLog::OnMembers(const proto::Members& members) {
+void ConfigurationLog::OnMembers(const InstanceId& from,
+                                 const proto::Members& members, Time now) {
+  members_sender_ = from;
+  members_received_ = now;
   if (host_ == nullptr) return;
   const Raft& raft = host_->raft();
   const auto configuration = FromProto(members.configuration());
--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -1,6 +1,7 @@
 #include "modules/file_log/file_log.h"
 
 #include <fmt/format.h>
+#include <google/protobuf/unknown_field_set.h>
 
 #include <algorithm>
 #include <boost/leaf/error.hpp>
@@ -46,6 +47,56 @@
   return sequence;
 }
 
+/// Field of the payload that marks a record as written together with the one
+/// before it. No message of proto/ has it, and readers ignore unknown fields.
+/// Records of versions without this mark count as written on their own.
+constexpr int kContinuesWriteField = 1000;
+
+std::string ContinuesWriteMark() {
+  google::protobuf::UnknownFieldSet fields;
+  fields.AddVarint(kContinuesWriteField, 1);
+  std::string bytes;
+  fields.SerializeToString(&bytes);
+  return bytes;
+}
+
+bool ContinuesWrite(const Record& record) {
+  google::protobuf::UnknownFieldSet fields;
+  if (!fields.ParseFromString(record.payload)) return false;
+  for (int i = 0; i < fields.field_count(); ++i) {
+    if (fields.field(i).number() == kContinuesWriteField) return true;
+  }
+  return false;
+}
+
+/// Returns true if a valid record that begins a write starts at any byte after
+/// `offset`. Everything before it was synced.
+bool HasWriteAfter(std::string_view file, std::uint64_t seed,
+                   std::uint64_t offset) {
+  Record record;
+  std::uint64_t size = 0;
+  for (++offset; offset + kRecordHeaderBytes <= file.size(); ++offset) {
+    const RecordCheck check = DecodeRecord(file, seed, offset, record, size);
+    if (check == RecordCheck::kValid && !ContinuesWrite(record)) return true;
+  }
+  return false;
+}
+
+/// Appends the encoded records of one write that begins at `offset`. `bytes`
+/// holds what of it was encoded before.
+void EncodeWrite(const std::vector<Record>& records, std::uint64_t seed,
+                 std::uint64_t offset, std::string& bytes) {
+  const std::string mark = ContinuesWriteMark();
+  for (const Record& record : records) {
+    if (bytes.empty()) {
+      EncodeRecord(record, seed, offset, bytes);
+      continue;
+    }
+    EncodeRecord({record.kind, record.payload + mark}, seed,
+                 offset + bytes.size(), bytes);
+  }
+}
+
 }  // namespace
 
 FileLog::FileLog(std::unique_ptr<FileSystem> files, FileLogOptions options)
@@ -90,6 +141,7 @@
     const bool is_last = i + 1 == segments_.size();
     BOOST_LEAF_CHECK(ReplaySegment(name, is_last, replay));
   }
+  BOOST_LEAF_CHECK(SyncLoaded());
   BOOST_LEAF_AUTO(snapshot, LoadSnapshot());
   // The segments store this replica's votes; without them it could vote twice
   // in a term.
@@ -99,6 +151,15 @@
   return ReconcileWithSnapshot(std::move(replay), std::move(snapshot));
 }
 
+boost::leaf::result<void> FileLog::SyncLoaded() {
+  // Earlier segments were synced before the last one was created.
+  if (!segments_.empty()) {
+    const std::string name = SegmentName(segments_.back().sequence);
+    BOOST_LEAF_CHECK(files_->SyncFile(name));
+  }
+  return files_->SyncFolder();
+}
+
 boost::leaf::result<void> FileLog::ReplaySegment(const std::string& name,
                                                  bool is_last, Replay& replay) {
   BOOST_LEAF_AUTO(content, files_->Read(name));
@@ -131,11 +192,11 @@
 boost::leaf::result<void> FileLog::TruncateTornTail(
     const std::string& name, std::uint64_t sequence, const std::string& content,
     std::uint64_t offset, bool is_last, RecordCheck check, Replay& replay) {
-  // After a crash, an unsynced write is either truncated or ends in zeros, and
-  // no valid record follows it. Anything else is corruption of synced data.
-  const bool zeros_at_end = !content.empty() && content.back() == '\0';
-  const bool torn = check == RecordCheck::kIncomplete || zeros_at_end;
-  if (!is_last || !torn || HasRecordAfter(content, sequence, offset)) {
+  // After a crash, an unsynced write is truncated or lacks sectors, and no
+  // later write follows it. Anything else is corruption of synced data.
+  const bool torn =
+      check == RecordCheck::kIncomplete || HasLostSector(content, offset);
+  if (!is_last || !torn || HasWriteAfter(content, sequence, offset)) {
     return Corrupt(name, offset,
                    check == RecordCheck::kIncomplete
                        ? "the file ends within a record"
@@ -403,15 +464,14 @@
 boost::leaf::result<void> FileLog::SyncRecords() {
   if (pending_records_.empty()) return {};
   std::string bytes;
-  const auto encode = [&](std::uint64_t seed, std::uint64_t start_offset) {
-    for (const Record& record : pending_records_) {
-      EncodeRecord(record, seed, start_offset + bytes.size(), bytes);
-    }
-  };
-  if (!segments_.empty()) encode(segments_.back().sequence, synced_size_);
+  if (!segments_.empty()) {
+    EncodeWrite(pending_records_, segments_.back().sequence, synced_size_,
+                bytes);
+  }
   const bool needs_segment =
       segments_.empty() || synced_size_ + bytes.size() > options_.segment_bytes;
   if (needs_segment) {
+    BOOST_LEAF_CHECK(CutFailedWrite());
     BOOST_LEAF_CHECK(StartSegment());
   } else {
     const std::string name = SegmentName(segments_.back().sequence);
@@ -421,11 +481,13 @@
     };
     auto written = write();
     if (!written) {
+      has_failed_write_ = true;
       // Discards the partial write, which also frees its disk space.
       IgnoreFailure([&] { return files_->Truncate(name, synced_size_); });
       return written;
     }
     synced_size_ += bytes.size();
+    has_failed_write_ = false;
   }
   Segment& segment = segments_.back();
   segment.max_index = std::max(segment.max_index, pending_max_index_);
@@ -436,6 +498,15 @@
   return {};
 }
 
+boost::leaf::result<void> FileLog::CutFailedWrite() {
+  if (!has_failed_write_) return {};
+  const std::string name = SegmentName(segments_.back().sequence);
+  BOOST_LEAF_CHECK(files_->Truncate(name, synced_size_));
+  BOOST_LEAF_CHECK(files_->SyncFile(name));
+  has_failed_write_ = false;
+  return {};
+}
+
 boost::leaf::result<void> FileLog::StartSegment() {
   const std::uint64_t sequence =
       segments_.empty() ? 1 : segments_.back().sequence + 1;
@@ -446,9 +517,7 @@
   std::string bytes;
   EncodeRecord({RecordKind::kSegmentStart, start.SerializeAsString()}, sequence,
                0, bytes);
-  for (const Record& record : pending_records_) {
-    EncodeRecord(record, sequence, bytes.size(), bytes);
-  }
+  EncodeWrite(pending_records_, sequence, 0, bytes);
   const std::string name = SegmentName(sequence);
   auto write = [&]() -> boost::leaf::result<void> {
     BOOST_LEAF_CHECK(files_->Remove(name));
--- a/servers/control/voter_planner.cc
+++ b/servers/control/voter_planner.cc
@@ -16,6 +16,23 @@
   return spares;
 }
 
+bool IsSilent(const VoterPlannerOptions& options, const VoterView& view,
+              const ReplicaId& replica) {
+  const auto found = view.silence.find(replica);
+  return found != view.silence.end() && found->second >= options.replace_after;
+}
+
+// Replicas that can replace a voter: the spares, and learners that answer. A
+// spare that was added as a learner to grow the group is no longer one.
+std::set<ReplicaId> Replacements(const VoterPlannerOptions& options,
+                                 const VoterView& view,
+                                 std::set<ReplicaId> spares) {
+  for (const ReplicaId& learner : view.configuration.learners) {
+    if (!IsSilent(options, view, learner)) spares.insert(learner);
+  }
+  return spares;
+}
+
 // The voter that has been silent for longest, if for at least `replace_after`.
 std::optional<ReplicaId> LostVoter(const VoterPlannerOptions& options,
                                    const VoterView& view) {
@@ -42,9 +59,7 @@
 std::optional<ReplicaId> LostLearner(const VoterPlannerOptions& options,
                                      const VoterView& view) {
   for (const ReplicaId& learner : view.configuration.learners) {
-    const auto found = view.silence.find(learner);
-    if (found == view.silence.end()) continue;
-    if (found->second >= options.replace_after) return learner;
+    if (IsSilent(options, view, learner)) return learner;
   }
   return std::nullopt;
 }
@@ -53,12 +68,17 @@
 
 VoterStep PlanVoters(const VoterPlannerOptions& options,
                      const VoterView& view) {
-  if (view.configuration.replacement.has_value()) return NoStep{};
+  if (const auto& plan = view.configuration.replacement; plan.has_value()) {
+    // Otherwise no lost voter could be replaced any more.
+    if (!IsSilent(options, view, plan->replacement)) return NoStep{};
+    return AbandonReplacementStep{plan->replacement};
+  }
   const std::set<ReplicaId> spares = AvailableSpares(options, view);
   const std::optional<ReplicaId> lost = LostVoter(options, view);
   if (lost.has_value()) {
-    if (spares.empty()) return NoStep{};
-    return ReplaceStep{*lost, ChooseSpare(spares, *lost)};
+    const auto replacements = Replacements(options, view, spares);
+    if (replacements.empty()) return NoStep{};
+    return ReplaceStep{*lost, ChooseSpare(replacements, *lost)};
   }
   if (const auto learner = LostLearner(options, view)) {
     return RemoveLearnerStep{*learner};
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -10,6 +10,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/compression.h"
 #include "core/metrics.h"
@@ -153,12 +154,15 @@
     return response.status;
   }
 
-  void StartControl() {
+  /// `seeds` bootstrap the log; with several, the control node has no leader.
+  void StartControl(const std::vector<std::string>& seeds = {kNodeIp}) {
     static const bool registered = (RegisterFileLog(), true);
     CHECK_TRUE(registered);
     NodeSettings settings = SettingsOf(kNodeIp);
     settings.control = SocketAddress{kNodeIp, kHttpPort};
-    settings.seeds = {SocketAddress{kNodeIp, kHttpPort}};
+    for (const std::string& seed : seeds) {
+      settings.seeds.push_back({seed, kHttpPort});
+    }
     settings.first_start = true;
     settings.data_folder = folder;
     control = std::make_unique<ControlNode>(settings, codec, metrics, context);
@@ -273,6 +277,80 @@
   }));
 }
 
+// Guards against a control instance that answers no operator because it is a
+// spare: it isn't a member of the log and hears nothing from the leader's Raft.
+TEST(NodeRoles, SpareSendsOperatorsCallsToTheLeader) {
+  StartControl({kNodeIp, kPeerIp});
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    if (!message.has_read_current()) return;
+    proto::NodeMessage answer;
+    auto* result = answer.mutable_read_result();
+    result->set_read(message.read_current().read());
+    result->set_served(true);
+    result->mutable_document()->set_version(3);
+    result->mutable_document()->set_document("{}");
+    peer->link.Send(InstanceId(kNodeIp), answer);
+  };
+  CHECK_TRUE(RunUntil([&] {
+    proto::NodeMessage message;
+    auto* members = message.mutable_sync()->mutable_members();
+    members->set_commit(5);
+    members->mutable_configuration()->set_group(1);
+    auto* voter = members->mutable_configuration()->add_voters();
+    voter->set_instance(kPeerIp);
+    voter->set_storage(1);
+    peer->link.Send(InstanceId(kNodeIp), message);
+    RunFor(Milliseconds(100));
+    return Call("GET", "/api/config", "") == 200;
+  }));
+}
+
+// Guards against a control instance that takes the leader's answer to a call of
+// its previous process, which was killed, for the answer to one of its own: a
+// change was acknowledged before it was committed, and a read showed an older
+// version.
+TEST(NodeRoles, AnswersToAnEarlierProcessAreIgnored) {
+  StartControl({kNodeIp, kPeerIp});
+  GSource* timer = g_timeout_source_new(50);
+  g_source_set_callback(
+      timer,
+      [](gpointer data) -> gboolean {
+        // The calls of a process that served a few before it was killed.
+        for (std::uint64_t id = 1; id <= 10; ++id) {
+          proto::NodeMessage submitted;
+          submitted.mutable_submit_result()->set_submission(id);
+          submitted.mutable_submit_result()->set_committed(true);
+          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), submitted);
+          proto::NodeMessage read;
+          read.mutable_read_result()->set_read(id);
+          read.mutable_read_result()->set_served(true);
+          read.mutable_read_result()->mutable_document()->set_version(1);
+          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), read);
+        }
+        return G_SOURCE_CONTINUE;
+      },
+      peer.get(), nullptr);
+  g_source_attach(timer, context);
+  const int submitted = Call("PUT", "/api/config", Document(2, 1));
+  const int read = Call("GET", "/api/config", "");
+  g_source_destroy(timer);
+  g_source_unref(timer);
+  LONGS_EQUAL(503, submitted);
+  LONGS_EQUAL(503, read);
+}
+
+// Guards against the log of a replaced replica that stays on the disk because
+// the process was killed before it had removed all of it.
+TEST(NodeRoles, RemainsOfAReplacedLogAreRemoved) {
+  const std::string remains = folder + "/log.replaced";
+  std::filesystem::create_directories(remains);
+  CHECK_TRUE(std::ofstream(remains + "/segment-0000000000000002").good());
+  StartControl();
+  CHECK_FALSE(std::filesystem::exists(remains));
+  CHECK_TRUE(RunUntil(
+      [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
+}
+
 // Incident inc1: a route of a confirmed change was answered 404 by an entry
 // instance that hadn't received the change.
 TEST(NodeRoles, UnknownRouteIsNotRejectedWhileANewerVersionIsKnown) {
