Give an endpoint work again within a second after a silence

A sound endpoint may send nothing for 1.0 to 1.5 s and then go on. What an entry instance observed in that time kept work away for much longer:

- Calls that were given up counted as failures with a penalty of up to 1 s that halves every 3 s.
They now open the circuit, which a trial closes.
- Answers that were held up and then arrived together raised the endpoint's cost per request.
Durations of over six times the expected one now count only if they go on for longer than a silence.
- The backoff after failed connections grew to 3 s, and each failure added to the penalty.
It now stays at 0.7 s, and the penalty is added only if the endpoint fails again within 3 s after its recovery.
- A half-open circuit admitted no trial before all streams in progress had ended, and none for 2 s after the caller of a trial had disconnected.
Only a trial in progress blocks the next one, and the begin of its response ends it.

A connection that fails still takes an endpoint out at once.

--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -17,6 +17,9 @@
 // Decoding from a fetched KV cache is assumed to take the time of prefilling
 // this fraction of the prompt.
 constexpr std::int64_t kDecodeCostDivisor = 8;
+// The slowest requests of a healthy endpoint take five times the mean, so a
+// call that takes more than this many times its expected time was held up.
+constexpr double kHeldUpFactor = 6;
 // Weight of the newest observation in moving averages.
 constexpr double kObservationWeight = 0.25;
 // Weight of a server error as a failure, where a broken connection counts 1.
@@ -47,8 +50,10 @@
     .failure_ratio = 0.6,
     .window_calls = 6,
     .window = Seconds(3),
-    .backoff_minimum = Milliseconds(800),
-    .backoff_maximum = Milliseconds(3000),
+    // Short, since a sound endpoint may be silent for up to kToleratedSilence
+    // and should get work again within a second after that.
+    .backoff_minimum = Milliseconds(700),
+    .backoff_maximum = Milliseconds(700),
     .trials = 1,
     .trial_timeout = Seconds(2),
 };
@@ -59,18 +64,6 @@
   return options;
 }
 
-double FailureWeight(WorkOutcome outcome) {
-  switch (outcome) {
-    case WorkOutcome::kBroken:
-    case WorkOutcome::kUnreachable:
-      return 1;
-    case WorkOutcome::kServerError:
-      return kServerErrorWeight;
-    default:
-      return 0;
-  }
-}
-
 double DefaultUnitCost(const EndpointRecord& record, const WorkSpec& work) {
   if (work.prompt.value() == 0) return kPlainRequestUs;
   return record.role == EndpointRole::kPrefill ? kPrefillTokenUs
@@ -203,15 +196,14 @@
   score += ObservationDecay(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortPenaltyUs;
-  const CircuitState circuit = entry.breaker.state(now);
-  // A half-open circuit admits one trial request at a time.
-  const bool circuit_blocks =
-      circuit == CircuitState::kOpen ||
-      (circuit == CircuitState::kHalfOpen && entry.in_flight > 0);
-  if (circuit_blocks) score += kLastResortPenaltyUs;
+  if (!entry.breaker.Admits(now)) score += kLastResortPenaltyUs;
   return score;
 }
 
+bool EndpointPool::IsLastResort(const Entry& entry, Time now) const {
+  return IsSilent(entry.record.id, now) || !entry.breaker.Admits(now);
+}
+
 const EndpointPool::Entry* EndpointPool::BetterOfTwo(
     const std::vector<const Entry*>& candidates, const WorkSpec& work,
     Time now) {
@@ -254,7 +246,8 @@
                               Time now) const {
   double occupancy = Occupancy(entry, work, now);
   if (now < entry.full_until) occupancy = std::max(occupancy, kOverFull);
-  return {entry.record, ExpectedTime(entry, work, now), occupancy};
+  return {entry.record, ExpectedTime(entry, work, now), occupancy,
+          IsLastResort(entry, now)};
 }
 
 EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
@@ -346,6 +339,40 @@
   work->memory = memory;
 }
 
+void EndpointPool::OnResponse(const EndpointId& id, Time now) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) ObserveResponse(now, &found->second);
+}
+
+void EndpointPool::ObserveResponse(Time now, Entry* entry) {
+  const bool was_closed = entry->breaker.state(now) == CircuitState::kClosed;
+  entry->breaker.OnSuccess(now);
+  const bool is_closed = entry->breaker.state(now) == CircuitState::kClosed;
+  if (is_closed && !was_closed) entry->recovered_at = now;
+}
+
+double EndpointPool::FailureWeight(const Entry& entry, WorkOutcome outcome,
+                                   Time now) const {
+  switch (outcome) {
+    case WorkOutcome::kBroken:
+      return 1;
+    case WorkOutcome::kServerError:
+      return kServerErrorWeight;
+    case WorkOutcome::kUnreachable:
+    case WorkOutcome::kSilent: {
+      // The circuit keeps work away while this lasts. Only an endpoint that
+      // fails again soon after it recovered is avoided for longer.
+      const bool again =
+          entry.recovered_at.has_value() &&
+          now - *entry.recovered_at < options_.observation_half_life &&
+          entry.breaker.state(now) == CircuitState::kClosed;
+      return again ? 1 : 0;
+    }
+    default:
+      return 0;
+  }
+}
+
 void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
                             WorkOutcome outcome, Duration took, Time now) {
   const auto found = entries_.find(id);
@@ -355,7 +382,10 @@
   --entry.in_flight;
   entry.in_flight_tokens -= PrefillCost(work);
   entry.memory -= work.memory;
-  if (outcome == WorkOutcome::kAbandoned) return;
+  if (outcome == WorkOutcome::kAbandoned) {
+    entry.breaker.OnCancelled();
+    return;
+  }
   if (outcome == WorkOutcome::kMisplaced) {
     entry.misplaced_until = now + kMisplacedExclusion;
     return;
@@ -363,23 +393,38 @@
   if (outcome == WorkOutcome::kRejected) entry.full_until = now + kFullBackoff;
   const double decay = ObservationDecay(entry, now);
   entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
-                        kObservationWeight * FailureWeight(outcome);
-  if (outcome == WorkOutcome::kUnreachable) {
+                        kObservationWeight * FailureWeight(entry, outcome, now);
+  const bool no_response =
+      outcome == WorkOutcome::kUnreachable || outcome == WorkOutcome::kSilent;
+  if (no_response) {
     entry.breaker.OnFailure(now);
   } else {
-    entry.breaker.OnSuccess(now);
+    ObserveResponse(now, &entry);
   }
   if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
-    const double units =
-        static_cast<double>(std::max<std::int64_t>(1, queued.value()));
-    const double sample = static_cast<double>(took.count()) / units;
-    const double before = UnitCost(entry, work, now);
-    entry.unit_cost_us =
-        (1 - kObservationWeight) * before + kObservationWeight * sample;
+    ObserveCost(work, queued, took, now, &entry);
   }
   entry.observed_at = now;
 }
 
+void EndpointPool::ObserveCost(const WorkSpec& work, Tokens queued,
+                               Duration took, Time now, Entry* entry) const {
+  const double units =
+      static_cast<double>(std::max<std::int64_t>(1, queued.value()));
+  const double sample = static_cast<double>(took.count()) / units;
+  const double before = UnitCost(*entry, work, now);
+  if (sample <= kHeldUpFactor * before) {
+    entry->slow_since.reset();
+  } else {
+    // The answers that a silence held up arrive together when it ends. They
+    // tell nothing about the time that later calls take.
+    if (!entry->slow_since.has_value()) entry->slow_since = now;
+    if (now - *entry->slow_since < kToleratedSilence) return;
+  }
+  entry->unit_cost_us =
+      (1 - kObservationWeight) * before + kObservationWeight * sample;
+}
+
 std::size_t EndpointPool::ReadyCount(
     const ServiceId& service,
     const std::optional<SoftwareVersion>& version) const {
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -40,6 +40,9 @@
   std::uint64_t random_seed = 1;
 };
 
+/// A sound endpoint may send nothing for almost this long and then go on.
+inline constexpr Duration kToleratedSilence = Milliseconds(1600);
+
 /// Forecast share of a runner's KV memory above which it counts as full while
 /// the deviation of output lengths is unknown. Below 1, since a runner that
 /// runs out of memory has to prefill a request again.
@@ -77,6 +80,9 @@
   /// Share of the endpoint's KV memory that is in use with this work, or of its
   /// slots if that is larger; 0 if neither is limited.
   double occupancy = 0;
+  /// The endpoint is silent or its circuit blocks it, and so it is for all
+  /// others that come into question.
+  bool last_resort = false;
 };
 
 /// Requests in progress or reserved at an endpoint.
@@ -94,6 +100,7 @@
   kServerError,  ///< The endpoint responded with a server error.
   kUnreachable,  ///< No connection.
   kBroken,       ///< No response or an incomplete one.
+  kSilent,       ///< Given up, since nothing arrived within its time limit.
   kMisplaced,    ///< Another endpoint now has the address.
   kRejected,     ///< The endpoint had no free capacity.
   kAbandoned,    ///< Cancelled here, for example as the caller disconnected.
@@ -131,8 +138,8 @@
   /// are more than two: loads of other instances are known late, so all
   /// instances would send their work to the same best runner. In all other
   /// cases picks the endpoint with the lowest score. Endpoints that are silent,
-  /// whose circuit is open, or whose circuit is half-open with a request in
-  /// flight come last. Null if there is none.
+  /// whose circuit is open, or whose circuit is half-open with a trial request
+  /// in flight come last. Null if there is none.
   std::optional<Placement> Pick(const WorkSpec& work, Time now);
 
   void OnStart(const EndpointId& id, const WorkSpec& work, Time now);
@@ -145,6 +152,8 @@
   /// Replaces the memory forecast of work in progress, here and in `work`.
   void OnProgress(const EndpointId& id, const MemoryForecast& memory,
                   WorkSpec* work);
+  /// The endpoint began to respond to a call.
+  void OnResponse(const EndpointId& id, Time now);
   /// `took` is the time to the response, or to the first event of a stream.
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
@@ -201,6 +210,11 @@
     /// Moving average of failure weights, between 0 and 1.
     double failure_share = 0;
     Time observed_at{};
+    /// Since when all calls took several times as long as expected; null if the
+    /// last one didn't.
+    std::optional<Time> slow_since;
+    /// When the circuit last closed; null before.
+    std::optional<Time> recovered_at;
     CircuitBreaker breaker;
   };
 
@@ -213,6 +227,14 @@
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  /// Whether the endpoint is used only if there is no other.
+  bool IsLastResort(const Entry& entry, Time now) const;
+  static void ObserveResponse(Time now, Entry* entry);
+  /// Weight of the outcome as a failure, between 0 and 1.
+  double FailureWeight(const Entry& entry, WorkOutcome outcome, Time now) const;
+  /// Counts the duration of a complete call in the endpoint's cost.
+  void ObserveCost(const WorkSpec& work, Tokens queued, Duration took, Time now,
+                   Entry* entry) const;
   double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
   EndpointLoad OtherLoad(const Entry& entry, Time now) const;
   Placement Place(const Entry& entry, const WorkSpec& work, Time now) const;
--- a/servers/routing/circuit_breaker.cc
+++ b/servers/routing/circuit_breaker.cc
@@ -29,6 +29,12 @@
   return true;
 }
 
+bool CircuitBreaker::Admits(Time now) const {
+  if (state_ == CircuitState::kClosed) return true;
+  if (state_ == CircuitState::kOpen) return now >= open_until_;
+  return !trial_in_progress_ || now - trial_started_ >= options_.trial_timeout;
+}
+
 void CircuitBreaker::OnSuccess(Time now) {
   // Late results of calls that started before the breaker opened carry no new
   // information.
--- a/servers/routing/circuit_breaker.h
+++ b/servers/routing/circuit_breaker.h
@@ -42,8 +42,13 @@
   /// Returns whether a call may start now. While half-open, only one call may
   /// run at a time, and its result must be reported.
   bool Allow(Time now);
+  /// Whether a call should start now. Changes nothing.
+  bool Admits(Time now) const;
   void OnSuccess(Time now);
   void OnFailure(Time now);
+  /// A call was cancelled by its caller, so that its result remains unknown.
+  /// Another trial may start.
+  void OnCancelled() { trial_in_progress_ = false; }
 
   CircuitState state(Time now) const;
   /// The earliest time at which a rejected call may be retried.
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -105,6 +105,112 @@
   STRCMP_EQUAL("sound", PickId(Lookup(), kStart).c_str());
 }
 
+// An endpoint fell silent for a second with several calls open, of which the
+// entry instance gave up those that it could repeat. The share of failures then
+// kept work away for over ten seconds.
+TEST(EndpointPool, AnEndpointThatWasSilentGetsWorkAgainWithinASecond) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  for (int i = 0; i < 6; ++i) {
+    pool.OnStart(EndpointId("silent"), Lookup(), kStart);
+  }
+  const Time given_up = kStart + Milliseconds(150);
+  for (int i = 0; i < 6; ++i) {
+    pool.OnFinish(EndpointId("silent"), Lookup(), WorkOutcome::kSilent,
+                  Milliseconds(150), given_up);
+  }
+  STRCMP_EQUAL("sound", PickId(Lookup(), given_up).c_str());
+  STRCMP_EQUAL("silent", PickId(Lookup(), given_up + Seconds(1)).c_str());
+}
+
+// Calls that an endpoint's silence held up are answered together when it goes
+// on. Their durations counted as its cost, which kept work away for over ten
+// seconds.
+TEST(EndpointPool, AnswersHeldUpByASilenceDontKeepWorkAway) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  for (int i = 0; i < 6; ++i) {
+    pool.OnStart(EndpointId("silent"), Lookup(), kStart);
+  }
+  const Time goes_on = kStart + Milliseconds(1500);
+  for (int i = 0; i < 6; ++i) {
+    pool.OnFinish(EndpointId("silent"), Lookup(), WorkOutcome::kDone,
+                  Milliseconds(1500 - 200 * i), goes_on);
+  }
+  STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
+}
+
+// An endpoint that stays much slower than before is avoided all the same.
+TEST(EndpointPool, AnEndpointThatStaysSlowIsAvoided) {
+  pool.Merge(Plain("slow", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  Time now = kStart;
+  for (int i = 0; i < 5; ++i) {
+    now += Milliseconds(500);
+    Finish("slow", WorkOutcome::kDone, Milliseconds(500), now);
+  }
+  STRCMP_EQUAL("sound", PickId(Lookup(), now).c_str());
+}
+
+// The queue of connections of a silent endpoint fills, so that connecting to it
+// fails until it goes on. The backoff then grew to several seconds.
+TEST(EndpointPool, AnEndpointThatWasUnreachableGetsWorkAgainWithinASecond) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  const Duration connect_timeout = Milliseconds(120);
+  const Time goes_on = kStart + Milliseconds(1500);
+  for (Time now = kStart; now < goes_on; now += Milliseconds(10)) {
+    if (PickId(Lookup(), now) != "silent") continue;
+    pool.OnStart(EndpointId("silent"), Lookup(), now);
+    now += connect_timeout;
+    pool.OnFinish(EndpointId("silent"), Lookup(), WorkOutcome::kUnreachable,
+                  connect_timeout, now);
+  }
+  STRCMP_EQUAL("silent", PickId(Lookup(), goes_on + Seconds(1)).c_str());
+}
+
+// One connection to a runner failed while it ran streams. It then got no work
+// before the last of them had ended.
+TEST(EndpointPool, StreamsInProgressDontKeepTrialsAway) {
+  pool.Merge(Decoder("a"), kStart);
+  pool.Merge(Decoder("b"), kStart);
+  pool.OnStart(EndpointId("a"), Stream(), kStart);
+  pool.OnStart(EndpointId("a"), Stream(), kStart);
+  pool.OnFinish(EndpointId("a"), Stream(), WorkOutcome::kUnreachable,
+                Milliseconds(120), kStart);
+  WorkSpec work = Stream();
+  work.reserved_at = EndpointId("a");
+  STRCMP_EQUAL("b", PickId(work, kStart).c_str());
+  STRCMP_EQUAL("a", PickId(work, kStart + Milliseconds(1100)).c_str());
+}
+
+// The caller of a trial request disconnected, and the endpoint got no work
+// while other requests to it were in progress.
+TEST(EndpointPool, AnAbandonedTrialIsFollowedByAnother) {
+  pool.Merge(Plain("a", "here"), kStart);
+  pool.Merge(Plain("b", "there"), kStart);
+  Finish("a", WorkOutcome::kUnreachable, Milliseconds(120), kStart);
+  const Time later = kStart + Seconds(2);
+  pool.OnStart(EndpointId("a"), Lookup(), later);
+  STRCMP_EQUAL("b", PickId(Lookup(), later).c_str());
+  pool.OnFinish(EndpointId("a"), Lookup(), WorkOutcome::kAbandoned,
+                Milliseconds(10), later);
+  STRCMP_EQUAL("a", PickId(Lookup(), later).c_str());
+}
+
+// Half of the connections to an endpoint fail, as on a lossy link.
+TEST(EndpointPool, AnEndpointThatFailsSoonAfterItRecoveredIsAvoided) {
+  pool.Merge(Plain("lossy", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  Finish("lossy", WorkOutcome::kUnreachable, Milliseconds(120), kStart);
+  const Time recovered = kStart + Seconds(1);
+  STRCMP_EQUAL("lossy", PickId(Lookup(), recovered).c_str());
+  Finish("lossy", WorkOutcome::kDone, Milliseconds(15), recovered);
+  STRCMP_EQUAL("lossy", PickId(Lookup(), recovered).c_str());
+  Finish("lossy", WorkOutcome::kUnreachable, Milliseconds(120), recovered);
+  STRCMP_EQUAL("sound", PickId(Lookup(), recovered + Seconds(5)).c_str());
+}
+
 // Runners fail some of their requests although they report good health.
 TEST(EndpointPool, AFailingEndpointIsAvoidedUntilTheFailureDecays) {
   pool.Merge(Plain("grey", "here"), kStart);
