Keep a call to a silent endpoint unless its retry is certain

A stream was given up 1.2 s after its last event, and was cut off if its second run failed, although its runner may have been sound. It is now kept for at least 1.6 s, longer than a sound runner's silence and shorter than the two seconds after which callers give up.

A prefill call without an answer was given up even if no retry was left, and the request was refused. It is now given up only if the retries for the next prefill call and the run can be taken at once, and a request whose prefill is repeated isn't refused for lack of room.

A call is no longer given up if the other endpoints are silent or their circuits block them: the second one would wait as long as the first. A call that got nothing until the request's deadline opens the circuit instead of adding a penalty.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -52,6 +52,8 @@
       return "server_error";
     case CallFailure::kBroken:
       return "broken";
+    case CallFailure::kSilent:
+      return "silent";
   }
   return "unknown";
 }
@@ -232,6 +234,7 @@
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
   ObserveRateLimit(status);
+  context_.pool->OnResponse(call_->endpoint.id, BootTimeNow());
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
@@ -442,6 +445,9 @@
     case CallFailure::kServerError:
       FinishCall(WorkOutcome::kServerError);
       break;
+    case CallFailure::kSilent:
+      FinishCall(WorkOutcome::kSilent);
+      break;
     default:
       FinishCall(WorkOutcome::kBroken);
   }
@@ -506,10 +512,7 @@
   if (ended_) return;
   const Time now = BootTimeNow();
   if (now >= facts_.deadline) {
-    if (call_.has_value()) {
-      const bool was_sent = context_.client->WasSent(call_id_);
-      FinishCall(was_sent ? WorkOutcome::kBroken : WorkOutcome::kAbandoned);
-    }
+    if (call_.has_value()) FinishCall(OutcomeAtDeadline(now));
     if (!forwarder_.has_value()) {
       // The stream's origin is still searched for.
       return RespondRefused("no time left", kUnknownRetryAfter);
@@ -532,12 +535,20 @@
       progress_deadline_ = now + kProgressRecheck;
       return ArmTimer();
     }
-    FailCall(CallFailure::kBroken, "no progress");
+    FailCall(CallFailure::kSilent, "no progress");
     return;
   }
   ArmTimer();
 }
 
+WorkOutcome ForwardedRequest::OutcomeAtDeadline(Time now) const {
+  if (!context_.client->WasSent(call_id_)) return WorkOutcome::kAbandoned;
+  const Time last_heard =
+      call_first_event_at_.has_value() ? last_event_at_ : call_started_;
+  const bool silent = now - last_heard >= call_->silence_limit;
+  return silent ? WorkOutcome::kSilent : WorkOutcome::kBroken;
+}
+
 void ForwardedRequest::ReleaseHandle() {
   if (!forwarder_.has_value()) return;
   const auto unused = forwarder_->TakeUnusedHandle();
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -82,6 +82,8 @@
   void RespondBuffered();
   void OnCallerGone();
   void OnTimer();
+  /// Outcome of the call in progress if the request's deadline ends it.
+  WorkOutcome OutcomeAtDeadline(Time now) const;
   void ArmTimer();
   void End(std::string_view outcome, int status, std::string_view reason);
   void ReleaseHandle();
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -176,8 +176,8 @@
          pool_->ReadyCount(facts_.service, version_) > 1;
 }
 
-bool RequestForwarder::ReserveRetries(Time now) {
-  const int missing = std::max(0, CallsPerRun() - reserved_retries_);
+bool RequestForwarder::ReserveRetries(int count, Time now) {
+  const int missing = std::max(0, count - reserved_retries_);
   if (!budget_->TryRetries(missing, now)) return false;
   reserved_retries_ += missing;
   return true;
@@ -195,16 +195,29 @@
 }
 
 bool RequestForwarder::TakeFailOver(Time now) {
-  const bool is_prefill = current_ == CallKind::kPrefill;
-  if (is_prefill && !begun_) return true;
-  // The caller of a stream that has begun would be cut off without a retry.
-  if (is_prefill) return ReserveRetries(now);
-  return HasAnotherRun() && HasRoomForRetry(true, now) && ReserveRetries(now);
+  if (current_ == CallKind::kPrefill) return TakePrefillFailOver(now);
+  return HasAnotherRun() && HasRoomForRetry(true, now) &&
+         ReserveRetries(CallsPerRun(), now);
+}
+
+bool RequestForwarder::TakePrefillFailOver(Time now) {
+  // Without a prefill runner, the decode runner prefills the prompt.
+  const int calls = HasAnotherPrefillRunner(now) ? CallsPerRun() : 1;
+  return calls_ + calls <= kMaxCalls && HasRoomForRetry(true, now) &&
+         ReserveRetries(calls, now);
+}
+
+bool RequestForwarder::HasAnotherPrefillRunner(Time now) {
+  if (prefill_failures_ + 1 >= kMaxPrefillFailures) return false;
+  WorkSpec work = MakeWorkSpec(EndpointRole::kPrefill);
+  work.version = prefill_version_;
+  work.excluded.insert(current_endpoint_);
+  return pool_->Pick(work, now).has_value();
 }
 
 bool RequestForwarder::TakeServerErrorRetry(Time now) {
   return HasAnotherRun() && facts_.deadline - now > kMinAnswerTimeout &&
-         HasRoomForRetry(false, now) && ReserveRetries(now);
+         HasRoomForRetry(false, now) && ReserveRetries(CallsPerRun(), now);
 }
 
 ForwardStep RequestForwarder::OnDeadline() {
@@ -308,8 +321,9 @@
   WorkSpec work = MakeWorkSpec(role);
   work.excluded.insert(current_endpoint_);
   while (const auto placed = pool_->Pick(work, now)) {
+    if (placed->last_resort) return false;
     const EndpointId& endpoint = placed->endpoint.id;
-    if (!permits_->IsLimited(endpoint)) return true;
+    if (!permits_->IsLimited(endpoint) || HoldsPermit(endpoint)) return true;
     if (may_ask && permits_->MayHaveRoom(endpoint, now)) return true;
     work.excluded.insert(endpoint);
   }
@@ -320,11 +334,11 @@
   const WorkSpec work = MakeWorkSpec(EndpointRole::kPlain);
   const auto placed = PickWithPermit(work, now);
   if (!placed.has_value()) return std::nullopt;
-  StartCall call{.endpoint = placed->endpoint, .work = work};
-  if (IsRetryable() && runs_ + 1 < facts_.attempts) {
-    call.answer_timeout =
-        std::max(kMinAnswerTimeout, kAnswerTimeoutFactor * placed->expected);
-  }
+  const Duration limit =
+      std::max(kMinAnswerTimeout, kAnswerTimeoutFactor * placed->expected);
+  StartCall call{
+      .endpoint = placed->endpoint, .work = work, .silence_limit = limit};
+  if (IsRetryable() && runs_ + 1 < facts_.attempts) call.answer_timeout = limit;
   return call;
 }
 
@@ -344,8 +358,9 @@
   const double limit = std::min(1.0, decode.full_occupancy + bonus);
   const bool full = runner.has_value() && runner->occupancy > limit;
   // A stream that has begun is resumed at any load: its caller has a part of
-  // it.
-  const bool is_new = runs_ == 0 && !facts_.begun_by;
+  // it. After a failed prefill call, memory was reserved for the stream, and it
+  // is too late to refuse it.
+  const bool is_new = runs_ == 0 && prefill_failures_ == 0 && !facts_.begun_by;
   if (full && !kv_source_.has_value() && is_new) {
     if (!CanWaitForCapacity(now)) return GiveUp("no runner has room", now);
     ReturnPermits();
@@ -367,11 +382,16 @@
   // happens only if no prefill runner can be used.
   decode.prompt_is_prefilled = kv_source_.has_value();
   if (!runner.has_value()) return std::nullopt;
-  StartCall call{
-      .endpoint = runner->endpoint, .work = decode, .kv_source = kv_source_};
+  StartCall call{.endpoint = runner->endpoint,
+                 .work = decode,
+                 .kv_source = kv_source_,
+                 .silence_limit = kFirstEventTimeout};
   if (IsRetryable() && runs_ + 1 < facts_.attempts) {
     call.answer_timeout = kFirstEventTimeout;
-    call.gap_timeout = kGapTimeoutFactor * facts_.gap_target;
+    // The caller would be cut off if the second run failed, so the first one is
+    // kept for as long as its runner may be sound.
+    call.gap_timeout =
+        std::max(kToleratedSilence, kGapTimeoutFactor * facts_.gap_target);
   }
   return call;
 }
@@ -416,7 +436,8 @@
   return StartCall{.kind = CallKind::kPrefill,
                    .endpoint = placed->endpoint,
                    .work = prefill,
-                   .answer_timeout = timeout};
+                   .answer_timeout = timeout,
+                   .silence_limit = timeout};
 }
 
 ForwardStep RequestForwarder::Issue(StartCall call, Time now) {
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -78,6 +78,8 @@
   /// Maximum time to the response, or to the first event of a stream, before
   /// the call counts as broken; zero for the deadline only.
   Duration answer_timeout{};
+  /// An endpoint that sends nothing for this long counts as silent.
+  Duration silence_limit{};
   /// Maximum time between two events; zero for the deadline only.
   Duration gap_timeout{};
 };
@@ -121,6 +123,7 @@
   kMisplaced,    ///< Not executed: another endpoint now has the address.
   kServerError,  ///< The endpoint responded with a server error.
   kBroken,       ///< No response or an incomplete one; may have run.
+  kSilent,       ///< Nothing arrived within the time limit; may have run.
 };
 
 /// Forwards one request. Not thread safe; pool, budget and permits must outlive
@@ -189,7 +192,11 @@
   bool HasAnotherRun() const;
   /// Takes the retries for one more run. All are taken at the decision, since
   /// other requests use the budget while the prompt is prefilled again.
-  bool ReserveRetries(Time now);
+  bool ReserveRetries(int count, Time now);
+  /// TakeFailOver() for a prefill call.
+  bool TakePrefillFailOver(Time now);
+  /// Whether another prefill runner would get the prompt after the current one.
+  bool HasAnotherPrefillRunner(Time now);
   /// Takes a reserved retry, or else one from the budget.
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
@@ -203,7 +210,8 @@
   void UsePermit(const EndpointId& endpoint);
   void ReturnPermits();
   /// Whether a retry finds an endpoint that has no rate limit or, with
-  /// `may_ask`, one whose limit isn't known to be used up.
+  /// `may_ask`, one whose limit isn't known to be used up. Endpoints that are a
+  /// last resort don't count: a retry there could fail.
   bool HasRoomForRetry(bool may_ask, Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
   std::optional<StartCall> ChoosePrefill(
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -266,6 +266,87 @@
   CHECK_FALSE(once.TakeFailOver(kStart));
 }
 
+// A sound runner may fall silent for 1.5 s. Its streams were ended after 1.2 s
+// to go on elsewhere, and were cut off if the second run failed.
+TEST(RequestForwarder, AStreamOutlastsAShortSilenceOfItsRunner) {
+  constexpr Duration kSilence = Milliseconds(1500);
+  AddRunners();
+  for (const int gap_target_ms : {50, 300}) {
+    RequestFacts facts = StreamFacts(true);
+    facts.gap_target = Milliseconds(gap_target_ms);
+    RequestForwarder forwarder = Make(facts);
+    forwarder.Start(kStart);
+    const ForwardStep run = forwarder.OnPrefillDone(Cache(), kStart);
+    CHECK_TRUE(Call(run).answer_timeout > kSilence);
+    CHECK_TRUE(Call(run).gap_timeout > kSilence);
+    // The stream goes on elsewhere before its caller gives up.
+    CHECK_TRUE(Call(run).gap_timeout < Seconds(2));
+  }
+}
+
+// A silent prefill runner's prompt was ended although no retry was left to
+// prefill it elsewhere, and the request was refused.
+TEST(RequestForwarder, ASilentPrefillIsKeptIfItCantBeRepeated) {
+  AddRunners();
+  pool.Merge(Endpoint("prefill2", EndpointRole::kPrefill), kStart);
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0});
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  CHECK_TRUE(Call(forwarder.Start(kStart)).kind == CallKind::kPrefill);
+  CHECK_FALSE(forwarder.TakeFailOver(kStart + Milliseconds(1200)));
+}
+
+// Retries are taken at the decision, so that the second prefill call and the
+// run after it are certain.
+TEST(RequestForwarder, ARepeatedPrefillKeepsItsRetriesUntilTheRun) {
+  AddRunners();
+  pool.Merge(Endpoint("prefill2", EndpointRole::kPrefill), kStart);
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0.2});
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  const Time later = kStart + Milliseconds(1200);
+  CHECK_TRUE(forwarder.TakeFailOver(later));
+  budget.TryRetry(later);
+  const ForwardStep prefill =
+      forwarder.OnCallFailed(CallFailure::kBroken, later);
+  CHECK_TRUE(Call(prefill).kind == CallKind::kPrefill);
+  CHECK_TRUE(Is<StartCall>(forwarder.OnPrefillDone(Cache(), later)));
+}
+
+// A prefill runner fell silent, and in the meantime the decode runners filled
+// up. The request was refused, late, for lack of room.
+TEST(RequestForwarder, ARepeatedPrefillIsNotRefusedForLackOfRoom) {
+  AddRunners();
+  pool.Merge(Endpoint("prefill2", EndpointRole::kPrefill), kStart);
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  const Time later = kStart + Milliseconds(1200);
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
+                     5, later);
+  CHECK_TRUE(forwarder.TakeFailOver(later));
+  CHECK_TRUE(
+      Is<StartCall>(forwarder.OnCallFailed(CallFailure::kBroken, later)));
+}
+
+// All endpoints of a service fall silent together. A call was ended to repeat
+// it at an endpoint that was known to be silent or unreachable.
+TEST(RequestForwarder, ACallIsKeptIfTheOtherEndpointsAreSilentToo) {
+  for (const WorkOutcome outcome :
+       {WorkOutcome::kSilent, WorkOutcome::kUnreachable}) {
+    pool =
+        EndpointPool{EndpointPoolOptions{.data_centre = DataCentreId("here")}};
+    AddPlain(2);
+    RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+    const EndpointRecord called = Call(forwarder.Start(kStart)).endpoint;
+    const EndpointId other(called.id.value() == "p0" ? "p1" : "p0");
+    pool.OnStart(other, {}, kStart);
+    pool.OnFinish(other, {}, outcome, Milliseconds(150), kStart);
+    CHECK_FALSE(forwarder.TakeFailOver(kStart + Milliseconds(160)));
+    // Once the other endpoint may be tried again, the call may be repeated.
+    CHECK_TRUE(forwarder.TakeFailOver(kStart + Milliseconds(1200)));
+  }
+}
+
 // A runner dies while the others are full.
 TEST(RequestForwarder, AStartedStreamResumesAtAnyLoad) {
   AddRunners();
