--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -25,6 +25,9 @@
 // Weight of a server error as a failure, where a broken connection counts 1.
 // Lower, since some requests fail at any endpoint.
 constexpr double kServerErrorWeight = 0.25;
+// An endpoint that fails again this soon after it recovered is unreliable. A
+// sound one may fall silent again after a few seconds.
+constexpr Duration kRelapseTime = Seconds(1);
 // Loads of other instances are valid for this long without an update.
 constexpr Duration kLoadLifetime = Seconds(2);
 // An endpoint whose address another endpoint has is excluded for this long,
@@ -362,10 +365,9 @@
     case WorkOutcome::kSilent: {
       // The circuit keeps work away while this lasts. Only an endpoint that
       // fails again soon after it recovered is avoided for longer.
-      const bool again =
-          entry.recovered_at.has_value() &&
-          now - *entry.recovered_at < options_.observation_half_life &&
-          entry.breaker.state(now) == CircuitState::kClosed;
+      const bool again = entry.recovered_at.has_value() &&
+                         now - *entry.recovered_at < kRelapseTime &&
+                         entry.breaker.state(now) == CircuitState::kClosed;
       return again ? 1 : 0;
     }
     default:
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -198,6 +198,19 @@
   STRCMP_EQUAL("a", PickId(Lookup(), later).c_str());
 }
 
+// An endpoint that fell silent a second time, two seconds after the first, got
+// no work for over three seconds (soak_silence, seed 1).
+TEST(EndpointPool, ASecondSilenceDoesNotKeepWorkAwayForLonger) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  const Time first_end = kStart + Seconds(1);
+  const Time second = first_end + Seconds(2);
+  Finish("silent", WorkOutcome::kSilent, Milliseconds(150), kStart);
+  Finish("silent", WorkOutcome::kDone, Milliseconds(15), first_end);
+  Finish("silent", WorkOutcome::kSilent, Milliseconds(150), second);
+  STRCMP_EQUAL("silent", PickId(Lookup(), second + Seconds(1)).c_str());
+}
+
 // Half of the connections to an endpoint fail, as on a lossy link.
 TEST(EndpointPool, AnEndpointThatFailsSoonAfterItRecoveredIsAvoided) {
   pool.Merge(Plain("lossy", "here"), kStart);
