Go back to a silent endpoint if no other can take a request

A call to a silent endpoint was given up to repeat the request elsewhere. If the other endpoint had just crashed, so that it couldn't be connected to, the request failed or its stream was cut off, although the first endpoint was sound. Endpoints that were only silent are now tried again once no other is left, within the route's attempts, and with the KV cache of a prompt that was prefilled meanwhile. A retry whose endpoint received nothing stays reserved.

The random test of sequences of failures now draws kSilent as well.

--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -143,6 +143,12 @@
 
 ForwardStep RequestForwarder::OnCallFailed(CallFailure failure, Time now) {
   failed_endpoints_.insert(current_endpoint_);
+  if (failure == CallFailure::kSilent) {
+    silent_endpoints_.insert(current_endpoint_);
+  }
+  // The endpoint got nothing, so the retry is still to be made.
+  const bool unused_retry = failure == CallFailure::kNotSent && is_retry_;
+  if (unused_retry) ++reserved_retries_;
   if (current_ == CallKind::kPrefill) {
     ++prefill_failures_;
     if (failure != CallFailure::kNotSent) ++failed_calls_sent_;
@@ -254,8 +260,9 @@
     return GiveUp("no time left", now);
   if (calls_ >= kMaxCalls) return GiveUp("no endpoint took the request", now);
   if (kv_source_.has_value() && !HandleIsFresh(now)) kv_source_.reset();
-  std::optional<ForwardStep> step =
-      facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
+  std::optional<ForwardStep> step = ChooseCall(now);
+  const bool exhausted = !step.has_value() && !awaited_.has_value();
+  if (exhausted && ReadmitSilentEndpoints()) step = ChooseCall(now);
   if (awaited_.has_value()) return *awaited_;
   if (!step.has_value()) {
     return GiveUp(NoEndpointReason(), now);
@@ -266,6 +273,17 @@
   return *step;
 }
 
+std::optional<ForwardStep> RequestForwarder::ChooseCall(Time now) {
+  return facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
+}
+
+bool RequestForwarder::ReadmitSilentEndpoints() {
+  for (const EndpointId& endpoint : silent_endpoints_) {
+    failed_endpoints_.erase(endpoint);
+  }
+  return !std::exchange(silent_endpoints_, {}).empty();
+}
+
 bool RequestForwarder::HoldsPermit(const EndpointId& endpoint) const {
   return std::any_of(
       held_permits_.begin(), held_permits_.end(),
@@ -350,8 +368,8 @@
   const auto runner = PickWithPermit(decode, now);
   if (awaited_.has_value()) return std::nullopt;
   if (!runner.has_value() && kv_source_.has_value()) {
-    // The runners that could use the KV cache have gone.
-    kv_source_.reset();
+    // Otherwise the runners that could use the KV cache have gone.
+    if (!ReadmitSilentEndpoints()) kv_source_.reset();
     return ChooseModelCall(now);
   }
   const double bonus = facts_.small_route ? kSmallRouteOccupancyBonus : 0;
@@ -443,8 +461,8 @@
 ForwardStep RequestForwarder::Issue(StartCall call, Time now) {
   // The first prefill call and the first run are part of every request; only
   // calls after a failed one that reached its endpoint are retries.
-  const bool is_retry = failed_calls_sent_ > 0;
-  if (is_retry && !TakeRetry(now)) {
+  is_retry_ = failed_calls_sent_ > 0;
+  if (is_retry_ && !TakeRetry(now)) {
     return GiveUp("the retry budget is spent", now);
   }
   ++calls_;
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -201,6 +201,11 @@
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
+  /// The next call; null if no endpoint can take it.
+  std::optional<ForwardStep> ChooseCall(Time now);
+  /// Admits the endpoints that may be sound although a call to them was given
+  /// up. Returns whether there are any.
+  bool ReadmitSilentEndpoints();
   /// Why no call can be made.
   std::string_view NoEndpointReason() const;
   /// As EndpointPool::Pick(), among the endpoints whose rate limit has room for
@@ -257,6 +262,8 @@
   int handle_rejections_ = 0;
   /// Excluded from further calls.
   std::set<EndpointId> failed_endpoints_;
+  /// The part of `failed_endpoints_` that only sent nothing in time.
+  std::set<EndpointId> silent_endpoints_;
   /// Failed runs that began or may have begun. At most `attempts`, and at most
   /// one if the request isn't retryable.
   int runs_ = 0;
@@ -264,6 +271,8 @@
   /// takes a retry from the budget.
   int failed_calls_sent_ = 0;
   int calls_ = 0;
+  /// The current call took a retry.
+  bool is_retry_ = false;
   /// Taken from the budget and not used yet.
   int reserved_retries_ = 0;
   /// Decode runner of the stream while its prompt is prefilled.
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -347,6 +347,56 @@
   }
 }
 
+// A call to a silent endpoint was ended to repeat it elsewhere, but the other
+// endpoint had just crashed. The request failed, although the first endpoint
+// was sound.
+TEST(RequestForwarder, ARequestGoesBackToASilentEndpointIfNoOtherIsLeft) {
+  AddPlain(2);
+  budget = RetryBudget(RetryBudgetOptions{.ratio = 0, .floor_per_second = 0.1});
+  RequestForwarder forwarder = Make(Facts(RouteKind::kIdempotent, 2));
+  const EndpointId first = Call(forwarder.Start(kStart)).endpoint.id;
+  CHECK_TRUE(forwarder.TakeFailOver(kStart));
+  const ForwardStep second =
+      forwarder.OnCallFailed(CallFailure::kSilent, kStart);
+  CHECK_FALSE(Call(second).endpoint.id == first);
+  const ForwardStep again =
+      forwarder.OnCallFailed(CallFailure::kNotSent, kStart);
+  CHECK_TRUE(Is<StartCall>(again));
+  CHECK_TRUE(Call(again).endpoint.id == first);
+  // It has run twice now, as often as it may.
+  CHECK_TRUE(Is<Fail>(forwarder.OnCallFailed(CallFailure::kSilent, kStart)));
+}
+
+// The same for a stream that has begun, whose caller was cut off.
+TEST(RequestForwarder, AStreamGoesBackToASilentRunnerIfNoOtherIsLeft) {
+  AddRunners();
+  SetVersion("prefill", EndpointRole::kPrefill, "v1");
+  SetVersion("decode1", EndpointRole::kDecode, "v1");
+  SetVersion("decode2", EndpointRole::kDecode, "v1");
+  RequestForwarder forwarder = Make(StreamFacts(true));
+  forwarder.Start(kStart);
+  const ForwardStep run = forwarder.OnPrefillDone(Cache(), kStart);
+  const EndpointId first = Call(run).endpoint.id;
+  forwarder.OnBegun();
+  CHECK_TRUE(forwarder.TakeFailOver(kStart));
+  ForwardStep step = forwarder.OnCallFailed(CallFailure::kSilent, kStart);
+  CHECK_TRUE(Call(step).kind == CallKind::kPrefill);
+  step = forwarder.OnPrefillDone(Cache(), kStart);
+  CHECK_FALSE(Call(step).endpoint.id == first);
+  step = forwarder.OnCallFailed(CallFailure::kNotSent, kStart);
+  CHECK_TRUE(Is<StartCall>(step));
+  CHECK_TRUE(Call(step).endpoint.id == first);
+}
+
+// A request that mustn't run twice never goes back.
+TEST(RequestForwarder, ANonIdempotentRequestIsNotSentAgainAfterASilence) {
+  AddPlain(2);
+  RequestForwarder forwarder = Make(Facts(RouteKind::kNonIdempotent, 3));
+  forwarder.Start(kStart);
+  CHECK_FALSE(forwarder.TakeFailOver(kStart));
+  CHECK_TRUE(Is<Fail>(forwarder.OnCallFailed(CallFailure::kSilent, kStart)));
+}
+
 // A runner dies while the others are full.
 TEST(RequestForwarder, AStartedStreamResumesAtAnyLoad) {
   AddRunners();
@@ -503,9 +553,10 @@
         step = forwarder.OnPrefillDone({"10.0.0.1:80", "h"}, now);
         continue;
       }
-      const auto failure = static_cast<CallFailure>(random.Below(5));
+      const auto failure = static_cast<CallFailure>(random.Below(6));
       const bool ran = failure == CallFailure::kBroken ||
-                       failure == CallFailure::kServerError;
+                       failure == CallFailure::kServerError ||
+                       failure == CallFailure::kSilent;
       if (ran && !prefill) ++may_have_run;
       step = forwarder.OnCallFailed(failure, now);
     }
