Send copies of a stream's origin again until they are confirmed

A control instance that is frozen for 1.5 to 2 s loses what was on its way to it, since its connections are replaced after 1.5 s, but doesn't count as disconnected, which takes 2 s without an update. A copy of a stream's origin that was lost in this way was never sent again. If the control instance with the other copy and the entry instance then ended, the stream was unknown. Copies are now sent again each 500 ms until they are confirmed, at most six times.

An entry instance took the control instances that it knew for all there are before it had read the names in the same update. With a single seed, a search for an origin could end after asking that one only. The names are read first now.

The unit tests for the copies failed before and pass now. The change of order has no test.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -288,6 +288,11 @@
   if (connected) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
   }
+  // Before UseControls(), so that a search for the origin of a stream waits for
+  // control instances that only this update names.
+  for (const std::string& ip : update.control_instances()) {
+    controls_.Learn(InstanceId(ip), now);
+  }
   permits_.OnRateLimits(update.rate_limits(), now);
   UseControls(now);
   MergeRecords(from, update.records(), now);
@@ -301,9 +306,6 @@
   if (from == load_source_) {
     pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
   }
-  for (const std::string& ip : update.control_instances()) {
-    controls_.Learn(InstanceId(ip), now);
-  }
   if (update.has_configuration()) {
     configuration_.OnDocument(update.configuration());
   }
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -21,7 +21,7 @@
       return !stores_.contains(store);
     });
     const auto origin = own_.Find(request, now);
-    if (origin.has_value()) CopyWhereMissing(request, *origin);
+    if (origin.has_value()) CopyWhereMissing(request, *origin, now);
   }
 }
 
@@ -49,7 +49,8 @@
 }
 
 std::uint64_t OriginKeeper::CopyWhereMissing(const RequestId& request,
-                                             const StreamOrigin& origin) {
+                                             const StreamOrigin& origin,
+                                             Time now) {
   const std::uint64_t number = next_number_++;
   Copies& copies = copies_[request];
   copies.expires_at = origin.expires_at;
@@ -61,15 +62,37 @@
                                .request = request,
                                .origin = origin});
     copies.stores.insert(*store);
+    unconfirmed_copies_[{number, store->instance}] = {
+        .request = request, .store = *store, .sent_at = now};
   }
   return number;
 }
 
+void OriginKeeper::RepeatCopies(Time now) {
+  std::erase_if(unconfirmed_copies_, [&](const auto& item) {
+    const UnconfirmedCopy& copy = item.second;
+    if (now - copy.sent_at < options_.copy_period) return false;
+    return copy.sends >= options_.max_copy_sends ||
+           !stores_.contains(copy.store) || !own_.Find(copy.request, now);
+  });
+  for (auto& [key, copy] : unconfirmed_copies_) {
+    if (now - copy.sent_at < options_.copy_period) continue;
+    const auto origin = own_.Find(copy.request, now);
+    if (!origin.has_value()) continue;
+    copy.sent_at = now;
+    ++copy.sends;
+    copies_to_send_.push_back({.store = copy.store.instance,
+                               .number = key.first,
+                               .request = copy.request,
+                               .origin = *origin});
+  }
+}
+
 OriginTicket OriginKeeper::Begin(const RequestId& request,
                                  const StreamOrigin& origin, Time now) {
   const OriginTicket ticket(next_ticket_++);
   own_.Add(request, origin);
-  const std::uint64_t number = CopyWhereMissing(request, origin);
+  const std::uint64_t number = CopyWhereMissing(request, origin, now);
   if (copies_[request].stores.empty()) {
     outcomes_.push_back({.ticket = ticket});
   } else {
@@ -121,6 +144,7 @@
 }
 
 void OriginKeeper::OnStored(const InstanceId& from, std::uint64_t number) {
+  unconfirmed_copies_.erase({number, from});
   const auto found = pending_copies_.find(number);
   if (found == pending_copies_.end() || !IsSafe(from)) return;
   outcomes_.push_back({.ticket = found->second.ticket, .copied = true});
@@ -143,10 +167,11 @@
   // The instance that began the stream may be gone; this one takes its place
   // in keeping the copies up.
   own_.Add(request, *origin);
-  CopyWhereMissing(request, *origin);
+  CopyWhereMissing(request, *origin, now);
 }
 
 void OriginKeeper::CheckTimeouts(Time now) {
+  RepeatCopies(now);
   std::erase_if(pending_copies_, [&](const auto& item) {
     if (now - item.second.begun_at < options_.copy_timeout) return false;
     outcomes_.push_back({.ticket = item.second.ticket});
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 #include <vector>
 
 #include "core/ids.h"
@@ -25,6 +26,12 @@
   /// An event is passed on after this time even if nobody has confirmed the
   /// copy.
   Duration copy_timeout = Milliseconds(150);
+  /// A copy that isn't confirmed is sent again after this time, since messages
+  /// are lost with a connection.
+  Duration copy_period = Milliseconds(500);
+  /// How often a copy is sent, the first time included. By then a control
+  /// instance that receives nothing counts as disconnected.
+  int max_copy_sends = 6;
   /// A search ends after this time if a control instance hasn't answered.
   /// Longer than the connections of an instance that was frozen take to come
   /// back.
@@ -118,6 +125,13 @@
     OriginTicket ticket{0};
     Time begun_at{};
   };
+  /// A copy that its control instance hasn't confirmed.
+  struct UnconfirmedCopy {
+    RequestId request;
+    OriginStore store;
+    Time sent_at{};
+    int sends = 1;
+  };
   struct PendingSearch {
     OriginTicket ticket{0};
     RequestId request;
@@ -130,7 +144,9 @@
   /// Sends the origin to further control instances until there are enough
   /// copies, and returns the number of the messages.
   std::uint64_t CopyWhereMissing(const RequestId& request,
-                                 const StreamOrigin& origin);
+                                 const StreamOrigin& origin, Time now);
+  /// Sends copies again that were not confirmed in time.
+  void RepeatCopies(Time now);
   void AskNewStores(std::uint64_t number, PendingSearch& search);
   void AskAgain(std::uint64_t number, PendingSearch& search, Time now);
   /// The control instance for the next copy; null if there is none.
@@ -147,6 +163,9 @@
   /// By the number of their messages.
   std::map<std::uint64_t, PendingCopy> pending_copies_;
   std::map<std::uint64_t, PendingSearch> pending_searches_;
+  /// By the number of the message and its receiver.
+  std::map<std::pair<std::uint64_t, InstanceId>, UnconfirmedCopy>
+      unconfirmed_copies_;
   std::uint64_t next_number_ = 1;
   std::uint64_t next_ticket_ = 1;
   std::vector<OriginCopy> copies_to_send_;
--- a/tests/entry/origin_keeper_test.cc
+++ b/tests/entry/origin_keeper_test.cc
@@ -105,6 +105,49 @@
   CHECK_TRUE(keeper.TakeOutcomes()[0].origin.has_value());
 }
 
+// A control instance was frozen for between 1.5 and 2 s, so that its connection
+// was replaced and the copy on its way was lost, but it never counted as
+// disconnected. The stream was left with a single copy.
+TEST(OriginKeeper, ACopyThatIsNotConfirmedIsSentAgain) {
+  Begin();
+  const OriginCopy lost = copies[0];
+  keeper.OnStored(copies[1].store, copies[1].number);
+  keeper.CheckTimeouts(kStart + Milliseconds(499));
+  LONGS_EQUAL(0, keeper.TakeCopies().size());
+  keeper.CheckTimeouts(kStart + Milliseconds(500));
+  const auto again = keeper.TakeCopies();
+  LONGS_EQUAL(1, again.size());
+  CHECK_TRUE(again[0].store == lost.store);
+  CHECK_TRUE(again[0].request == request_id);
+  CHECK_TRUE(again[0].origin.version == Origin().version);
+  keeper.OnStored(again[0].store, again[0].number);
+  keeper.CheckTimeouts(kStart + Milliseconds(1000));
+  LONGS_EQUAL(0, keeper.TakeCopies().size());
+}
+
+// A control instance that has no room for an origin never confirms it.
+TEST(OriginKeeper, ACopyIsNotSentAgainForEver) {
+  Begin();
+  std::size_t sent = copies.size();
+  for (int i = 1; i <= 100; ++i) {
+    keeper.CheckTimeouts(kStart + Milliseconds(100) * i);
+    sent += keeper.TakeCopies().size();
+  }
+  CHECK_TRUE(sent > 2);
+  CHECK_TRUE(sent <= 12);
+}
+
+// The control instance isn't connected any more, and another one has the copy.
+TEST(OriginKeeper, ACopyIsNotSentAgainToAControlInstanceThatIsGone) {
+  Begin();
+  keeper.SetStores({Store("c3", "c"), Store("c4", "b")}, true, kStart);
+  keeper.TakeCopies();
+  keeper.CheckTimeouts(kStart + Milliseconds(500));
+  for (const OriginCopy& copy : keeper.TakeCopies()) {
+    CHECK_FALSE(copy.store == InstanceId("c2"));
+  }
+}
+
 // All control processes may be killed at once and lose what they kept.
 TEST(OriginKeeper, ControlProcessesThatStartAnewGetTheirCopiesAgain) {
   Begin();
