--- a/tests/routing/limits/limits_test.cc
+++ b/tests/routing/limits/limits_test.cc
@@ -175,6 +175,32 @@
   CHECK(last_backoff >= Seconds(21));
 }
 
+// Guards against an endpoint that admits no trial after one whose result
+// remains unknown, and against a second trial while one runs.
+TEST(CircuitBreaker, ACancelledTrialIsFollowedByAnother) {
+  CircuitBreaker breaker({.consecutive_failures = 1, .trials = 1});
+  breaker.OnFailure(At(0));
+  CHECK(!breaker.Admits(At(340)));
+  CHECK(breaker.Admits(At(650)));
+  CHECK(breaker.Allow(At(650)));
+  CHECK(!breaker.Admits(At(651)));
+  breaker.OnCancelled();
+  CHECK(breaker.Admits(At(652)));
+  CHECK(breaker.Allow(At(652)));
+  breaker.OnSuccess(At(660));
+  CHECK(breaker.state(At(660)) == CircuitState::kClosed);
+}
+
+// Guards against an endpoint that is never tried again since a trial's result
+// didn't come.
+TEST(CircuitBreaker, ATrialWithoutAResultDoesNotBlockForEver) {
+  CircuitBreaker breaker({.consecutive_failures = 1});
+  breaker.OnFailure(At(0));
+  CHECK(breaker.Allow(At(650)));
+  CHECK(!breaker.Admits(At(650 + 4999)));
+  CHECK(breaker.Admits(At(650 + 5000)));
+}
+
 // Guards against using an endpoint that fails half of its calls, but never
 // several in a row.
 TEST(CircuitBreaker, OpensOnTheFailureRatio) {
