Keep a decode call that can't be placed again through a short silence

The daemon closed a decode call after 1 s without a chunk and resumed the stream at the same engine. If the engine had ended the stream with the call, a non-idempotent request failed with an unknown outcome, although a sound engine may send nothing for 1.5 s. Such calls are now kept for at least 1.6 s. Idempotent requests, which can be placed again, keep their time limits.

The unit test failed before and passes now.

--- a/servers/serving/request_flow.cc
+++ b/servers/serving/request_flow.cc
@@ -86,7 +86,7 @@
                               Time now) {
   state_ = State::kDecode;
   call_ = next_call_++;
-  deadline_ = now + grant_.first_token_timeout;
+  deadline_ = now + DecodeTimeout(grant_.first_token_timeout);
   decode_sent_before_ = decode_sent_;
   decode_sent_ = true;
   Emit(StartDecode{.call = call_,
@@ -96,11 +96,16 @@
                    .resume = false});
 }
 
+Duration RequestFlow::DecodeTimeout(Duration expected) const {
+  if (request_.idempotent) return expected;
+  return std::max(expected, options_.tolerated_silence);
+}
+
 void RequestFlow::OnChunk(FlowCallId call, StreamChunk chunk, Time now) {
   if (state_ != State::kDecode || call != call_) return;
   if (chunk.sequence <= delivered_) return;  // Duplicate.
   resumes_ = 0;
-  deadline_ = now + grant_.between_tokens_timeout;
+  deadline_ = now + DecodeTimeout(grant_.between_tokens_timeout);
   out_of_order_.emplace(chunk.sequence, std::move(chunk));
   if (out_of_order_.size() > kMaxOutOfOrderChunks) {
     Resume(now);
@@ -160,7 +165,7 @@
   ++resumes_;
   out_of_order_.clear();
   call_ = next_call_++;
-  deadline_ = now + grant_.first_token_timeout;
+  deadline_ = now + DecodeTimeout(grant_.first_token_timeout);
   Emit(StartDecode{.call = call_,
                    .endpoint = grant_.decode,
                    .url = grant_.decode_url,
--- a/servers/serving/request_flow.h
+++ b/servers/serving/request_flow.h
@@ -93,6 +93,9 @@
   int max_attempts = 4;
   /// Maximum number of consecutive resume calls to an engine without a chunk.
   int max_resumes = 2;
+  /// A sound engine may send nothing for almost this long and then go on. A
+  /// call that can't be placed again is kept for at least this time.
+  Duration tolerated_silence = Milliseconds(1600);
   /// A placement request without an answer for this long is sent again, since
   /// the owner may have failed or handed the pool over.
   Duration place_retry = Milliseconds(700);
@@ -154,6 +157,9 @@
     outputs_.emplace_back(std::move(output));
   }
   void SendPlacementRequest(Time now);
+  /// Time without a chunk after which a decode call is ended; `expected` is the
+  /// pool owner's value.
+  Duration DecodeTimeout(Duration expected) const;
   void BeginDecode(const std::string& transfer_parameters, Time now);
   void Resume(Time now);
   void RetryPlacement(const EndpointId& failed, Time now);
--- a/tests/serving/request_flow_test.cc
+++ b/tests/serving/request_flow_test.cc
@@ -149,6 +149,28 @@
   CHECK_FALSE(driver.Last<FailAnswer>()->not_run);
 }
 
+// A sound engine may send nothing for 1.5 s. The call was closed earlier to
+// resume the stream, and a request that can't be placed again failed if its
+// engine had ended the stream with the call.
+TEST(RequestFlow, ANonIdempotentStreamOutlastsAShortSilenceOfItsEngine) {
+  Driver driver(false);
+  driver.ReachDecode(10);
+  driver.flow.Tick(At(10 + 1500));
+  driver.Take();
+  LONGS_EQUAL(0, driver.Count<StopCall>());
+  driver.Chunk(1, "a");
+  driver.flow.Tick(At(20 + 1500));
+  driver.Take();
+  LONGS_EQUAL(0, driver.Count<StopCall>());
+  driver.flow.Tick(At(20 + 1700));
+  driver.Take();
+  CHECK(driver.Last<StartDecode>()->resume);
+  // The engine answers the resume call only when it goes on.
+  driver.flow.Tick(At(20 + 1700 + 1500));
+  driver.Take();
+  LONGS_EQUAL(1, driver.Count<StopCall>());
+}
+
 TEST(RequestFlow, ANonIdempotentRequestRefusedByItsEngineIsPlacedAgain) {
   Driver driver(false);
   driver.ReachDecode(10);
