--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -78,6 +78,8 @@
   /// Maximum time to the response, or to the first event of a stream, before
   /// the call counts as broken; zero for the deadline only.
   Duration answer_timeout{};
+  /// An endpoint that sends nothing for this long counts as silent.
+  Duration silence_limit{};
   /// Maximum time between two events; zero for the deadline only.
   Duration gap_timeout{};
 };
@@ -121,6 +123,7 @@
   kMisplaced,    ///< Not executed: another endpoint now has the address.
   kServerError,  ///< The endpoint responded with a server error.
   kBroken,       ///< No response or an incomplete one; may have run.
+  kSilent,       ///< Nothing arrived within the time limit; may have run.
 };
 
 /// Forwards one request. Not thread safe; pool, budget and permits must outlive
@@ -189,11 +192,20 @@
   bool HasAnotherRun() const;
   /// Takes the retries for one more run. All are taken at the decision, since
   /// other requests use the budget while the prompt is prefilled again.
-  bool ReserveRetries(Time now);
+  bool ReserveRetries(int count, Time now);
+  /// TakeFailOver() for a prefill call.
+  bool TakePrefillFailOver(Time now);
+  /// Whether another prefill runner would get the prompt after the current one.
+  bool HasAnotherPrefillRunner(Time now);
   /// Takes a reserved retry, or else one from the budget.
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
   ForwardStep Next(Time now);
+  /// The next call; null if no endpoint can take it.
+  std::optional<ForwardStep> ChooseCall(Time now);
+  /// Admits the endpoints that may be sound although a call to them was given
+  /// up. Returns whether there are any.
+  bool ReadmitSilentEndpoints();
   /// Why no call can be made.
   std::string_view NoEndpointReason() const;
   /// As EndpointPool::Pick(), among the endpoints whose rate limit has room for
@@ -203,7 +215,8 @@
   void UsePermit(const EndpointId& endpoint);
   void ReturnPermits();
   /// Whether a retry finds an endpoint that has no rate limit or, with
-  /// `may_ask`, one whose limit isn't known to be used up.
+  /// `may_ask`, one whose limit isn't known to be used up. Endpoints that are a
+  /// last resort don't count: a retry there could fail.
   bool HasRoomForRetry(bool may_ask, Time now);
   std::optional<ForwardStep> ChooseModelCall(Time now);
   std::optional<StartCall> ChoosePrefill(
@@ -249,6 +262,8 @@
   int handle_rejections_ = 0;
   /// Excluded from further calls.
   std::set<EndpointId> failed_endpoints_;
+  /// The part of `failed_endpoints_` that only sent nothing in time.
+  std::set<EndpointId> silent_endpoints_;
   /// Failed runs that began or may have begun. At most `attempts`, and at most
   /// one if the request isn't retryable.
   int runs_ = 0;
@@ -256,6 +271,8 @@
   /// takes a retry from the budget.
   int failed_calls_sent_ = 0;
   int calls_ = 0;
+  /// The current call took a retry.
+  bool is_retry_ = false;
   /// Taken from the budget and not used yet.
   int reserved_retries_ = 0;
   /// Decode runner of the stream while its prompt is prefilled.
