End cassiausherd only once its callers have their answers

Cause: a stopping cassiausherd ended 300 ms after its last request, and a request counted as ended when its answer was handed to the HTTP library. What callers with small windows hadn't read was lost with the process, and so were answers of the admin listener, which nothing waited for. Requests open at the shutdown limit were cut without an answer, and the process ended after the limit. Claimed requests whose outcome the log didn't hold yet became unknown, and cancels that endpoints hadn't confirmed were lost. Tasks were destroyed while others still posted to them.

Change: the shutdown has phases: requests, admin calls, last outcomes and the leave, last messages. Each server drains, and each task reports by an atomic whether it has; what is refused late is not_run. Near the limit, open requests and changes are ended with an error. What is cut is logged with its id and counted. All threads stop before a task is destroyed, and an exchange that outlives its server doesn't answer any more.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -73,7 +73,7 @@
 }
 
 HttpExchange::~HttpExchange() {
-  if (!finished_) {
+  if (!finished_ && !server_->closed) {
     if (streaming_) {
       EndStream();
     } else {
@@ -266,6 +266,7 @@
       limit_handler_(std::move(limit_handler)) {}
 
 HttpServer::~HttpServer() {
+  state_->closed = true;
   if (server_) soup_server_disconnect(server_.get());
 }
 
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -27,6 +27,8 @@
   AnswerTracker answers;
   /// Each answer ends its connection.
   bool draining = false;
+  /// The server was destroyed, and its connections with it.
+  bool closed = false;
 };
 
 /// One request and its response. Belongs to the server's task. Responds with
--- a/main/active_request.cc
+++ b/main/active_request.cc
@@ -103,7 +103,7 @@
   RecordOutcome(
       flow_.decode_sent() ? RecordState::kUnknown : RecordState::kNotRun, {});
   context_.metrics.cancelled.Add();
-  End();
+  OnEnded();
   Apply(now);
 }
 
@@ -161,6 +161,18 @@
   Apply(now);
 }
 
+void ActiveRequest::End(Time now) {
+  if (flow_.done()) return;
+  const bool not_run = !flow_.decode_sent();
+  flow_.OnCallerGone(now);
+  Execute(FailAnswer{.kind = not_run ? FailureKind::kUnavailable
+                                     : FailureKind::kOutcomeUnknown,
+                     .not_run = not_run,
+                     .message = "this instance is shutting down"},
+          now);
+  Apply(now);
+}
+
 RequestRow ActiveRequest::Row(Time now) const {
   RequestRow row;
   row.id = request_.id;
@@ -321,14 +333,14 @@
                                        .answer = std::move(answer)}});
 }
 
-void ActiveRequest::End() {
+void ActiveRequest::OnEnded() {
   context_.metrics.open.Add(-1);
   context_.to_control(RequestEnded{request_.account, admitted_});
 }
 
 void ActiveRequest::Execute(const CompleteAnswer& output, Time) {
   context_.metrics.answered.Add();
-  End();
+  OnEnded();
   const HttpHeaders headers = {{"X-Request-Id", request_.id.value()}};
   if (plain_) {
     RecordOutcome(RecordState::kCompleted, {.status = plain_status_,
@@ -365,7 +377,7 @@
                      : output.not_run ? context_.metrics.refused
                                       : context_.metrics.failed;
   counter.Add();
-  End();
+  OnEnded();
   RecordOutcome(output.not_run ? RecordState::kNotRun : RecordState::kUnknown,
                 {});
   const ErrorAnswer error = ToError(output);
--- a/main/active_request.h
+++ b/main/active_request.h
@@ -30,6 +30,8 @@
   void OnRefused(const PlacementRefused& refused, Time now);
   void OnPoolOwnerChanged(const PoolAddress& pool, Time now);
   void Tick(Time now);
+  /// Stops the request and answers its caller with an error.
+  void End(Time now);
 
   bool done() const { return flow_.done(); }
   RequestRow Row(Time now) const;
@@ -61,8 +63,8 @@
   EndpointCall BuildPlainCall(const std::string& url) const;
   CallContext MakeCallContext() const;
   void Flush();
-  /// Called once, when the caller has its answer or has disconnected.
-  void End();
+  /// Called once, when the caller was answered or has disconnected.
+  void OnEnded();
   void RecordOutcome(RecordState state, RecordedAnswer answer);
 
   ServingContext& context_;
--- a/main/admin_task.cc
+++ b/main/admin_task.cc
@@ -5,12 +5,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "drivers/clock.h"
 #include "main/announcement.h"
 
 namespace cassiausher {
 namespace {
 
 constexpr std::int64_t kMaxAdminBody = 1 << 20;
+constexpr Duration kDrainPollPeriod = Milliseconds(20);
 
 ErrorAnswer BadRequest(std::string message) {
   return {.status = 400,
@@ -20,6 +22,15 @@
           .not_run = true};
 }
 
+ErrorAnswer Stopping() {
+  return {.status = 503,
+          .type = "unavailable",
+          .code = "shutting_down",
+          .message = "this instance is shutting down",
+          .not_run = true,
+          .retry_after = Seconds(1)};
+}
+
 }  // namespace
 
 AdminTask::AdminTask(const Settings& settings, Metrics& metrics,
@@ -35,8 +46,9 @@
                  reply.exchange->Respond(reply.status, "application/json",
                                          reply.body);
                }),
-      keys_changed_(context(),
-                    [this](KeysChanged& message) { SetKeys(*message.keys); }) {
+      mailbox_(context(), [this](AdminMessage& message) {
+        std::visit([this](auto& value) { On(value); }, message);
+      }) {
   SetKeys(settings.keys);
 }
 
@@ -73,18 +85,38 @@
   listen_error_ = server_->Listen(context());
 }
 
-void AdminTask::OnStop() { server_.reset(); }
+void AdminTask::OnStop() {
+  drain_timer_.reset();
+  LogCutAnswers(server_->UnsentAnswers(), "admin", metrics_);
+  server_.reset();
+}
+
+void AdminTask::On(KeysChanged& message) { SetKeys(*message.keys); }
+
+void AdminTask::On(DrainRequested&) {
+  ready_ = false;
+  server_->BeginDrain();
+}
+
+void AdminTask::On(StopRequested&) {
+  if (stopping_) return;
+  stopping_ = true;
+  server_->StopListening();
+  drain_timer_ = AddTimer(kDrainPollPeriod, [this] {
+    drained_.store(drain_watch_.Done(*server_, MonotonicNow()));
+  });
+}
 
 void AdminTask::HandleHttp(HttpExchangePtr exchange) {
   const std::string path(exchange->path());
+  exchange->SetLabel(path);
   if (path == "/healthz") {
     exchange->Respond(200, "text/plain", "ok\n");
     return;
   }
   if (path == "/readyz") {
-    const bool ready = ready_.load();
-    exchange->Respond(ready ? 200 : 503, "text/plain",
-                      ready ? "ready\n" : "shutting down\n");
+    exchange->Respond(ready_ ? 200 : 503, "text/plain",
+                      ready_ ? "ready\n" : "shutting down\n");
     return;
   }
   if (path == "/metrics") {
@@ -139,12 +171,14 @@
     RespondError(*exchange, BadRequest("body#/text must be a string"));
     return;
   }
+  if (stopping_) return RespondError(*exchange, Stopping());
   to_control_(StatementRequested{*owner, body["text"].get<std::string>(),
                                  ReplyTo(exchange)});
 }
 
 void AdminTask::HandleState(HttpExchangePtr exchange) {
   if (!Authorize(*exchange, operators_).has_value()) return;
+  if (stopping_) return RespondError(*exchange, Stopping());
   to_control_(DumpRequested{[reply = ReplyTo(exchange)](std::string json) {
     reply(200, std::move(json));
   }});
@@ -155,6 +189,8 @@
     refused_announcements_.Add();
     return;
   }
+  // The endpoint announces itself to another instance instead.
+  if (stopping_) return RespondError(exchange, Stopping());
   Findings findings;
   proto::Announcement announcement =
       ParseAnnouncement(exchange.body(), &findings);
--- a/main/admin_task.h
+++ b/main/admin_task.h
@@ -3,12 +3,14 @@
 #ifndef MAIN_ADMIN_TASK_H_
 #define MAIN_ADMIN_TASK_H_
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
 #include "main/error_body.h"
@@ -23,17 +25,22 @@
             std::function<void(ControlMessage)> to_control);
   ~AdminTask() override;
 
-  void Post(KeysChanged message) { keys_changed_.Post(std::move(message)); }
+  void Post(AdminMessage message) { mailbox_.Post(std::move(message)); }
 
   const std::string& listen_error() const { return listen_error_; }
-  /// Sets whether /readyz answers 200 or 503. Thread-safe.
-  void SetReady(bool ready) { ready_.store(ready); }
+  /// After StopRequested: true while every caller has its answers, or doesn't
+  /// read them. Thread-safe.
+  bool drained() const { return drained_.load(); }
 
  protected:
   void OnStart() override;
   void OnStop() override;
 
  private:
+  void On(KeysChanged& message);
+  void On(DrainRequested& message);
+  void On(StopRequested& message);
+
   void SetKeys(const Settings::Keys& keys);
   void HandleHttp(HttpExchangePtr exchange);
   void HandleStatement(HttpExchangePtr exchange);
@@ -59,10 +66,14 @@
   TokenTable operators_;
   TokenTable endpoints_;
   std::unique_ptr<HttpServer> server_;
-  std::atomic<bool> ready_{true};
+  bool ready_ = true;
+  bool stopping_ = false;
+  std::atomic<bool> drained_{false};
+  DrainWatch drain_watch_;
+  GSourcePtr drain_timer_;
   std::string listen_error_;
   Mailbox<Reply> replies_;
-  Mailbox<KeysChanged> keys_changed_;
+  Mailbox<AdminMessage> mailbox_;
 };
 
 }  // namespace cassiausher
--- a/main/configuration_service.cc
+++ b/main/configuration_service.cc
@@ -174,6 +174,21 @@
   context_.send(origin.instance, envelope);
 }
 
+void ConfigurationService::EndChange(std::uint64_t id) {
+  const ChangeReply reply = std::move(changes_.at(id).reply);
+  changes_.erase(id);
+  reply(kStatusGatewayTimeout,
+        FormatError({.status = kStatusGatewayTimeout,
+                     .type = "unknown_outcome",
+                     .code = "no_quorum",
+                     .message = "no leader answered in time; send the same "
+                                "change id again to learn the outcome"}));
+}
+
+void ConfigurationService::EndChanges() {
+  while (!changes_.empty()) EndChange(changes_.begin()->first);
+}
+
 void ConfigurationService::OnChangeReply(const proto::ChangeReply& reply) {
   const auto found = changes_.find(reply.id());
   if (found == changes_.end()) return;
@@ -436,16 +451,7 @@
       SendChange(id, pending, now);
     }
   }
-  for (const std::uint64_t id : expired) {
-    const ChangeReply reply = std::move(changes_[id].reply);
-    changes_.erase(id);
-    reply(kStatusGatewayTimeout,
-          FormatError({.status = kStatusGatewayTimeout,
-                       .type = "unknown_outcome",
-                       .code = "no_quorum",
-                       .message = "no leader answered in time; send the same "
-                                  "change id again to learn the outcome"}));
-  }
+  for (const std::uint64_t id : expired) EndChange(id);
   expired.clear();
   for (auto& [id, pending] : commands_) {
     if (now >= pending.deadline) {
--- a/main/configuration_service.h
+++ b/main/configuration_service.h
@@ -57,10 +57,14 @@
 
   /// `change` is the parsed form of `text`; the permission has been checked.
   void Submit(const Change& change, ChangeReply reply, Time now);
+  /// Answers the operators whose changes the leader hasn't answered yet.
+  void EndChanges();
   /// Retries the command until it is committed or `timeout` has elapsed.
   void Command(const LedgerEntry& entry, Duration timeout, LedgerReply reply,
                Time now);
 
+  /// Whether a ledger command of this instance isn't known to be committed.
+  bool has_open_commands() const { return !commands_.empty(); }
   const std::shared_ptr<const Configuration>& active() const { return active_; }
   bool lease_valid(Time now) const { return follower_.LeaseValid(now); }
   bool votes() const { return replica_ != nullptr; }
@@ -125,6 +129,8 @@
                             const InstanceId& sender, Time now);
   void SubmitLocally(const Origin& origin, const Change& change, Time now);
   void ProposeLocally(const Origin& origin, const LedgerEntry& entry, Time now);
+  /// Ends a change of this instance without the leader's answer.
+  void EndChange(std::uint64_t id);
   void AnswerChange(const Origin& origin, const std::string& answer);
   void DispatchFollower(Time now);
   void UpdateGate(Time now);
--- a/main/control_task.cc
+++ b/main/control_task.cc
@@ -28,6 +28,10 @@
 // recorded.
 constexpr Duration kOutcomeTimeout = Seconds(24 * 3600);
 
+// Before it leaves, an instance waits this long for a leader to commit the
+// outcomes of its requests; enough for an election.
+constexpr Duration kLastOutcomesPeriod = Seconds(2);
+
 std::string_view NameOf(MemberState state) {
   switch (state) {
     case MemberState::kAlive:
@@ -408,9 +412,20 @@
   }
 }
 
+void ControlTask::On(EndRequestsOrdered&, Time) { configuration_.EndChanges(); }
+
 void ControlTask::On(LeaveRequested&, Time now) {
+  if (!leave_deadline_) leave_deadline_ = now + kLastOutcomesPeriod;
+}
+
+void ControlTask::Leave(Time now) {
+  if (configuration_.has_open_commands()) {
+    if (now < *leave_deadline_) return;
+    Log(LogLevel::kWarning, "outcomes_not_recorded");
+  }
   membership_->Leave(now);
   DispatchMembership(now);
+  left_.store(true);
 }
 
 // ---- Operators -----------------------------------------------------------
@@ -651,6 +666,7 @@
   pools_.Tick(now);
   queries_.Tick(now);
   if (leaving_) handed_over_.store(pools_.HandedOver(now));
+  if (leave_deadline_ && !left_.load()) Leave(now);
 }
 
 }  // namespace cassiausher
--- a/main/control_task.h
+++ b/main/control_task.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,6 +53,10 @@
   /// After ShutdownRequested: true once this instance owns no pool, or no other
   /// instance can take one over. Thread-safe.
   bool handed_over() const { return handed_over_.load(); }
+  /// After LeaveRequested: true once the log holds the outcomes of this
+  /// instance's requests, or its leader doesn't answer, and the other instances
+  /// were told that this one leaves. Thread-safe.
+  bool left() const { return left_.load(); }
 
  protected:
   void OnStart() override;
@@ -75,6 +80,7 @@
   void On(DumpRequested& message, Time now);
   void On(StatementRequested& message, Time now);
   void On(ShutdownRequested& message, Time now);
+  void On(EndRequestsOrdered& message, Time now);
   void On(LeaveRequested& message, Time now);
   void On(PeersChanged& message, Time now);
   void On(ClaimRequested& message, Time now);
@@ -96,6 +102,7 @@
   /// Publishes this instance's revision and whether it is draining through
   /// membership.
   void UpdatePayload(Time now);
+  void Leave(Time now);
   void ConfigureLimits(const Configuration& configuration);
 
   void RunChange(const Change& change, StatementRequested& message, Time now);
@@ -134,6 +141,9 @@
   bool members_changed_ = true;
   bool leaving_ = false;
   std::atomic<bool> handed_over_{false};
+  /// Set once LeaveRequested was received.
+  std::optional<Time> leave_deadline_;
+  std::atomic<bool> left_{false};
   Time last_publish_{};
   std::string listen_error_;
   GSourcePtr timer_;
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -2,10 +2,12 @@
 
 #include <glib-unix.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 #include "main/register_modules.h"
 
 namespace cassiausher {
@@ -13,7 +15,10 @@
 
 constexpr guint kShutdownPollMs = 20;
 // Time to send the last messages: request progress and the membership leave.
-constexpr guint kLeaveMs = 300;
+constexpr Duration kSendPeriod = Milliseconds(300);
+// Part of the shutdown limit that is kept for the end: the last answers, the
+// last outcomes, and what is sent and logged last.
+constexpr Duration kEndMargin = Seconds(3);
 constexpr const char* kDefaultPolicy = "reserving";
 
 }  // namespace
@@ -29,11 +34,12 @@
 }
 
 Daemon::~Daemon() {
-  // Listeners are destroyed before the tasks that they post to.
-  admin_.reset();
+  // Tasks post to each other, so all threads end before a task is destroyed.
   if (control_) control_->Stop();
+  if (admin_) admin_->Stop();
   for (auto& task : serving_) task->Stop();
   control_.reset();
+  admin_.reset();
   serving_.clear();
   g_main_loop_unref(loop_);
 }
@@ -99,52 +105,76 @@
       [](std::string json) { std::fprintf(stderr, "%s\n", json.c_str()); }});
 }
 
-bool Daemon::RequestsOpen() {
-  return metrics_.gauge("requests_open").value() > 0 ||
-         metrics_.gauge("claims_waiting").value() > 0;
-}
-
 void Daemon::BeginShutdown() {
-  if (shutdown_deadline_us_ != 0) return;
-  shutdown_deadline_us_ =
-      g_get_monotonic_time() + settings_.limits.shutdown_ms * 1000;
+  if (phase_ != ShutdownPhase::kNone) return;
+  shutdown_began_ = MonotonicNow();
   Log(LogLevel::kInfo, "shutdown_started",
       {{"open_requests", metrics_.gauge("requests_open").value()}});
-  admin_->SetReady(false);
+  EnterPhase(ShutdownPhase::kRequests, shutdown_began_);
+  admin_->Post(DrainRequested{});
   control_->Post(ShutdownRequested{});
   for (const auto& task : serving_) task->Post(ShutdownRequested{});
   g_timeout_add(
       kShutdownPollMs,
-      [](gpointer self) -> gboolean {
-        auto* daemon = static_cast<Daemon*>(self);
-        const bool expired =
-            g_get_monotonic_time() >= daemon->shutdown_deadline_us_;
-        const bool busy =
-            daemon->RequestsOpen() || !daemon->control_->handed_over();
-        if (busy && !expired) return G_SOURCE_CONTINUE;
-        daemon->control_->Post(LeaveRequested{});
-        g_timeout_add(
-            kLeaveMs,
-            [](gpointer loop) -> gboolean {
-              g_main_loop_quit(static_cast<GMainLoop*>(loop));
-              return G_SOURCE_REMOVE;
-            },
-            daemon->loop_);
+      [](gpointer data) -> gboolean {
+        auto* self = static_cast<Daemon*>(data);
+        if (self->AdvanceShutdown(MonotonicNow())) return G_SOURCE_CONTINUE;
+        g_main_loop_quit(self->loop_);
         return G_SOURCE_REMOVE;
       },
       this);
 }
 
-int Daemon::Run() {
-  const std::string error = StartTasks();
-  if (!error.empty()) {
-    Log(LogLevel::kError, "start_failed", {{"error", error}});
-    return 1;
+bool Daemon::Idle() const {
+  return control_->handed_over() &&
+         std::all_of(serving_.begin(), serving_.end(),
+                     [](const auto& task) { return task->drained(); });
+}
+
+void Daemon::EnterPhase(ShutdownPhase phase, Time now) {
+  phase_ = phase;
+  phase_began_ = now;
+}
+
+void Daemon::EndRequests() {
+  if (requests_ended_) return;
+  requests_ended_ = true;
+  for (const auto& task : serving_) task->Post(EndRequestsOrdered{});
+  control_->Post(EndRequestsOrdered{});
+}
+
+bool Daemon::AdvanceShutdown(Time now) {
+  const Duration limit = Milliseconds(settings_.limits.shutdown_ms);
+  const Duration margin = std::min(kEndMargin, limit / 2);
+  const Time requests_end = shutdown_began_ + limit - margin;
+  const Time answers_end = requests_end + margin * 2 / 5;
+  const Time leave_end = requests_end + margin * 3 / 5;
+  if (now >= requests_end) EndRequests();
+  switch (phase_) {
+    case ShutdownPhase::kNone:
+      return true;
+    case ShutdownPhase::kRequests:
+      if (!Idle() && now < requests_end) return true;
+      admin_->Post(StopRequested{});
+      EnterPhase(ShutdownPhase::kAdmin, now);
+      return true;
+    case ShutdownPhase::kAdmin:
+      // Requests on connections that callers keep are still refused.
+      if (!(Idle() && admin_->drained()) && now < answers_end) return true;
+      control_->Post(LeaveRequested{});
+      EnterPhase(ShutdownPhase::kLeaving, now);
+      return true;
+    case ShutdownPhase::kLeaving:
+      if (!control_->left() && now < leave_end) return true;
+      EnterPhase(ShutdownPhase::kSending, now);
+      return true;
+    case ShutdownPhase::kSending:
+      return now - phase_began_ < std::min(kSendPeriod, margin / 5);
   }
-  Log(LogLevel::kInfo, "started",
-      {{"caller", settings_.listen.caller.ToString()},
-       {"admin", settings_.listen.admin.ToString()},
-       {"peer", settings_.listen.peer.ToString()}});
+  return false;
+}
+
+void Daemon::WatchSignals() {
   const auto on_shutdown = [](gpointer self) -> gboolean {
     static_cast<Daemon*>(self)->BeginShutdown();
     return G_SOURCE_CONTINUE;
@@ -165,6 +195,19 @@
         return G_SOURCE_CONTINUE;
       },
       this);
+}
+
+int Daemon::Run() {
+  const std::string error = StartTasks();
+  if (!error.empty()) {
+    Log(LogLevel::kError, "start_failed", {{"error", error}});
+    return 1;
+  }
+  Log(LogLevel::kInfo, "started",
+      {{"caller", settings_.listen.caller.ToString()},
+       {"admin", settings_.listen.admin.ToString()},
+       {"peer", settings_.listen.peer.ToString()}});
+  WatchSignals();
   g_main_loop_run(loop_);
   Log(LogLevel::kInfo, "stopped");
   return 0;
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -11,6 +11,7 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "core/time.h"
 #include "main/admin_task.h"
 #include "main/control_task.h"
 #include "main/serving_task.h"
@@ -19,6 +20,19 @@
 
 namespace cassiausher {
 
+/// Steps of a shutdown, in order.
+enum class ShutdownPhase {
+  kNone,
+  /// Requests in progress end; new ones are refused.
+  kRequests,
+  /// The admin listener is closed; its callers get their last answers.
+  kAdmin,
+  /// The control task records the last outcomes and leaves the membership.
+  kLeaving,
+  /// The last messages are sent.
+  kSending,
+};
+
 class Daemon {
  public:
   /// `settings_file` is reloaded on SIGHUP.
@@ -35,8 +49,16 @@
   /// settings have findings.
   void Reload();
   void DumpState();
+  void WatchSignals();
   void BeginShutdown();
-  bool RequestsOpen();
+  /// Takes the next step of the shutdown that is due. Returns false once the
+  /// process may end.
+  bool AdvanceShutdown(Time now);
+  /// Whether every caller has its answer and other instances own the pools.
+  bool Idle() const;
+  void EnterPhase(ShutdownPhase phase, Time now);
+  /// Ends requests that are open near the limit. Does nothing when repeated.
+  void EndRequests();
 
   Settings settings_;
   std::string settings_file_;
@@ -48,7 +70,10 @@
   std::unique_ptr<ControlTask> control_;
   std::unique_ptr<AdminTask> admin_;
   GMainLoop* loop_;
-  gint64 shutdown_deadline_us_ = 0;
+  ShutdownPhase phase_ = ShutdownPhase::kNone;
+  Time phase_began_{};
+  Time shutdown_began_{};
+  bool requests_ended_ = false;
 };
 
 }  // namespace cassiausher
--- a/main/messages.h
+++ b/main/messages.h
@@ -82,8 +82,12 @@
 struct PeersChanged {
   std::vector<PeerSettings> peers;
 };
-/// The last request has ended; the process exits shortly.
+/// The last request has ended; the process exits once the control task has
+/// said its last.
 struct LeaveRequested {};
+/// The shutdown limit is near: open requests of callers and open changes of
+/// operators are ended with an error. Also sent to the serving tasks.
+struct EndRequestsOrdered {};
 /// A serving task claims an idempotency key in the ledger, so that the request
 /// runs at most once.
 struct ClaimRequested {
@@ -112,9 +116,10 @@
 using ControlMessage =
     std::variant<PlacementRequested, PlacementProgress, CancelNotConfirmed,
                  RequestOffered, EndpointAnnounced, DumpRequested,
-                 StatementRequested, ShutdownRequested, LeaveRequested,
-                 PeersChanged, RequestEnded, ClaimRequested, OutcomeReported,
-                 RequestRowsGiven, SessionsListed, LoopbackEnvelope>;
+                 StatementRequested, ShutdownRequested, EndRequestsOrdered,
+                 LeaveRequested, PeersChanged, RequestEnded, ClaimRequested,
+                 OutcomeReported, RequestRowsGiven, SessionsListed,
+                 LoopbackEnvelope>;
 
 // ---- To a serving task ---------------------------------------------------
 
@@ -170,7 +175,16 @@
     std::variant<PlacementGranted, PlacementRefused, PoolOwnerChanged,
                  CancelOrdered, ConfigurationUpdated, RequestRowsRequested,
                  ShutdownRequested, ClaimAnswered, SessionsRequested,
-                 KeysChanged, AdmissionChanged>;
+                 KeysChanged, AdmissionChanged, EndRequestsOrdered>;
+
+// ---- To the admin task ---------------------------------------------------
+
+/// The process shuts down: not ready, and each answer ends its connection.
+struct DrainRequested {};
+/// Takes no further work: closes the listener and refuses what still arrives.
+struct StopRequested {};
+
+using AdminMessage = std::variant<KeysChanged, DrainRequested, StopRequested>;
 
 }  // namespace cassiausher
 
--- a/main/serving_task.cc
+++ b/main/serving_task.cc
@@ -22,9 +22,20 @@
 // claim.
 constexpr Duration kAttachTimeout = Seconds(120);
 constexpr Duration kAttachPollPeriod = Milliseconds(100);
+// At the end of the process, cancels that endpoints don't confirm are given up
+// after this long; pool owners repeat them.
+constexpr Duration kLastCancelPeriod = Seconds(2);
 constexpr std::uint64_t kMaxEventId = 1 << 20;
 constexpr std::string_view kServicesPrefix = "/services/";
 
+ErrorAnswer ShuttingDownError() {
+  return {.status = 503,
+          .type = "unavailable",
+          .code = "shutting_down",
+          .message = "this instance is shutting down",
+          .retry_after = kBusyRetryAfter};
+}
+
 bool IsSafeMethod(std::string_view method) {
   return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
@@ -109,6 +120,7 @@
 
 void ServingTask::OnStop() {
   timer_.reset();
+  LogCutAnswers(server_->UnsentAnswers(), "callers", metrics_);
   active_.clear();
   claims_.clear();
   sessions_calls_.clear();
@@ -191,9 +203,34 @@
 
 void ServingTask::On(ShutdownRequested&, Time) {
   shutting_down_ = true;
+  server_->BeginDrain();
   server_->StopListening();
 }
 
+void ServingTask::On(EndRequestsOrdered&, Time now) {
+  for (auto& [id, request] : active_) request->End(now);
+  while (!claims_.empty()) {
+    const ClaimWaiter waiter = RemoveClaimWaiter(claims_.begin()->first);
+    ReleaseClaim(waiter);
+    if (waiter.attached) {
+      RespondStillRunning(waiter);
+      continue;
+    }
+    Refuse(*waiter.exchange, ShuttingDownError());
+  }
+}
+
+bool ServingTask::Drained(Time now) {
+  const bool answered = drain_watch_.Done(*server_, now);
+  if (!active_.empty() || !claims_.empty()) {
+    busy_at_ = now;
+    return false;
+  }
+  const bool cancelled =
+      cancels_->empty() || now - busy_at_ >= kLastCancelPeriod;
+  return answered && cancelled;
+}
+
 void ServingTask::Tick() {
   const Time now = MonotonicNow();
   for (auto it = active_.begin(); it != active_.end();) {
@@ -206,6 +243,7 @@
   }
   cancels_->Tick(now);
   TickClaims(now);
+  if (shutting_down_) drained_.store(Drained(now));
 }
 
 void ServingTask::Refuse(HttpExchange& exchange, ErrorAnswer error) {
@@ -216,6 +254,7 @@
 
 void ServingTask::HandleHttp(HttpExchangePtr exchange) {
   const std::string_view path = exchange->path();
+  exchange->SetLabel(path);
   if (path == "/healthz") {
     exchange->Respond(200, "text/plain", "ok\n");
     return;
@@ -282,6 +321,7 @@
   }
   request->id =
       MakeRequestId(caller_id, settings_.instance, index_, next_request_++);
+  exchange.SetLabel(request->id.value());
 
   const std::string_view key = exchange.header("Idempotency-Key");
   if (key.size() > kMaxKeyBytes) {
@@ -431,11 +471,7 @@
 void ServingTask::Begin(CallerRequest request, bool plain,
                         HttpExchangePtr exchange) {
   if (shutting_down_) {
-    return Refuse(*exchange, {.status = 503,
-                              .type = "unavailable",
-                              .code = "shutting_down",
-                              .message = "this instance is shutting down",
-                              .retry_after = kBusyRetryAfter});
+    return Refuse(*exchange, ShuttingDownError());
   }
   if (!admits_requests_) {
     return Refuse(*exchange,
@@ -634,14 +670,18 @@
   for (const RequestId& id : expired) {
     const ClaimWaiter waiter = RemoveClaimWaiter(id);
     ReleaseClaim(waiter);
-    RespondError(*waiter.exchange,
-                 {.status = 504,
-                  .type = "unknown_outcome",
-                  .code = "still_running",
-                  .message = "the request with this key is still running",
-                  .retry_after = kBusyRetryAfter},
-                 id.value());
+    RespondStillRunning(waiter);
   }
 }
 
+void ServingTask::RespondStillRunning(const ClaimWaiter& waiter) {
+  RespondError(*waiter.exchange,
+               {.status = 504,
+                .type = "unknown_outcome",
+                .code = "still_running",
+                .message = "the request with this key is still running",
+                .retry_after = kBusyRetryAfter},
+               waiter.request.id.value());
+}
+
 }  // namespace cassiausher
--- a/main/serving_task.h
+++ b/main/serving_task.h
@@ -3,6 +3,7 @@
 #ifndef MAIN_SERVING_TASK_H_
 #define MAIN_SERVING_TASK_H_
 
+#include <atomic>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -11,6 +12,7 @@
 
 #include "core/metrics.h"
 #include "core/settings.h"
+#include "drivers/drain_watch.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
@@ -38,6 +40,9 @@
   /// Error from opening the caller port; empty on success. Valid after Start.
   const std::string& listen_error() const { return listen_error_; }
   std::uint16_t port() const { return server_->port(); }
+  /// After ShutdownRequested: true while no request is open, no cancel is due
+  /// and every caller has its answers, or doesn't read them. Thread-safe.
+  bool drained() const { return drained_.load(); }
 
  protected:
   void OnStart() override;
@@ -56,6 +61,7 @@
   void On(KeysChanged& message, Time now);
   void On(AdmissionChanged& message, Time now);
   void On(ShutdownRequested& message, Time now);
+  void On(EndRequestsOrdered& message, Time now);
 
   void HandleHttp(HttpExchangePtr exchange);
   void HandleModels(HttpExchange& exchange);
@@ -93,7 +99,10 @@
   void SettleClaim(ClaimWaiter waiter, const LedgerAnswer& answer);
   void Replay(const ClaimWaiter& waiter, const RecordedAnswer& answer);
   void TickClaims(Time now);
+  /// Answers that the request with the same key is still running.
+  void RespondStillRunning(const ClaimWaiter& waiter);
   void Tick();
+  bool Drained(Time now);
   void RebuildTokens();
 
   const int index_;
@@ -117,6 +126,10 @@
   std::map<EndpointId, std::unique_ptr<SessionsCall>> sessions_calls_;
   std::uint64_t next_request_;
   bool shutting_down_ = false;
+  std::atomic<bool> drained_{false};
+  DrainWatch drain_watch_;
+  /// When a request was last open.
+  Time busy_at_{};
   /// The configuration held here is known to be current, or no instance that
   /// could hold a newer one is reachable.
   bool admits_requests_ = false;
--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -37,6 +37,8 @@
 PREFILL_RATE = int(os.environ.get("CASSIAUSHER_PREFILL_RATE", "20000"))
 STEP_MS = int(os.environ.get("CASSIAUSHER_STEP_MS", "20"))
 SLOTS = int(os.environ.get("CASSIAUSHER_SLOTS", "20"))
+# Processes that this one started, by name; a restart replaces the earlier process.
+PROCESSES = {}
 
 DEPLOYMENTS = {
     "kaewmanee": {
@@ -118,9 +120,11 @@
 def start(folder, name, arguments):
     log = open(folder / "log" / (name + ".log"), "ab")
     (folder / "settings" / (name + ".command")).write_text(json.dumps([str(a) for a in arguments]))
-    return subprocess.Popen(
+    process = subprocess.Popen(
         [str(argument) for argument in arguments],
         stdout=log, stderr=log, stdin=subprocess.DEVNULL, start_new_session=True)
+    PROCESSES[name] = process
+    return process
 
 
 def plan_relays(instances):
@@ -164,7 +168,8 @@
             "callers": [{"name": "caller", "token_sha256": sha256(tokens["caller"])}],
             "endpoints": [{"name": "endpoint", "token_sha256": sha256(tokens["endpoint"])}],
         },
-        "limits": {"serving_tasks": int(os.environ.get("CASSIAUSHER_SERVING_TASKS", "2"))},
+        "limits": {"serving_tasks": int(os.environ.get("CASSIAUSHER_SERVING_TASKS", "2")),
+                   "shutdown_ms": int(os.environ.get("CASSIAUSHER_SHUTDOWN_MS", "600000"))},
         "log": {"level": "info"},
     }
     if instance["has_disk"]:
