Don't end on signals that arrive while cassiausherd starts

Cause: SIGHUP and SIGUSR1 end a process by default, and the daemon installed its handlers only after all tasks had started.

Change: both signals are ignored until the handlers are installed, which is now before the tasks start; the loop handles what arrives meanwhile.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -198,6 +198,8 @@
 }
 
 int Daemon::Run() {
+  // The loop handles signals that arrive during the start.
+  WatchSignals();
   const std::string error = StartTasks();
   if (!error.empty()) {
     Log(LogLevel::kError, "start_failed", {{"error", error}});
@@ -207,7 +209,6 @@
       {{"caller", settings_.listen.caller.ToString()},
        {"admin", settings_.listen.admin.ToString()},
        {"peer", settings_.listen.peer.ToString()}});
-  WatchSignals();
   g_main_loop_run(loop_);
   Log(LogLevel::kInfo, "stopped");
   return 0;
--- a/main/main.cc
+++ b/main/main.cc
@@ -62,6 +62,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // By default these signals end the process. Until the daemon handles them, a
+  // reload would change nothing and there is no state to print.
+  std::signal(SIGHUP, SIG_IGN);
+  std::signal(SIGUSR1, SIG_IGN);
   using cassiausher::Findings;
   std::map<std::string, docopt::value> arguments;
   try {
--- a/tests/soak/daemon_drain_soak.py
+++ b/tests/soak/daemon_drain_soak.py
@@ -13,6 +13,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -50,6 +51,7 @@
 FILLER_CLASSES = 1500
 ANNOUNCE_PERIOD_S = 0.5
 SITE_SHUTDOWN_S = 0.1
+RELOADS_S = 0.2
 CALLERS = 24
 OPERATORS = 6
 PIPELINED_SHARE = 0.3
@@ -65,11 +67,13 @@
 class Instance:
     """One process of the deployment."""
 
-    def __init__(self, address):
+    def __init__(self, address, folder):
         self.name = address["name"]
         self.data_centre = address["data_centre"]
         self.caller = endpoint_of(address["caller_url"])
         self.admin = endpoint_of(address["admin_url"])
+        settings = json.loads((folder / "settings" / f"{self.name}.json").read_text())
+        self.peer = endpoint_of(settings["listen"]["peer"])
         self.told_at = None
         # (SIGTERM, end of the process, exit status) of each planned stop.
         self.stops = []
@@ -150,7 +154,7 @@
         local_deployment.up_deployment(DEPLOYMENT, self.folder)
         self.tokens = {kind: (self.folder / f"{kind}.token").read_text().strip() for kind in ("admin", "caller", "endpoint")}
         document = json.loads((self.folder / "addresses.json").read_text())
-        self.instances = [Instance(address) for address in document["instances"]]
+        self.instances = [Instance(address, self.folder) for address in document["instances"]]
         self.runner_urls = [endpoint["url"] for endpoint in document["endpoints"]]
         self.add_fillers()
 
@@ -181,12 +185,28 @@
             await asyncio.sleep(0.005)
         instance.stops.append((began, time.monotonic(), process.returncode))
         local_deployment.restart_process(self.folder, instance.name)
+        await self._reload_while_starting(instance)
         await self._until_ready(instance)
         self.stopping.discard(instance.name)
 
+    async def _reload_while_starting(self, instance):
+        """Sends SIGHUP again and again from the time at which the process opens its first listener."""
+        process = local_deployment.PROCESSES[instance.name]
+        while process.poll() is None:
+            with socket.socket() as probe:
+                if probe.connect_ex(instance.peer) == 0:
+                    break
+            await asyncio.sleep(0.001)
+        until = time.monotonic() + RELOADS_S
+        while time.monotonic() < until and process.poll() is None:
+            process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.002)
+
     async def _until_ready(self, instance):
         deadline = time.monotonic() + local_deployment.READY_TIMEOUT_S
         while time.monotonic() < deadline:
+            if local_deployment.PROCESSES[instance.name].poll() is not None:
+                break
             try:
                 async with self.session.get(f"http://{instance.caller[0]}:{instance.caller[1]}/readyz",
                                             timeout=aiohttp.ClientTimeout(total=1)) as answer:
@@ -195,7 +215,7 @@
             except (aiohttp.ClientError, asyncio.TimeoutError):
                 pass
             await asyncio.sleep(0.05)
-        raise RuntimeError(f"{instance.name} is not ready")
+        raise RuntimeError(f"{instance.name} is not ready, status {local_deployment.PROCESSES[instance.name].returncode}")
 
     async def restarts(self, until):
         while time.monotonic() < until:
