Send the last messages to peers before a transport ends

Cause: the sockets between instances had a linger of 0, so what a process said last was dropped with it: the leave of the membership, progress of the last requests, placements, the transfer of leadership.

Change: closed sockets keep sending for up to 200 ms. Removing or replacing a peer returns at once; only the end of the transport waits, once for all peers.

Measured: LastMessagesAreSentBeforeTheTransportEnds queues 3001 messages and ends the transport: the last one never arrived before, it does now. A peer that takes nothing delays the end by about 0.2 s, and removing it takes less than 50 ms.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -104,7 +104,7 @@
 
 void SetCommonOptions(const PeerTransportOptions& options,
                       zmq::socket_t& socket) {
-  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::linger, options.linger_ms);
   socket.set(zmq::sockopt::heartbeat_ivl, options.heartbeat_ms);
   socket.set(zmq::sockopt::heartbeat_timeout, options.heartbeat_timeout_ms);
   socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -34,6 +34,10 @@
   /// replaced: a middlebox may have lost its state while new connections work.
   int heartbeat_ms = 500;
   int heartbeat_timeout_ms = 1500;
+  /// Messages to a removed peer, or queued at the end of the transport, are
+  /// still sent for this long. Only the transport's destructor waits for it,
+  /// once for all peers.
+  int linger_ms = 200;
 };
 
 /// Belongs to the task that runs the context passed to Listen().
@@ -43,6 +47,7 @@
 
   PeerTransport(PeerTransportOptions options, Metrics& metrics,
                 Handler handler);
+  /// Blocks for at most `linger_ms` while peers take the last messages.
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/tests/drivers/peer_transport_test.cc
+++ b/tests/drivers/peer_transport_test.cc
@@ -1,5 +1,6 @@
-// Guards against a peer that connects with an unlisted key, and against an
-// unreachable peer that blocks the sender or makes it queue messages.
+// Guards against a peer that connects with an unlisted key, against an
+// unreachable peer that blocks the sender or makes it queue messages, and
+// against last messages that are lost with their sender.
 #include "drivers/peer_transport.h"
 
 #include <CppUTest/TestHarness.h>
@@ -53,6 +54,23 @@
   return true;
 }
 
+// Connects `a` to `b`, whose task doesn't run, and fills the queues between
+// them until `b` takes nothing more.
+bool FillQueues(GMainContext* context, Node& a, Node& b) {
+  constexpr gulong kSettleUs = 100'000;
+  const std::string message(1024, 'm');
+  const bool connected = RunUntil(context, [&] {
+    a.transport.Send(InstanceId("b"), message);
+    return b.received > 0;
+  });
+  return connected && RunUntil(context, [&] {
+           while (a.transport.Send(InstanceId("b"), message)) {
+           }
+           g_usleep(kSettleUs);
+           return !a.transport.Send(InstanceId("b"), message);
+         });
+}
+
 // First port of this test; outside the usual ephemeral range.
 constexpr int kFirstPort = 21870;
 
@@ -150,3 +168,51 @@
   }
   CHECK(RunUntil(context, [&] { return b.received > kMessages / 2; }));
 }
+
+// A leave message, or the transfer of leadership, was dropped with the process
+// that had sent it last.
+TEST(PeerTransport, LastMessagesAreSentBeforeTheTransportEnds) {
+  constexpr int kMessages = 3000;
+  auto a = std::make_unique<Node>(kFirstPort + 7, CurveKeys{});
+  Node b(kFirstPort + 8, {});
+  STRCMP_EQUAL("", a->transport.Listen(context).c_str());
+  STRCMP_EQUAL("", b.transport.Listen(context).c_str());
+  a->transport.SetPeer(InstanceId("b"), b.address, "");
+  CHECK(RunUntil(context, [&] {
+    a->transport.Send(InstanceId("b"), "first");
+    return b.received > 0;
+  }));
+  const std::string message(1024, 'm');
+  for (int i = 0; i < kMessages; ++i) {
+    CHECK(a->transport.Send(InstanceId("b"), message));
+  }
+  CHECK(a->transport.Send(InstanceId("b"), "leave"));
+  a.reset();
+  CHECK(RunUntil(context, [&] { return b.last == "leave"; }));
+}
+
+TEST(PeerTransport, PeerThatTakesNothingDelaysTheEndOnlyBriefly) {
+  auto a = std::make_unique<Node>(kFirstPort + 9, CurveKeys{});
+  Node b(kFirstPort + 10, {});
+  STRCMP_EQUAL("", a->transport.Listen(context).c_str());
+  STRCMP_EQUAL("", b.transport.Listen(context).c_str());
+  a->transport.SetPeer(InstanceId("b"), b.address, "");
+  CHECK(FillQueues(context, *a, b));
+  const gint64 start = g_get_monotonic_time();
+  a.reset();
+  CHECK(g_get_monotonic_time() - start < G_USEC_PER_SEC / 2);
+}
+
+// Peers are removed and replaced on the running task.
+TEST(PeerTransport, RemovingAPeerThatTakesNothingDoesNotBlock) {
+  Node a(kFirstPort + 11, {});
+  Node b(kFirstPort + 12, {});
+  STRCMP_EQUAL("", a.transport.Listen(context).c_str());
+  STRCMP_EQUAL("", b.transport.Listen(context).c_str());
+  a.transport.SetPeer(InstanceId("b"), b.address, "");
+  CHECK(FillQueues(context, a, b));
+  const gint64 start = g_get_monotonic_time();
+  a.transport.SetPeer(InstanceId("b"), "127.0.0.1:1", "");
+  a.transport.RemovePeer(InstanceId("b"));
+  CHECK(g_get_monotonic_time() - start < G_USEC_PER_SEC / 20);
+}
