End calls whose answers have headers or framing without end

An endpoint in trouble may send headers, informational answers, chunk extensions or trailers that never end. The client kept the headers and went on reading the rest until the request's deadline.

HttpClient now limits the header bytes and lines of a call and the bytes of its body that aren't content, and tells the sink when a limit ends the call. Calls can be paused, so that an endpoint is slowed down by its own window.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -18,6 +18,16 @@
 // Size of the read buffer, of which each open call has one.
 constexpr long kReadBufferBytes = 8 << 10;
 constexpr int kFirstFinalStatus = 200;
+// Limits of the header lines of one call, over all its informational answers
+// and the final one. Each line takes more memory than its text.
+constexpr std::int64_t kMaxHeaderBytes = 64 << 10;
+constexpr int kMaxHeaderLines = 512;
+// Limit of the bytes of a body that aren't content: sizes and extensions of
+// chunks, and trailers. A chunk of one byte takes five of them.
+constexpr std::int64_t kMaxFramingBytes = 16 << 10;
+constexpr std::int64_t kMaxFramingPerContentByte = 8;
+// libcurl reports longer trailer lines as a malformed body.
+constexpr std::int64_t kMaxTrailerLineBytes = 4 << 10;
 
 struct SoupHeadersUnref {
   void operator()(SoupMessageHeaders* headers) const {
@@ -70,6 +80,15 @@
   std::string error;
   bool sent = false;
 
+  // Received so far, for the limits.
+  std::int64_t header_bytes = 0;
+  int header_lines = 0;
+  /// Body with its chunk framing and trailers, as received.
+  std::int64_t raw_body_bytes = 0;
+  std::int64_t content_bytes = 0;
+  /// The limit that the answer exceeds; empty if none.
+  std::string_view excess;
+
   ~Pending() {
     if (easy == nullptr) return;
     curl_multi_remove_handle(multi, easy);
@@ -81,6 +100,46 @@
     curl_easy_getinfo(easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
     return pretransfer_us > 0;
   }
+
+  /// Returns whether the answer stays within the limits.
+  bool CountHeaderLine(std::size_t bytes) {
+    header_bytes += static_cast<std::int64_t>(bytes);
+    ++header_lines;
+    if (header_bytes > kMaxHeaderBytes || header_lines > kMaxHeaderLines) {
+      excess = "too many headers";
+    }
+    return excess.empty();
+  }
+
+  void CountRawBody(std::size_t bytes) {
+    raw_body_bytes += static_cast<std::int64_t>(bytes);
+  }
+
+  void CountContent(std::size_t bytes) {
+    content_bytes += static_cast<std::int64_t>(bytes);
+  }
+
+  std::int64_t FramingBytes() const { return raw_body_bytes - content_bytes; }
+
+  bool FramingIsWithinLimit() {
+    const std::int64_t limit =
+        kMaxFramingBytes + kMaxFramingPerContentByte * content_bytes;
+    if (FramingBytes() > limit) excess = "too much chunk framing";
+    return excess.empty();
+  }
+
+  void OnTransferEnd(CURLcode result) {
+    done = true;
+    sent = Sent();
+    if (result == CURLE_OK) return;
+    error = curl_easy_strerror(result);
+    // libcurl ends a header line of 100 KiB so.
+    if (result == CURLE_OUT_OF_MEMORY) excess = "a header line is too long";
+    if (result == CURLE_RECV_ERROR && FramingBytes() > kMaxTrailerLineBytes) {
+      excess = "a trailer line is too long";
+    }
+    if (!excess.empty()) error = excess;
+  }
 };
 
 // Drives libcurl's transfers from a GLib main context.
@@ -154,11 +213,7 @@
       if (message->msg != CURLMSG_DONE) continue;
       Pending* pending = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &pending);
-      pending->done = true;
-      pending->sent = pending->Sent();
-      if (message->data.result != CURLE_OK) {
-        pending->error = curl_easy_strerror(message->data.result);
-      }
+      pending->OnTransferEnd(message->data.result);
       ready.push_back(pending->id);
     }
     client->Deliver();
@@ -241,6 +296,7 @@
                                            void* user) -> std::size_t {
     auto* self = static_cast<Pending*>(user);
     const std::string_view line(data, size * count);
+    if (!self->CountHeaderLine(line.size())) return 0;
     // Header lines after the body are trailers.
     if (self->headers_complete) return line.size();
     if (line.substr(0, 5) == "HTTP/") {
@@ -272,15 +328,52 @@
                                          void* user) -> std::size_t {
     auto* self = static_cast<Pending*>(user);
     self->body.append(data, size * count);
+    self->CountContent(size * count);
     self->loop->ready.push_back(self->id);
     return size * count;
   };
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
+  LimitFraming(pending);
+}
+
+// Only libcurl's debug callback gets the body as received, with its framing. It
+// can't end the transfer, so the progress callback does, which follows each
+// read.
+void HttpClient::LimitFraming(Pending* pending) {
+  CURL* easy = pending->easy;
+  const curl_debug_callback on_debug = [](CURL*, curl_infotype type, char*,
+                                          std::size_t size, void* user) {
+    if (type == CURLINFO_DATA_IN)
+      static_cast<Pending*>(user)->CountRawBody(size);
+    return 0;
+  };
+  curl_easy_setopt(easy, CURLOPT_DEBUGFUNCTION, on_debug);
+  curl_easy_setopt(easy, CURLOPT_DEBUGDATA, pending);
+  curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
+  const curl_xferinfo_callback on_progress =
+      [](void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
+        return static_cast<Pending*>(user)->FramingIsWithinLimit() ? 0 : 1;
+      };
+  curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+  curl_easy_setopt(easy, CURLOPT_XFERINFODATA, pending);
+  curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
 }
 
 void HttpClient::Cancel(CallId id) { pending_.erase(id); }
 
+void HttpClient::Pause(CallId id) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  curl_easy_pause(found->second->easy, CURLPAUSE_RECV);
+}
+
+void HttpClient::Resume(CallId id) {
+  const auto found = pending_.find(id);
+  if (found == pending_.end()) return;
+  curl_easy_pause(found->second->easy, CURLPAUSE_CONT);
+}
+
 bool HttpClient::WasSent(CallId id) const {
   const auto found = pending_.find(id);
   if (found == pending_.end()) return false;
@@ -316,6 +409,7 @@
   if (!pending->done) return;
   const std::unique_ptr<Pending> ended = std::move(pending_.at(id));
   pending_.erase(id);
+  if (!ended->excess.empty()) ended->sink->OnExcess(ended->excess);
   ended->sink->OnDone(ended->error, ended->sent);
 }
 
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -43,6 +43,10 @@
   virtual ~HttpCallSink() = default;
   virtual void OnHeaders(int status, SoupMessageHeaders* headers) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
+  /// The remote end sent more headers, chunk framing or trailers than an answer
+  /// may have. OnDone follows with an error; the call isn't cancelled in
+  /// between.
+  virtual void OnExcess(std::string_view /*what*/) {}
   /// Called last. `error` is empty if the body is complete. `sent` is false if
   /// no connection could be established, so that the remote end got nothing.
   virtual void OnDone(std::string_view error, bool sent) = 0;
@@ -61,6 +65,11 @@
   CallId Start(const HttpCall& call, HttpCallSink* sink);
   /// Aborts the call and closes its connection; the sink isn't called again.
   void Cancel(CallId id);
+  /// Stops reading from the connection of an open call, so that its remote end
+  /// is slowed down by its own window. The end of the connection isn't noticed
+  /// either. What was read before may still be delivered.
+  void Pause(CallId id);
+  void Resume(CallId id);
   /// Whether the remote end may have received any part of an open call.
   bool WasSent(CallId id) const;
 
@@ -69,6 +78,7 @@
   struct Loop;
 
   void Prepare(const HttpCall& call, Pending* pending);
+  void LimitFraming(Pending* pending);
   void Deliver();
   void DeliverOne(CallId id);
 
--- a/tests/drivers/http_client_test.cc
+++ b/tests/drivers/http_client_test.cc
@@ -23,11 +23,13 @@
     error = std::string(text);
     sent = was_sent;
   }
+  void OnExcess(std::string_view) override { excessive = true; }
 
   int status = 0;
   std::string body;
   std::string error;
   bool done = false;
+  bool excessive = false;
   bool sent = false;
 };
 
@@ -101,11 +103,16 @@
   void Call(const std::string& url) {
     HttpClient client;
     client.Start({.method = "GET", .url = url, .new_connection = true}, &sink);
-    const gint64 deadline = g_get_monotonic_time() + 5 * G_USEC_PER_SEC;
-    while (!sink.done && g_get_monotonic_time() < deadline) {
+    Run(5 * G_USEC_PER_SEC, [this] { return sink.done; });
+    CHECK_TRUE(sink.done);
+  }
+  // Runs the loop until `ended` or the time is over.
+  template <typename Ended>
+  void Run(gint64 microseconds, Ended ended) {
+    const gint64 deadline = g_get_monotonic_time() + microseconds;
+    while (!ended() && g_get_monotonic_time() < deadline) {
       if (!g_main_context_iteration(context, FALSE)) g_usleep(1000);
     }
-    CHECK_TRUE(sink.done);
   }
 };
 
@@ -168,3 +175,130 @@
   CHECK_FALSE(sink.error.empty());
   CHECK_FALSE(sink.sent);
 }
+
+namespace {
+
+// Sends a head once and a piece again and again until the connection ends or
+// `kEndlessBytes` were sent.
+class EndlessServer {
+ public:
+  static constexpr std::size_t kEndlessBytes = std::size_t{8} << 20;
+
+  EndlessServer(std::string head, const std::string& piece)
+      : head_(std::move(head)), listener_(g_socket_listener_new()) {
+    while (block_.size() < kBlockBytes) block_ += piece;
+    port_ =
+        g_socket_listener_add_any_inet_port(listener_.get(), nullptr, nullptr);
+    thread_ = std::thread([this] { Serve(); });
+  }
+  ~EndlessServer() {
+    g_cancellable_cancel(stop_.get());
+    thread_.join();
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" + std::to_string(port_) + "/";
+  }
+
+ private:
+  static constexpr std::size_t kBlockBytes = 4096;
+
+  void Serve() {
+    const GObjectPtr<GSocketConnection> connection(g_socket_listener_accept(
+        listener_.get(), nullptr, stop_.get(), nullptr));
+    if (!connection) return;
+    GOutputStream* output =
+        g_io_stream_get_output_stream(G_IO_STREAM(connection.get()));
+    bool open = Send(output, head_);
+    for (std::size_t sent = 0; open && sent < kEndlessBytes;) {
+      open = Send(output, block_);
+      sent += block_.size();
+    }
+    // Holds the connection, so that its end doesn't end the call.
+    while (open && !g_cancellable_is_cancelled(stop_.get())) g_usleep(1000);
+  }
+  bool Send(GOutputStream* output, const std::string& bytes) {
+    return g_output_stream_write_all(output, bytes.data(), bytes.size(),
+                                     nullptr, stop_.get(), nullptr) != 0;
+  }
+
+  std::string head_;
+  std::string block_;
+  GObjectPtr<GSocketListener> listener_;
+  GObjectPtr<GCancellable> stop_{g_cancellable_new()};
+  guint16 port_ = 0;
+  std::thread thread_;
+};
+
+constexpr const char* kChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n";
+
+}  // namespace
+
+// Endpoints in trouble sent bytes that belong to no body and never end. The
+// calls stayed open until their deadline, and the headers were all kept.
+TEST_GROUP_BASE(HttpClientEndless, TEST_GROUP_CppUTestGroupHttpClient){
+    void CheckExcessive(const std::string& head, const std::string& piece){
+        EndlessServer server(head, piece);
+Call(server.url());
+CHECK_TRUE(sink.excessive);
+CHECK_TRUE(sink.sent);
+}
+}
+;
+
+TEST(HttpClientEndless, HeadersWithoutEndEndTheCall) {
+  CheckExcessive("HTTP/1.1 200 OK\r\n", "X-More: x\r\n");
+}
+
+TEST(HttpClientEndless, HeaderLineWithoutEndEndsTheCall) {
+  CheckExcessive("HTTP/1.1 200 OK\r\nX-Long: ", "x");
+}
+
+TEST(HttpClientEndless, InformationalAnswersWithoutEndEndTheCall) {
+  CheckExcessive("", "HTTP/1.1 103 Early Hints\r\nX-More: x\r\n\r\n");
+}
+
+TEST(HttpClientEndless, ChunkExtensionWithoutEndEndsTheCall) {
+  CheckExcessive(std::string(kChunkedHead) + "5;", "x");
+}
+
+TEST(HttpClientEndless, LongExtensionsOfShortChunksEndTheCall) {
+  CheckExcessive(kChunkedHead, "1;" + std::string(250, 'x') + "\r\nh\r\n");
+}
+
+TEST(HttpClientEndless, TrailersWithoutEndEndTheCall) {
+  CheckExcessive(std::string(kChunkedHead) + "0\r\n", "X-More: x\r\n");
+}
+
+TEST(HttpClientEndless, TrailerLineWithoutEndEndsTheCall) {
+  CheckExcessive(std::string(kChunkedHead) + "0\r\nX-Long: ", "x");
+}
+
+// Framing is larger than the content in a sound stream of short chunks.
+TEST(HttpClientEndless, ManyShortChunksAreRelayed) {
+  constexpr int kChunks = 100000;
+  std::string response = kChunkedHead;
+  for (int i = 0; i < kChunks; ++i) response += "1\r\nx\r\n";
+  CannedServer server(response + "0\r\n\r\n");
+  Call(server.url());
+  STRCMP_EQUAL("", sink.error.c_str());
+  LONGS_EQUAL(kChunks + 5, sink.body.size());
+}
+
+TEST(HttpClientEndless, PausedCallReceivesNothingUntilItIsResumed) {
+  CannedServer server("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" +
+                      std::string(1000000, 'x'));
+  HttpClient client;
+  const auto call = client.Start(
+      {.method = "GET", .url = server.url(), .new_connection = true}, &sink);
+  Run(5 * G_USEC_PER_SEC, [&] { return !sink.body.empty(); });
+  client.Pause(call);
+  const std::size_t before = sink.body.size();
+  Run(G_USEC_PER_SEC / 10, [] { return false; });
+  LONGS_EQUAL(before, sink.body.size());
+  client.Resume(call);
+  Run(5 * G_USEC_PER_SEC, [&] { return sink.done; });
+  STRCMP_EQUAL("", sink.error.c_str());
+  LONGS_EQUAL(1000000, sink.body.size());
+}
