Bound what an entry instance holds of answers, over all its calls

Only a single whole answer had a limit (16 MiB). Incomplete events, events that wait for the stream's origin and answers that callers don't read had none, and an endpoint whose answers never end went on getting calls.

ByteAccount counts unfinished answers of all calls. Beyond 20 MiB it ends the largest call of the endpoint whose calls hold most. An incomplete event may have 1 MiB. A stream's endpoint isn't read from while its caller lags behind by more than 128 KiB; a pause doesn't count as a lack of progress. Beyond a limit of unread bytes over all callers (20 MiB at entry instances), HttpServer closes the connection with the most. Bodies are kept in pieces and handed over without a copy. An answer beyond a limit opens the circuit of its endpoint at once. The answers to release calls, cancels, orders and session lists are limited too.

--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -65,7 +65,7 @@
 
 void AnswerTracker::OnWritten(SoupServerMessage* message, std::int64_t bytes) {
   const auto found = answers_.find(message);
-  if (found == answers_.end()) return;
+  if (found == answers_.end() || found->second.cut) return;
   found->second.process_bytes += bytes;
   process_bytes_ += bytes;
 }
@@ -102,6 +102,26 @@
   answers_.erase(found);
 }
 
+bool AnswerTracker::CutLargest() {
+  const auto largest = std::max_element(
+      answers_.begin(), answers_.end(), [](const auto& a, const auto& b) {
+        return a.second.process_bytes < b.second.process_bytes;
+      });
+  if (largest == answers_.end()) return false;
+  Answer& answer = largest->second;
+  if (answer.process_bytes == 0 || answer.socket == nullptr) return false;
+  Log(LogLevel::kWarning, "slow_caller_cut",
+      {{"request", answer.label},
+       {"process_bytes", answer.process_bytes},
+       {"process_bytes_of_all", process_bytes_}});
+  process_bytes_ -= answer.process_bytes;
+  answer.process_bytes = 0;
+  answer.cut = true;
+  // libsoup notices the closed socket and drops the connection.
+  g_socket_shutdown(answer.socket, TRUE, TRUE, nullptr);
+  return true;
+}
+
 std::vector<UnsentAnswer> AnswerTracker::Unsent() const {
   std::vector<UnsentAnswer> unsent;
   for (const auto& [message, answer] : answers_) {
--- a/drivers/answer_tracker.h
+++ b/drivers/answer_tracker.h
@@ -48,6 +48,10 @@
   /// before the whole answer was passed to the kernel.
   void OnFinished(SoupServerMessage* message, bool cut);
 
+  /// Closes the connection of the answer with the most bytes in this process,
+  /// and no longer counts these. Returns whether there was one.
+  bool CutLargest();
+
   /// Answers that aren't with their callers in full.
   std::vector<UnsentAnswer> Unsent() const;
   bool HasUnsent() const;
@@ -60,6 +64,8 @@
     std::string label;
     GSocket* socket = nullptr;
     bool handed_over = false;
+    /// Its connection was closed by CutLargest().
+    bool cut = false;
     std::int64_t process_bytes = 0;
     gulong wrote_handler = 0;
   };
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -85,6 +85,7 @@
   int header_lines = 0;
   /// Body with its chunk framing and trailers, as received.
   std::int64_t raw_body_bytes = 0;
+  std::int64_t max_body_bytes = 0;
   std::int64_t content_bytes = 0;
   /// The limit that the answer exceeds; empty if none.
   std::string_view excess;
@@ -115,8 +116,13 @@
     raw_body_bytes += static_cast<std::int64_t>(bytes);
   }
 
-  void CountContent(std::size_t bytes) {
+  /// Returns whether the answer stays within the limits.
+  bool CountContent(std::size_t bytes) {
     content_bytes += static_cast<std::int64_t>(bytes);
+    const bool limited = max_body_bytes > 0;
+    if (limited && content_bytes > max_body_bytes)
+      excess = "the body is too long";
+    return excess.empty();
   }
 
   std::int64_t FramingBytes() const { return raw_body_bytes - content_bytes; }
@@ -253,6 +259,9 @@
   curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kIdleTimeoutSeconds);
+  pending->max_body_bytes = call.max_body_bytes;
+  curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+                   static_cast<long>(ToMilliseconds(call.timeout)));
   // libcurl resends a call when a pooled connection turns out to be closed.
   const bool fresh =
       call.new_connection || (!call.repeatable && call.method != "GET");
@@ -327,8 +336,8 @@
                                          std::size_t count,
                                          void* user) -> std::size_t {
     auto* self = static_cast<Pending*>(user);
+    if (!self->CountContent(size * count)) return 0;
     self->body.append(data, size * count);
-    self->CountContent(size * count);
     self->loop->ready.push_back(self->id);
     return size * count;
   };
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/time.h"
 #include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
@@ -32,6 +33,10 @@
   /// Always opens a connection, so that the call can't be lost on a pooled one
   /// whose remote end no longer responds. The connection isn't reused.
   bool new_connection = false;
+  /// A longer body ends the call; 0 for no limit.
+  std::int64_t max_body_bytes = 0;
+  /// The call fails after this time; 0 for no limit.
+  Duration timeout{};
   /// libcurl may resend the call when a pooled connection turns out to be
   /// closed. If false, every call but GET opens a new connection.
   bool repeatable = false;
@@ -43,8 +48,8 @@
   virtual ~HttpCallSink() = default;
   virtual void OnHeaders(int status, SoupMessageHeaders* headers) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
-  /// The remote end sent more headers, chunk framing or trailers than an answer
-  /// may have. OnDone follows with an error; the call isn't cancelled in
+  /// The remote end sent more headers, body, chunk framing or trailers than the
+  /// answer may have. OnDone follows with an error; the call isn't cancelled in
   /// between.
   virtual void OnExcess(std::string_view /*what*/) {}
   /// Called last. `error` is empty if the body is complete. `sent` is false if
@@ -78,7 +83,7 @@
   struct Loop;
 
   void Prepare(const HttpCall& call, Pending* pending);
-  void LimitFraming(Pending* pending);
+  static void LimitFraming(Pending* pending);
   void Deliver();
   void DeliverOne(CallId id);
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -203,6 +203,43 @@
   server_->answers.OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
+  LimitUnsent();
+}
+
+void HttpExchange::RespondPieces(int status, std::vector<std::string> pieces,
+                                 const HttpHeaders& headers) {
+  if (finished_ || streaming_) return;
+  SetHeaders(headers);
+  soup_server_message_set_status(message_.get(), static_cast<guint>(status),
+                                 nullptr);
+  SoupMessageBody* body = soup_server_message_get_response_body(message_.get());
+  soup_message_body_set_accumulate(body, FALSE);
+  std::int64_t size = 0;
+  for (std::string& piece : pieces) {
+    size += static_cast<std::int64_t>(piece.size());
+    auto* owned = new std::string(std::move(piece));
+    const GBytesPtr bytes(g_bytes_new_with_free_func(
+        owned->data(), owned->size(),
+        [](gpointer data) { delete static_cast<std::string*>(data); }, owned));
+    soup_message_body_append_bytes(body, bytes.get());
+  }
+  soup_message_headers_set_content_length(
+      soup_server_message_get_response_headers(message_.get()), size);
+  server_->answers.OnWritten(message_.get(), size);
+  server_->answers.OnHandedOver(message_.get());
+  Finish();
+  soup_server_message_unpause(message_.get());
+  LimitUnsent();
+}
+
+void HttpExchange::WatchSent(std::function<void()> on_sent) {
+  on_sent_ = std::move(on_sent);
+}
+
+void HttpExchange::LimitUnsent() {
+  while (server_->answers.process_bytes() > server_->max_unsent_bytes) {
+    if (!server_->answers.CutLargest()) return;
+  }
 }
 
 void HttpExchange::StartStream(int status, std::string_view content_type,
@@ -226,6 +263,7 @@
       g_signal_connect_swapped(message_.get(), "wrote-body-data",
                                G_CALLBACK(+[](HttpExchange* self, guint size) {
                                  self->unsent_bytes_ -= size;
+                                 if (self->on_sent_) self->on_sent_();
                                }),
                                this);
 }
@@ -239,6 +277,7 @@
       soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
       bytes.data(), bytes.size());
   soup_server_message_unpause(message_.get());
+  LimitUnsent();
 }
 
 void HttpExchange::EndStream() {
@@ -263,7 +302,9 @@
                        LimitHandler limit_handler)
     : options_(std::move(options)),
       handler_(std::move(handler)),
-      limit_handler_(std::move(limit_handler)) {}
+      limit_handler_(std::move(limit_handler)) {
+  state_->max_unsent_bytes = options_.max_unsent_bytes;
+}
 
 HttpServer::~HttpServer() {
   if (server_) soup_server_disconnect(server_.get());
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -27,6 +27,7 @@
   AnswerTracker answers;
   /// Each answer ends its connection.
   bool draining = false;
+  std::int64_t max_unsent_bytes = 0;
 };
 
 /// One request and its response. Belongs to the server's task. Responds with
@@ -59,6 +60,10 @@
 
   void Respond(int status, std::string_view content_type, std::string_view body,
                const HttpHeaders& headers = {});
+  /// Takes the body over in pieces, which are released as they are sent. Its
+  /// type is in `headers`.
+  void RespondPieces(int status, std::vector<std::string> pieces,
+                     const HttpHeaders& headers);
   void StartStream(int status, std::string_view content_type,
                    const HttpHeaders& headers = {});
   void Write(std::string_view bytes);
@@ -72,17 +77,25 @@
   bool streaming() const { return streaming_; }
   /// Bytes written to the stream and not yet accepted by the socket.
   std::int64_t unsent_bytes() const { return unsent_bytes_; }
+  /// The same over all answers of the server.
+  std::int64_t unsent_bytes_of_server() const {
+    return server_->answers.process_bytes();
+  }
+  /// Calls `on_sent` each time the socket has accepted bytes of the stream.
+  void WatchSent(std::function<void()> on_sent);
 
  private:
   void Finish();
   void OnTransportFinished();
   void OnCallerClosed();
   void SetHeaders(const HttpHeaders& headers);
+  void LimitUnsent();
 
   GObjectPtr<SoupServerMessage> message_;
   CloseWatcher* watcher_;
   std::shared_ptr<HttpServerState> server_;
   std::function<void()> on_closed_;
+  std::function<void()> on_sent_;
   gulong finished_handler_ = 0;
   gulong wrote_handler_ = 0;
   int watched_descriptor_ = -1;
@@ -104,6 +117,9 @@
   std::string tls_key_file;
   /// A larger body is answered with 413 before it is read completely.
   std::int64_t max_body_bytes = 4 << 20;
+  /// Limit of what all callers together haven't read of their answers. Beyond
+  /// it the connection with the most unread bytes is closed, one after another.
+  std::int64_t max_unsent_bytes = 96 << 20;
   /// Larger request headers are answered with 431.
   std::int64_t max_header_bytes = 32 << 10;
 };
@@ -133,6 +149,8 @@
   bool Drained() const;
   /// Answers that their callers don't have in full.
   std::vector<UnsentAnswer> UnsentAnswers() const;
+  /// Bytes of answers that no socket has accepted yet.
+  std::int64_t unsent_bytes() const { return state_->answers.process_bytes(); }
 
  private:
   static void OnRequestFinished(SoupServer* server, SoupServerMessage* message,
--- a/main/cancel_queue.cc
+++ b/main/cancel_queue.cc
@@ -14,6 +14,8 @@
 // owner.
 constexpr int kReportAfterAttempts = 3;
 constexpr int kMaxAttempts = 20;
+// Only the status of the answer counts.
+constexpr std::int64_t kMaxAnswerBytes = 64 << 10;
 
 constexpr int kStatusOk = 200;
 constexpr int kStatusNotFound = 404;
@@ -70,6 +72,7 @@
                         .content_type = built.content_type,
                         .body = built.body,
                         .new_connection = attempts_ > 0,
+                        .max_body_bytes = kMaxAnswerBytes,
                         .repeatable = true};
     status_ = 0;
     due_ = now + kAnswerTimeout;
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -39,6 +39,11 @@
 constexpr int kBudgetWindowSeconds = 10;
 constexpr Duration kRefusalRetryAfter = Milliseconds(300);
 
+// Limits of the process for answers that it holds until they are complete, and
+// for what callers haven't read. Each is larger than the largest answer.
+constexpr std::int64_t kMaxUnfinishedBytes = 20 << 20;
+constexpr std::int64_t kMaxUnsentBytes = 20 << 20;
+
 constexpr const char* kJson = "application/json";
 
 }  // namespace
@@ -59,6 +64,7 @@
       permits_(static_cast<std::uint64_t>(g_get_real_time()), metrics, &link_),
       origins_(settings_, metrics, &link_),
       controls_({.self = InstanceId(settings_.ip)}),
+      bytes_(kMaxUnfinishedBytes),
       received_(metrics.counter("caller_requests_total")),
       refused_(metrics.counter("caller_refusals_total")),
       open_(metrics.gauge("open_requests")) {}
@@ -73,7 +79,8 @@
   };
   callers_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.callers->ip,
-                        .port = settings_.callers->port},
+                        .port = settings_.callers->port,
+                        .max_unsent_bytes = kMaxUnsentBytes},
       [this](HttpExchangePtr exchange) {
         OnCallerRequest(std::move(exchange));
       },
@@ -209,6 +216,7 @@
                                   .permits = &permits_,
                                   .origins = &origins_,
                                   .answers = &answers_[service],
+                                  .bytes = &bytes_,
                                   .metrics = &metrics_,
                                   .context = context_};
   auto request = std::make_shared<ForwardedRequest>(
@@ -398,6 +406,8 @@
     controls_.Learn(InstanceId(seed.ip), now);
   }
   SendFollowMessages(now);
+  metrics_.gauge("unfinished_answer_bytes").Set(bytes_.bytes());
+  metrics_.gauge("unsent_answer_bytes").Set(callers_->unsent_bytes());
   if (now < next_expiry_) return;
   next_expiry_ = now + kExpiryPeriod;
   pool_.Expire(now);
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -91,6 +91,8 @@
   PermitClient permits_;
   OriginClient origins_;
   ControlDirectory controls_;
+  /// Of unfinished answers; the requests refer to it.
+  ByteAccount bytes_;
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
   std::map<ServiceId, RouteShares> shares_;
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -29,7 +29,17 @@
 // Another instance may be in touch with one that knows the stream.
 constexpr Duration kUnknownRetryAfter = Milliseconds(300);
 // Limit of an answer that isn't streamed: it is held in memory until complete.
-constexpr std::size_t kMaxBufferedBytes = std::size_t{16} << 20;
+constexpr std::int64_t kMaxBufferedBytes = 16 << 20;
+// An answer to a prefill call has a handle and a few numbers.
+constexpr std::int64_t kMaxPrefillAnswerBytes = 64 << 10;
+// A stream's endpoint isn't read from while the caller hasn't taken more than
+// this, or less if the callers of this instance together lag behind.
+constexpr std::int64_t kMaxUnreadBytes = 128 << 10;
+constexpr std::int64_t kMaxUnreadBytesIfTight = 16 << 10;
+constexpr std::int64_t kTightUnreadBytes = 4 << 20;
+// The answer to a release call has no use.
+constexpr std::int64_t kMaxReleaseAnswerBytes = 64 << 10;
+constexpr Duration kReleaseTimeout = Seconds(2);
 
 // Ignores the answer of a release call: the handle expires by itself if the
 // call fails.
@@ -52,6 +62,8 @@
       return "server_error";
     case CallFailure::kBroken:
       return "broken";
+    case CallFailure::kExcessive:
+      return "excessive";
   }
   return "unknown";
 }
@@ -97,7 +109,9 @@
       events_(caller_.last_event_id) {}
 
 ForwardedRequest::~ForwardedRequest() {
-  if (call_.has_value()) context_.client->Cancel(call_id_);
+  if (!call_.has_value()) return;
+  context_.client->Cancel(call_id_);
+  context_.bytes->Remove(bytes_id_);
 }
 
 void ForwardedRequest::Start(std::function<void()> on_end) {
@@ -106,6 +120,9 @@
   exchange_->WatchClose([weak] {
     if (const auto self = weak.lock()) self->OnCallerGone();
   });
+  exchange_->WatchSent([weak] {
+    if (const auto self = weak.lock()) self->ControlFlow();
+  });
   const bool taken_up = facts_.resumable && !caller_.resumes.empty();
   if (taken_up) return StartTakenUp();
   StartForwarding();
@@ -202,7 +219,8 @@
     progress_deadline_ = now + call.answer_timeout;
   }
   answer_.reset();
-  body_.clear();
+  body_.Clear();
+  excessive_ = false;
   const bool resumes = call.kind == CallKind::kRun && begun_.has_value();
   // An incomplete event of the previous run is not part of the next one.
   events_ = EventSplitter(events_.last_id());
@@ -225,6 +243,12 @@
        {"resumes", resumes},
        {"kv_source", call.kv_source ? call.kv_source->address : ""},
        {"time_left_ms", ToMilliseconds(plan.time_left)}});
+  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
+  bytes_id_ = context_.bytes->Add(call.endpoint.id, [weak] {
+    const auto self = weak.lock();
+    if (self == nullptr) return;
+    self->FailCall(CallFailure::kExcessive, "too many unfinished answers");
+  });
   call_id_ = context_.client->Start(BuildCall(*exchange_, plan), this);
   ArmTimer();
 }
@@ -291,18 +315,65 @@
 void ForwardedRequest::OnBody(std::string_view bytes) {
   const bool relays_events = call_->kind == CallKind::kRun && is_stream_ &&
                              answer_->status == kOk && answer_->event_stream;
-  if (!relays_events) {
-    body_.append(bytes);
-    if (body_.size() > kMaxBufferedBytes) {
-      FailCall(CallFailure::kBroken, "the answer is too long");
-    }
+  if (relays_events) {
+    OnEvents(bytes);
+  } else {
+    OnBuffered(bytes);
+  }
+}
+
+void ForwardedRequest::OnBuffered(std::string_view bytes) {
+  body_.Append(bytes);
+  const std::int64_t limit = call_->kind == CallKind::kPrefill
+                                 ? kMaxPrefillAnswerBytes
+                                 : kMaxBufferedBytes;
+  if (body_.size() > limit) {
+    FailCall(CallFailure::kExcessive, "the answer is too long");
+    return;
+  }
+  AccountBytes();
+}
+
+void ForwardedRequest::AccountBytes() {
+  const std::size_t events =
+      events_.incomplete_event().size() + held_events_.size();
+  context_.bytes->Set(bytes_id_,
+                      body_.size() + static_cast<std::int64_t>(events));
+}
+
+void ForwardedRequest::ControlFlow() {
+  if (!call_.has_value() || !begun_.has_value()) return;
+  const std::int64_t unread = exchange_->unsent_bytes() +
+                              static_cast<std::int64_t>(held_events_.size());
+  const bool tight = exchange_->unsent_bytes_of_server() > kTightUnreadBytes;
+  const std::int64_t limit = tight ? kMaxUnreadBytesIfTight : kMaxUnreadBytes;
+  if (!paused_ && unread > limit) {
+    paused_ = true;
+    progress_deadline_.reset();
+    context_.client->Pause(call_id_);
     return;
   }
+  if (!paused_ || unread > limit / 2) return;
+  paused_ = false;
+  if (call_->gap_timeout > Duration(0)) {
+    progress_deadline_ = BootTimeNow() + call_->gap_timeout;
+    ArmTimer();
+  }
+  context_.client->Resume(call_id_);
+}
+
+void ForwardedRequest::OnEvents(std::string_view bytes) {
   const std::int64_t before = events_.events();
   const std::string events = events_.Feed(bytes);
   relayed_events_ += events_.events() - before;
   ReportProgress();
   if (!events.empty()) RelayEvents(events);
+  if (events_.over_limit()) {
+    FailCall(CallFailure::kExcessive, "an event is too long");
+    return;
+  }
+  ControlFlow();
+  AccountBytes();
 }
 
 void ForwardedRequest::ReportProgress() {
@@ -359,7 +430,8 @@
   holding_ = false;
   exchange_->StartStream(begun_->status, "", begun_->headers);
   if (!held_events_.empty()) exchange_->Write(std::exchange(held_events_, {}));
-  if (complete_) EndStream();
+  if (complete_) return EndStream();
+  ControlFlow();
 }
 
 void ForwardedRequest::EndStream() {
@@ -367,7 +439,13 @@
   End("answered", begun_->status, "");
 }
 
+void ForwardedRequest::OnExcess(std::string_view) { excessive_ = true; }
+
 void ForwardedRequest::OnDone(std::string_view error, bool sent) {
+  if (excessive_) {
+    FailCall(CallFailure::kExcessive, error);
+    return;
+  }
   if (!error.empty() || !answer_.has_value()) {
     const CallFailure failure =
         sent ? CallFailure::kBroken : CallFailure::kNotSent;
@@ -382,7 +460,7 @@
 }
 
 void ForwardedRequest::OnPrefillComplete() {
-  const auto handle = ReadHandle(body_);
+  const auto handle = ReadHandle(body_.Text());
   if (!handle.has_value()) {
     FailCall(CallFailure::kBroken, "the prefill answer has no handle");
     return;
@@ -416,7 +494,8 @@
 }
 
 void ForwardedRequest::RespondBuffered() {
-  exchange_->Respond(answer_->status, "", body_, answer_->headers);
+  exchange_->RespondPieces(answer_->status, body_.TakePieces(),
+                           answer_->headers);
 }
 
 void ForwardedRequest::FailCall(CallFailure failure, std::string_view reason) {
@@ -442,6 +521,9 @@
     case CallFailure::kServerError:
       FinishCall(WorkOutcome::kServerError);
       break;
+    case CallFailure::kExcessive:
+      FinishCall(WorkOutcome::kExcessive);
+      break;
     default:
       FinishCall(WorkOutcome::kBroken);
   }
@@ -456,6 +538,8 @@
   const Time now = BootTimeNow();
   const Time first_event_or_end = call_first_event_at_.value_or(now);
   context_.client->Cancel(call_id_);
+  context_.bytes->Remove(bytes_id_);
+  paused_ = false;
   context_.pool->OnFinish(call_->endpoint.id, call_->work, outcome,
                           first_event_or_end - call_started_, now);
   call_.reset();
@@ -508,7 +592,8 @@
   if (now >= facts_.deadline) {
     if (call_.has_value()) {
       const bool was_sent = context_.client->WasSent(call_id_);
-      FinishCall(was_sent ? WorkOutcome::kBroken : WorkOutcome::kAbandoned);
+      const bool failed = was_sent && !paused_;
+      FinishCall(failed ? WorkOutcome::kBroken : WorkOutcome::kAbandoned);
     }
     if (!forwarder_.has_value()) {
       // The stream's origin is still searched for.
@@ -544,7 +629,10 @@
   if (!unused.has_value()) return;
   // The release counts as a request, and the handle expires by itself soon.
   if (context_.permits->permits()->IsLimited(unused->endpoint)) return;
-  context_.client->Start(BuildReleaseCall(*unused), new ReleaseSink);
+  HttpCall release = BuildReleaseCall(*unused);
+  release.max_body_bytes = kMaxReleaseAnswerBytes;
+  release.timeout = kReleaseTimeout;
+  context_.client->Start(release, new ReleaseSink);
 }
 
 void ForwardedRequest::End(std::string_view outcome, int status,
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -14,10 +14,12 @@
 #include "core/time.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
+#include "main/answer_body.h"
 #include "main/origin_client.h"
 #include "main/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
+#include "servers/entry/byte_account.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/event_splitter.h"
 #include "servers/entry/request_forwarder.h"
@@ -32,6 +34,8 @@
   PermitClient* permits = nullptr;
   OriginClient* origins = nullptr;
   AnswerEstimate* answers = nullptr;
+  /// Of unfinished answers.
+  ByteAccount* bytes = nullptr;
   Metrics* metrics = nullptr;
   GMainContext* context = nullptr;
 };
@@ -55,6 +59,7 @@
 
   void OnHeaders(int status, SoupMessageHeaders* headers) override;
   void OnBody(std::string_view bytes) override;
+  void OnExcess(std::string_view what) override;
   void OnDone(std::string_view error, bool sent) override;
 
  private:
@@ -72,6 +77,13 @@
   void OnPrefillComplete();
   void ObserveRateLimit(int status);
   void AwaitPermit(const WaitForPermit& wait);
+  void OnBuffered(std::string_view bytes);
+  void OnEvents(std::string_view bytes);
+  /// Pauses the call while the caller or the stream's origin is waited for, and
+  /// resumes it afterwards.
+  void ControlFlow();
+  /// Tells the account what the call holds, which may end this call or others.
+  void AccountBytes();
   void ReportProgress();
   void RelayEvents(const std::string& events);
   /// The first event has arrived.
@@ -100,6 +112,11 @@
   /// The call in progress; none between calls.
   std::optional<StartCall> call_;
   HttpClient::CallId call_id_ = 0;
+  ByteAccount::HolderId bytes_id_ = 0;
+  /// The endpoint isn't read from, so it can't make progress.
+  bool paused_ = false;
+  /// The answer of the call exceeds a limit.
+  bool excessive_ = false;
   Time call_started_{};
   Time connect_deadline_{};
   /// Between calls: when to check for free capacity again.
@@ -107,7 +124,7 @@
   /// The call counts as broken if no event or answer arrives by then.
   std::optional<Time> progress_deadline_;
   std::optional<EndpointAnswer> answer_;
-  std::string body_;
+  AnswerBody body_;
   EventSplitter events_;
   int calls_ = 0;
   /// Events relayed to the caller over all runs of the request.
--- a/main/sessions_call.cc
+++ b/main/sessions_call.cc
@@ -7,7 +7,7 @@
 
 constexpr int kStatusOk = 200;
 // Fits 100,000 sessions of 80 bytes each; an engine holds some tens.
-constexpr std::size_t kMaxAnswerBytes = 8 << 20;
+constexpr std::int64_t kMaxAnswerBytes = 8 << 20;
 
 }  // namespace
 
@@ -18,7 +18,8 @@
   call_ = context_.http.Start({.method = built.method,
                                .url = built.url,
                                .headers = built.headers,
-                               .new_connection = new_connection},
+                               .new_connection = new_connection,
+                               .max_body_bytes = kMaxAnswerBytes},
                               this);
 }
 
@@ -30,9 +31,7 @@
   status_ = status;
 }
 
-void SessionsCall::OnBody(std::string_view bytes) {
-  if (body_.size() + bytes.size() <= kMaxAnswerBytes) body_.append(bytes);
-}
+void SessionsCall::OnBody(std::string_view bytes) { body_.append(bytes); }
 
 void SessionsCall::OnDone(std::string_view error, bool) {
   call_ = 0;
--- a/main/stage_orders.cc
+++ b/main/stage_orders.cc
@@ -19,6 +19,8 @@
 // After this time, the answer to a sent order is no longer awaited; the runner
 // may still execute the order.
 constexpr Duration kAnswerTimeout = Seconds(5);
+// The answer says only whether the order was taken.
+constexpr std::int64_t kMaxAnswerBytes = 64 << 10;
 // A runner finishes its streams first; one that takes longer counts as having
 // refused the order.
 constexpr Duration kStageChangeTimeout = Seconds(20);
@@ -119,9 +121,10 @@
        {"term", term}});
   delivery_ = std::make_unique<Delivery>(planned);
   delivery_started_ = now;
-  delivery_call_ = client_.Start(
-      BuildStageOrder(planned.endpoint, planned.order.role, holder_, term),
-      delivery_.get());
+  HttpCall call =
+      BuildStageOrder(planned.endpoint, planned.order.role, holder_, term);
+  call.max_body_bytes = kMaxAnswerBytes;
+  delivery_call_ = client_.Start(call, delivery_.get());
 }
 
 void StageOrders::CheckDelivery(Time now) {
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -62,6 +62,7 @@
 double FailureWeight(WorkOutcome outcome) {
   switch (outcome) {
     case WorkOutcome::kBroken:
+    case WorkOutcome::kExcessive:
     case WorkOutcome::kUnreachable:
       return 1;
     case WorkOutcome::kServerError:
@@ -364,7 +365,10 @@
   const double decay = ObservationDecay(entry, now);
   entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
                         kObservationWeight * FailureWeight(outcome);
-  if (outcome == WorkOutcome::kUnreachable) {
+  // No sound endpoint exceeds a limit.
+  const bool opens_circuit = outcome == WorkOutcome::kUnreachable ||
+                             outcome == WorkOutcome::kExcessive;
+  if (opens_circuit) {
     entry.breaker.OnFailure(now);
   } else {
     entry.breaker.OnSuccess(now);
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -94,6 +94,7 @@
   kServerError,  ///< The endpoint responded with a server error.
   kUnreachable,  ///< No connection.
   kBroken,       ///< No response or an incomplete one.
+  kExcessive,    ///< A response that exceeds a limit, as one without end does.
   kMisplaced,    ///< Another endpoint now has the address.
   kRejected,     ///< The endpoint had no free capacity.
   kAbandoned,    ///< Cancelled here, for example as the caller disconnected.
--- a/servers/entry/event_splitter.cc
+++ b/servers/entry/event_splitter.cc
@@ -6,10 +6,14 @@
 namespace cassiausher {
 namespace {
 
+constexpr std::size_t kLongestBlankLine = 4;
+
 // Length of the first complete event and its blank line; 0 if there is none.
-std::size_t EventLength(std::string_view text) {
-  const std::size_t plain = text.find("\n\n");
-  const std::size_t crlf = text.find("\r\n\r\n");
+// No event ends in the first `searched` bytes.
+std::size_t EventLength(std::string_view text, std::size_t searched) {
+  const std::size_t from = searched - std::min(searched, kLongestBlankLine - 1);
+  const std::size_t plain = text.find("\n\n", from);
+  const std::size_t crlf = text.find("\r\n\r\n", from);
   const std::size_t end =
       std::min(plain == std::string_view::npos ? plain : plain + 2,
                crlf == std::string_view::npos ? crlf : crlf + 4);
@@ -49,8 +53,9 @@
   std::size_t start = 0;
   for (;;) {
     const std::string_view rest = std::string_view(buffer_).substr(start);
-    const std::size_t length = EventLength(rest);
+    const std::size_t length = EventLength(rest, searched_);
     if (length == 0) break;
+    searched_ = 0;
     const std::string_view event = rest.substr(0, length);
     if (AcceptIfNew(event)) {
       complete.append(event);
@@ -59,6 +64,7 @@
     start += length;
   }
   buffer_.erase(0, start);
+  searched_ = buffer_.size();
   return complete;
 }
 
--- a/servers/entry/event_splitter.h
+++ b/servers/entry/event_splitter.h
@@ -13,6 +13,9 @@
 
 class EventSplitter {
  public:
+  /// Limit of an incomplete event; events of a sound endpoint have some KiB.
+  static constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
+
   /// Drops events with ids up to and including `after`, which the caller has.
   explicit EventSplitter(std::optional<std::int64_t> after = std::nullopt)
       : last_id_(after) {}
@@ -25,6 +28,9 @@
   std::optional<std::int64_t> last_id() const { return last_id_; }
   /// Bytes of an event that isn't complete yet.
   const std::string& incomplete_event() const { return buffer_; }
+  /// Whether the incomplete event has exceeded its limit. Nothing more may be
+  /// fed then.
+  bool over_limit() const { return buffer_.size() > kMaxEventBytes; }
   /// Number of events returned.
   std::int64_t events() const { return events_; }
 
@@ -33,6 +39,8 @@
   bool AcceptIfNew(std::string_view event);
 
   std::string buffer_;
+  /// No event ends in this many bytes of `buffer_`.
+  std::size_t searched_ = 0;
   std::optional<std::int64_t> last_id_;
   std::int64_t events_ = 0;
 };
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -121,6 +121,7 @@
   kMisplaced,    ///< Not executed: another endpoint now has the address.
   kServerError,  ///< The endpoint responded with a server error.
   kBroken,       ///< No response or an incomplete one; may have run.
+  kExcessive,    ///< The response exceeds a limit; may have run.
 };
 
 /// Forwards one request. Not thread safe; pool, budget and permits must outlive
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -95,6 +95,45 @@
   STRCMP_EQUAL("sound", PickId(Lookup(), later).c_str());
 }
 
+// An endpoint answered each call with bytes that never ended, and went on
+// getting calls.
+TEST(EndpointPool, AnEndpointWithExcessiveAnswersIsTriedForGrowingPeriods) {
+  pool.Merge(Plain("endless", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  // Loaded so that only an open circuit keeps calls off the other one.
+  for (int i = 0; i < 300; ++i) {
+    pool.OnStart(EndpointId("sound"), Lookup(), kStart);
+  }
+  Time now = kStart;
+  int calls = 0;
+  for (; now < kStart + Seconds(30); now += Milliseconds(10)) {
+    if (PickId(Lookup(), now) != "endless") continue;
+    Finish("endless", WorkOutcome::kExcessive, Milliseconds(20), now);
+    ++calls;
+  }
+  CHECK(calls >= 5);
+  CHECK(calls <= 20);
+  // Well again.
+  const Time well_since = now;
+  while (PickId(Lookup(), now) != "endless") now += Milliseconds(10);
+  CHECK(now - well_since < Seconds(10));
+  Finish("endless", WorkOutcome::kDone, Milliseconds(10), now);
+  Finish("endless", WorkOutcome::kDone, Milliseconds(10), now);
+  STRCMP_EQUAL("endless", PickId(Lookup(), now).c_str());
+}
+
+TEST(EndpointPool, OneExcessiveAnswerTakesAnEndpointOutForASecond) {
+  pool.Merge(Plain("sound", "here"), kStart);
+  pool.Merge(Plain("other", "there"), kStart);
+  Finish("sound", WorkOutcome::kExcessive, Milliseconds(20), kStart);
+  STRCMP_EQUAL("other", PickId(Lookup(), kStart).c_str());
+  // With the other endpoint loaded, the first serves again.
+  const Time later = kStart + Milliseconds(1500);
+  for (int i = 0; i < 300; ++i)
+    pool.OnStart(EndpointId("other"), Lookup(), later);
+  STRCMP_EQUAL("sound", PickId(Lookup(), later).c_str());
+}
+
 // Runners become slow.
 TEST(EndpointPool, ASlowEndpointIsAvoided) {
   pool.Merge(Plain("slow", "here"), kStart);
--- a/tests/entry/event_splitter_test.cc
+++ b/tests/entry/event_splitter_test.cc
@@ -19,6 +19,29 @@
   STRCMP_EQUAL("id", splitter.incomplete_event().c_str());
 }
 
+// An endpoint sent an event that never ended, and all of it was kept.
+TEST(EventSplitter, EventWithoutEndExceedsTheLimit) {
+  const std::string piece(8 << 10, 'x');
+  std::size_t fed = 0;
+  while (!splitter.over_limit() && fed <= 2 * EventSplitter::kMaxEventBytes) {
+    splitter.Feed(piece);
+    fed += piece.size();
+  }
+  CHECK_TRUE(splitter.over_limit());
+  CHECK(fed <= EventSplitter::kMaxEventBytes + piece.size());
+}
+
+TEST(EventSplitter, LargeEventsInSmallPiecesAreReturnedWhole) {
+  const std::string event =
+      "id: 1\ndata: " + std::string(1000000, 'x') + "\n\n";
+  std::string returned;
+  for (std::size_t at = 0; at < event.size(); at += 1000) {
+    returned += splitter.Feed(event.substr(at, 1000));
+    CHECK_FALSE(splitter.over_limit());
+  }
+  CHECK(event == returned);
+}
+
 TEST(EventSplitter, DropsEventsThatTheCallerHas) {
   EventSplitter resumed(std::optional<std::int64_t>(2));
   STRCMP_EQUAL("id: 3\n\n", resumed.Feed("id: 2\n\nid: 3\n\n").c_str());
