End connections whose request doesn't end

libsoup reads a request to its end before it sends a refusal, so a body, chunk extensions or a request that never ends held its connection for ever, also after the body was refused with 413.

ReadGuard ends such a connection: one that was refused, one whose bytes that aren't body exceed a limit, and one that isn't complete in 30 s. The refusal is sent past libsoup, and the connection is closed without a reset. Where the system doesn't tell the bytes of a connection, only the times apply, from the end of the headers.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,5 +1,6 @@
 #include "drivers/http_server.h"
 
+#include <fmt/format.h>
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,6 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "core/log.h"
 #include "drivers/clock.h"
 
 namespace cassiausher {
@@ -313,6 +315,11 @@
 std::string HttpServer::Listen(GMainContext* context) {
   watcher_ = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
+  guard_ = std::make_unique<ReadGuard>(
+      context, options_.read_timeout,
+      [this](SoupServerMessage* message, const ReadRefusal& refusal) {
+        EndReading(message, refusal);
+      });
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -418,18 +425,23 @@
 
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
                                    gpointer self) {
-  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, false);
+  auto* server = static_cast<HttpServer*>(self);
+  server->guard_->Remove(message);
+  server->state_->answers.OnFinished(message, false);
 }
 
 void HttpServer::OnRequestAborted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
-  static_cast<HttpServer*>(self)->state_->answers.OnFinished(message, true);
+  auto* server = static_cast<HttpServer*>(self);
+  server->guard_->Remove(message);
+  server->state_->answers.OnFinished(message, true);
 }
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), self);
+  g_signal_connect(message, "got-body", G_CALLBACK(&OnGotBody), self);
   g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
@@ -437,10 +449,12 @@
   if (socket != nullptr) {
     g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   }
+  static_cast<HttpServer*>(self)->guard_->Add(message);
 }
 
 void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
+  self->guard_->OnHeaders(message, BootTimeNow());
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   if (HeaderBytes(headers) > self->options_.max_header_bytes) {
@@ -458,6 +472,8 @@
 void HttpServer::OnGotChunk(SoupServerMessage* message, GBytes* chunk,
                             gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
+  self->guard_->OnBody(message,
+                       static_cast<std::int64_t>(g_bytes_get_size(chunk)));
   auto* object = G_OBJECT(message);
   const std::int64_t bytes =
       GPOINTER_TO_SIZE(g_object_get_data(object, kBodyBytesKey)) +
@@ -472,6 +488,30 @@
   soup_message_body_truncate(soup_server_message_get_request_body(message));
 }
 
+void HttpServer::OnGotBody(SoupServerMessage* message, gpointer self) {
+  static_cast<HttpServer*>(self)->guard_->Remove(message);
+}
+
+void HttpServer::EndReading(SoupServerMessage* message,
+                            const ReadRefusal& refusal) {
+  Log(LogLevel::kInfo, "request_not_read",
+      {{"status", refusal.status}, {"reason", refusal.text}});
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  if (options_.tls_certificate_file.empty()) {
+    const std::string body = limit_handler_(refusal.status, refusal.text);
+    const std::string answer = fmt::format(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+        refusal.status,
+        soup_status_get_phrase(static_cast<guint>(refusal.status)), body.size(),
+        body);
+    // The socket has room: nothing was sent for this request.
+    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
+  }
+  CloseLingering(message);
+}
+
 void HttpServer::RefuseEarly(SoupServerMessage* message, int status,
                              std::string_view text) {
   const std::string body = limit_handler_(status, text);
@@ -480,6 +520,7 @@
   soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
   soup_server_message_set_response(message, "application/json",
                                    SOUP_MEMORY_COPY, body.data(), body.size());
+  guard_->OnRefused(message, {.status = status, .text = std::string(text)});
 }
 
 }  // namespace cassiausher
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -17,6 +17,7 @@
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/lingering_closer.h"
+#include "drivers/read_guard.h"
 
 namespace cassiausher {
 
@@ -120,6 +121,9 @@
   /// Limit of what all callers together haven't read of their answers. Beyond
   /// it the connection with the most unread bytes is closed, one after another.
   std::int64_t max_unsent_bytes = 96 << 20;
+  /// A request that isn't read in full in this time from its first byte ends
+  /// its connection.
+  Duration read_timeout = Seconds(30);
   /// Larger request headers are answered with 431.
   std::int64_t max_header_bytes = 32 << 10;
 };
@@ -165,6 +169,10 @@
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
   static void OnGotChunk(SoupServerMessage* message, GBytes* chunk,
                          gpointer self);
+  static void OnGotBody(SoupServerMessage* message, gpointer self);
+  /// Sends the refusal past libsoup, which reads a request to its end first,
+  /// and ends the connection.
+  void EndReading(SoupServerMessage* message, const ReadRefusal& refusal);
   void RefuseEarly(SoupServerMessage* message, int status,
                    std::string_view text);
 
@@ -175,6 +183,7 @@
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<CloseWatcher> watcher_;
   std::unique_ptr<LingeringCloser> closer_;
+  std::unique_ptr<ReadGuard> guard_;
   std::uint16_t port_ = 0;
 };
 
--- /dev/null
+++ b/drivers/read_guard.cc
@@ -0,0 +1,123 @@
+#include "drivers/read_guard.h"
+
+#include <gio/gio.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <cstddef>
+#include <utility>
+
+#include "drivers/clock.h"
+#include "drivers/task.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Duration kPollPeriod = Milliseconds(100);
+// Limit of a request's bytes that aren't body. A chunk of one byte takes five
+// of them.
+constexpr std::int64_t kMaxFramingBytes = 128 << 10;
+constexpr std::int64_t kMaxFramingPerBodyByte = 8;
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+
+}  // namespace
+
+std::optional<std::int64_t> BytesRead(GSocket* socket) {
+  const int descriptor = g_socket_get_fd(socket);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
+    return std::nullopt;
+  }
+  constexpr std::size_t kNeeded = offsetof(tcp_info, tcpi_bytes_received) +
+                                  sizeof(info.tcpi_bytes_received);
+  if (size < kNeeded) return std::nullopt;
+  int unread = 0;
+  if (ioctl(descriptor, FIONREAD, &unread) != 0) return std::nullopt;
+  return static_cast<std::int64_t>(info.tcpi_bytes_received) - unread;
+}
+
+ReadGuard::ReadGuard(GMainContext* context, Duration timeout, EndFunction end)
+    : context_(context), timeout_(timeout), end_(std::move(end)) {}
+
+ReadGuard::~ReadGuard() {
+  for (const auto& [message, reading] : reading_) {
+    g_object_weak_unref(G_OBJECT(message), &OnMessageFinalized, this);
+  }
+}
+
+void ReadGuard::OnMessageFinalized(gpointer self, GObject* message) {
+  static_cast<ReadGuard*>(self)->reading_.erase(
+      reinterpret_cast<SoupServerMessage*>(message));
+}
+
+void ReadGuard::Add(SoupServerMessage* message) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  const auto [entry, added] = reading_.try_emplace(message);
+  if (!added) return;
+  g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, this);
+  entry->second.socket = ShareGObject(socket);
+  entry->second.earlier_bytes = BytesRead(socket).value_or(0);
+  if (timer_) return;
+  timer_ = AddTimer(context_, kPollPeriod, [this] { Poll(BootTimeNow()); });
+}
+
+void ReadGuard::OnHeaders(SoupServerMessage* message, Time now) {
+  const auto found = reading_.find(message);
+  if (found == reading_.end()) return;
+  if (!found->second.since.has_value()) found->second.since = now;
+}
+
+void ReadGuard::OnBody(SoupServerMessage* message, std::int64_t bytes) {
+  const auto found = reading_.find(message);
+  if (found != reading_.end()) found->second.body_bytes += bytes;
+}
+
+void ReadGuard::OnRefused(SoupServerMessage* message, ReadRefusal refusal) {
+  const auto found = reading_.find(message);
+  if (found != reading_.end()) found->second.refusal = std::move(refusal);
+}
+
+void ReadGuard::Remove(SoupServerMessage* message) {
+  if (reading_.erase(message) == 0) return;
+  g_object_weak_unref(G_OBJECT(message), &OnMessageFinalized, this);
+}
+
+std::optional<ReadRefusal> ReadGuard::Judge(Reading& reading, Time now) const {
+  if (reading.refusal.has_value()) return reading.refusal;
+  const std::int64_t read =
+      BytesRead(reading.socket.get()).value_or(reading.earlier_bytes) -
+      reading.earlier_bytes;
+  if (read > 0 && !reading.since.has_value()) reading.since = now;
+  if (!reading.since.has_value()) return std::nullopt;
+  if (now - *reading.since >= timeout_) {
+    return ReadRefusal{kRequestTimeout, "the request isn't complete in time"};
+  }
+  const std::int64_t limit =
+      kMaxFramingBytes + kMaxFramingPerBodyByte * reading.body_bytes;
+  if (read - reading.body_bytes > limit) {
+    return ReadRefusal{kBadRequest, "the request has too much framing"};
+  }
+  return std::nullopt;
+}
+
+void ReadGuard::Poll(Time now) {
+  std::vector<std::pair<GObjectPtr<SoupServerMessage>, ReadRefusal>> ended;
+  for (auto& [message, reading] : reading_) {
+    auto refusal = Judge(reading, now);
+    if (!refusal.has_value()) continue;
+    ended.emplace_back(ShareGObject(message), std::move(*refusal));
+  }
+  for (const auto& [message, refusal] : ended) {
+    Remove(message.get());
+    end_(message.get(), refusal);
+  }
+  if (reading_.empty()) timer_.reset();
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/drivers/read_guard.h
@@ -0,0 +1,77 @@
+// Ends connections whose request doesn't end: one that isn't complete in time,
+// has chunk extensions or trailers without end, or goes on after its refusal.
+#ifndef DRIVERS_READ_GUARD_H_
+#define DRIVERS_READ_GUARD_H_
+
+#include <libsoup/soup.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/time.h"
+#include "drivers/gobject_ptr.h"
+
+namespace cassiausher {
+
+/// Why a request isn't read any further.
+struct ReadRefusal {
+  int status = 0;
+  std::string text;
+};
+
+/// Belongs to the task that runs `context`.
+class ReadGuard {
+ public:
+  /// Ends the connection of a message that is being read. Called from a timer.
+  using EndFunction =
+      std::function<void(SoupServerMessage*, const ReadRefusal&)>;
+
+  /// `timeout`: from the first byte of a request to its last.
+  ReadGuard(GMainContext* context, Duration timeout, EndFunction end);
+  ~ReadGuard();
+  ReadGuard(const ReadGuard&) = delete;
+  ReadGuard& operator=(const ReadGuard&) = delete;
+
+  /// The server waits for this request; none of it may have arrived.
+  void Add(SoupServerMessage* message);
+  void OnHeaders(SoupServerMessage* message, Time now);
+  void OnBody(SoupServerMessage* message, std::int64_t bytes);
+  /// The answer is known before the request was read in full.
+  void OnRefused(SoupServerMessage* message, ReadRefusal refusal);
+  /// The request was read in full, or its connection has ended.
+  void Remove(SoupServerMessage* message);
+
+ private:
+  struct Reading {
+    GObjectPtr<GSocket> socket;
+    /// Bytes that the connection had carried before this request.
+    std::int64_t earlier_bytes = 0;
+    std::int64_t body_bytes = 0;
+    /// When the request was first seen to have begun.
+    std::optional<Time> since;
+    std::optional<ReadRefusal> refusal;
+  };
+
+  static void OnMessageFinalized(gpointer self, GObject* message);
+  /// Why the message is ended; null while it isn't.
+  std::optional<ReadRefusal> Judge(Reading& reading, Time now) const;
+  void Poll(Time now);
+
+  GMainContext* context_;
+  Duration timeout_;
+  EndFunction end_;
+  /// Holds weak references to the messages.
+  std::unordered_map<SoupServerMessage*, Reading> reading_;
+  GSourcePtr timer_;
+};
+
+/// Bytes that were read from a TCP connection; null if the system doesn't tell.
+std::optional<std::int64_t> BytesRead(GSocket* socket);
+
+}  // namespace cassiausher
+
+#endif  // DRIVERS_READ_GUARD_H_
--- /dev/null
+++ b/tests/drivers/http_server_limits_test.cc
@@ -0,0 +1,256 @@
+// Guards against requests without end, which took memory or held their
+// connection for ever, and against callers that don't read their answers.
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <cerrno>
+#include <string>
+#include <vector>
+
+#include "drivers/http_server.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr std::size_t kEndlessBytes = std::size_t{16} << 20;
+constexpr std::size_t kMaxRequestBytes = 256 << 10;
+constexpr gint64 kReadTimeoutMicroseconds = 300000;
+
+// A caller whose socket never blocks the test.
+class RawCaller {
+ public:
+  explicit RawCaller(std::uint16_t port)
+      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(socket_, reinterpret_cast<const sockaddr*>(&address),
+            sizeof(address));
+  }
+  ~RawCaller() { close(socket_); }
+  RawCaller(const RawCaller&) = delete;
+  RawCaller& operator=(const RawCaller&) = delete;
+
+  /// Sends what the socket takes.
+  void Send(std::string_view bytes) {
+    const ssize_t size =
+        send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (size > 0) sent += static_cast<std::size_t>(size);
+    if (size < 0 && errno != EAGAIN) ended = true;
+  }
+  void Read() {
+    std::array<char, 64 << 10> buffer;
+    for (;;) {
+      const ssize_t size =
+          recv(socket_, buffer.data(), buffer.size(), MSG_DONTWAIT);
+      if (size > 0) {
+        received.append(buffer.data(), static_cast<std::size_t>(size));
+        continue;
+      }
+      if (size == 0 || errno != EAGAIN) ended = true;
+      return;
+    }
+  }
+
+  std::size_t sent = 0;
+  std::string received;
+  /// The server has closed the connection.
+  bool ended = false;
+
+ private:
+  int socket_;
+};
+
+}  // namespace
+
+TEST_GROUP(HttpServerLimits) {
+  GMainContext* context = nullptr;
+  std::unique_ptr<HttpServer> server;
+  std::vector<HttpExchangePtr> held;
+
+  void setup() override {
+    context = g_main_context_new();
+    g_main_context_push_thread_default(context);
+    server = std::make_unique<HttpServer>(
+        HttpServerOptions{.address = "127.0.0.1",
+                          .max_body_bytes = 100000,
+                          .max_unsent_bytes = 1 << 20,
+                          .read_timeout = Duration(kReadTimeoutMicroseconds)},
+        [this](HttpExchangePtr exchange) {
+          held.push_back(std::move(exchange));
+        },
+        [](int, std::string_view message) { return std::string(message); });
+    STRCMP_EQUAL("", server->Listen(context).c_str());
+  }
+  void teardown() override {
+    held.clear();
+    server.reset();
+    g_main_context_pop_thread_default(context);
+    g_main_context_unref(context);
+  }
+
+  template <typename Ended>
+  bool RunUntil(Ended ended, gint64 microseconds = 3 * G_USEC_PER_SEC) {
+    const gint64 deadline = g_get_monotonic_time() + microseconds;
+    while (!ended()) {
+      if (g_get_monotonic_time() > deadline) return false;
+      if (!g_main_context_iteration(context, FALSE)) g_usleep(200);
+    }
+    return true;
+  }
+
+  // Sends a piece again and again; the server must end the connection soon.
+  void CheckEnds(const std::string& head, const std::string& piece) {
+    RawCaller caller(server->port());
+    caller.Send(head);
+    std::string block;
+    while (block.size() < 8192) block += piece;
+    CHECK_TRUE(RunUntil([&] {
+      if (caller.sent < kEndlessBytes) caller.Send(block);
+      caller.Read();
+      return caller.ended;
+    }));
+    CHECK(held.empty());
+  }
+
+  void CheckEndsOnceAnswered(const std::string& piece) {
+    RawCaller caller(server->port());
+    caller.Send(
+        "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n0\r\nX: ");
+    std::string block;
+    while (block.size() < 8192) block += piece;
+    CHECK_TRUE(RunUntil([&] {
+      if (!held.empty()) held.back()->Respond(200, "text/plain", "ok");
+      if (caller.sent < kEndlessBytes) caller.Send(block);
+      caller.Read();
+      return caller.ended;
+    }));
+    CHECK(held.size() <= 1);
+  }
+};
+
+TEST(HttpServerLimits, HeadersWithoutEnd) {
+  CheckEnds("POST /x HTTP/1.1\r\nHost: a\r\n", "X-More: x\r\n");
+}
+
+TEST(HttpServerLimits, HeaderLineWithoutEnd) {
+  CheckEnds("POST /x HTTP/1.1\r\nHost: a\r\nX-Long: ", "x");
+}
+
+TEST(HttpServerLimits, RequestLineWithoutEnd) { CheckEnds("POST /", "x"); }
+
+TEST(HttpServerLimits, ChunkedBodyWithoutEnd) {
+  CheckEnds("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "5\r\nhello\r\n");
+}
+
+TEST(HttpServerLimits, LongBodyWithLengthThatIsSentAnyway) {
+  CheckEnds(
+      "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000000\r\n\r\n",
+      "x");
+}
+
+TEST(HttpServerLimits, ChunkExtensionWithoutEnd) {
+  CheckEnds(
+      "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5;",
+      "x");
+}
+
+TEST(HttpServerLimits, LongExtensionsOfShortChunks) {
+  CheckEnds("POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "1;" + std::string(90, 'x') + "\r\nh\r\n");
+}
+
+// libsoup takes the first trailer line for the end of the request. What follows
+// is read as the next one, after the answer.
+TEST(HttpServerLimits, TrailersWithoutEnd) {
+  CheckEndsOnceAnswered("X-More: x\r\n");
+}
+
+TEST(HttpServerLimits, TrailerLineWithoutEnd) { CheckEndsOnceAnswered("x"); }
+
+// Some bytes at a time, so that no limit of bytes is reached.
+TEST(HttpServerLimits, RequestThatIsNeverCompleteTimesOut) {
+  for (const std::string head :
+       {"POST /x HTTP/1.1\r\nHost: a\r\n",
+        "POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 90000\r\n\r\n"}) {
+    RawCaller caller(server->port());
+    caller.Send(head);
+    CHECK_TRUE(RunUntil([&] {
+      caller.Send("X");
+      caller.Read();
+      return caller.ended;
+    }));
+  }
+}
+
+TEST(HttpServerLimits, RefusedBodyGetsItsRefusal) {
+  RawCaller caller(server->port());
+  caller.Send(
+      "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  std::string block = "2000\r\n" + std::string(0x2000, 'x') + "\r\n";
+  CHECK_TRUE(RunUntil([&] {
+    caller.Send(block);
+    caller.Read();
+    return caller.ended;
+  }));
+  CHECK(caller.received.starts_with("HTTP/1.1 413"));
+}
+
+// A kept connection is idle for longer than a request may take.
+TEST(HttpServerLimits, IdleConnectionIsKept) {
+  RawCaller caller(server->port());
+  const std::string request = "GET /x HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (std::size_t i = 0; i < 3; ++i) {
+    caller.Send(request);
+    CHECK_TRUE(RunUntil([&] { return held.size() == i + 1; }));
+    held.back()->Respond(200, "text/plain", "ok");
+    RunUntil([] { return false; }, 2 * kReadTimeoutMicroseconds);
+    caller.Read();
+    CHECK_FALSE(caller.ended);
+  }
+}
+
+// The handler of a request may take longer than its caller to send it.
+TEST(HttpServerLimits, SlowHandlerKeepsItsCaller) {
+  RawCaller caller(server->port());
+  caller.Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nok");
+  CHECK_TRUE(RunUntil([&] { return !held.empty(); }));
+  RunUntil([] { return false; }, 2 * kReadTimeoutMicroseconds);
+  held.back()->Respond(200, "text/plain", "ok");
+  CHECK_TRUE(RunUntil([&] {
+    caller.Read();
+    return caller.received.ends_with("ok");
+  }));
+}
+
+TEST(HttpServerLimits, BodyWithinTheLimitsInShortChunksIsTaken) {
+  RawCaller caller(server->port());
+  std::string request =
+      "POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 20000; ++i) request += "1\r\nx\r\n";
+  caller.Send(request + "0\r\n\r\n");
+  CHECK_TRUE(RunUntil([&] { return !held.empty(); }));
+  LONGS_EQUAL(20000, held.back()->body().size());
+}
+
+// Callers that read nothing held as much memory as their answers had.
+TEST(HttpServerLimits, UnreadAnswersAreCutBeyondTheLimit) {
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  const std::string large(4 << 20, 'x');
+  for (std::size_t i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(server->port()));
+    callers.back()->Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+    CHECK_TRUE(RunUntil([&] { return held.size() == i + 1; }));
+    held.back()->StartStream(200, "text/plain");
+    for (int piece = 0; piece < 40; ++piece) {
+      held.back()->Write(std::string(100000, 'x'));
+      CHECK(server->unsent_bytes() <= 1 << 20);
+      RunUntil([] { return true; });
+    }
+  }
+}
