Read requests with breaks, and bound their bodies over all callers

HttpServer collects the body itself, lets other work run after 64 pieces, and refuses a body of more than 64 Ki pieces. Beyond a limit over all requests that are being read (12 MiB at entry instances) the one with the longest body is refused with 503. An excessive answer no longer raises the endpoint's share of failures, which kept work from it for long after it was well; its circuit does all.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -57,8 +57,34 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
-// GObject data key for the number of body bytes received for a message.
-constexpr const char* kBodyBytesKey = "cassiausher-body-bytes";
+// Pieces of a body that are read without a break. libsoup reads up to 8 KiB at
+// a time, and each chunk of a chunked body by itself.
+constexpr int kPiecesBetweenBreaks = 64;
+
+// More pieces take too much time. A sound body has some thousands.
+constexpr int kMaxPieces = 64 << 10;
+
+// Body of a request. libsoup would keep each piece in a buffer of its own,
+// which takes much more memory than its bytes if chunks are short.
+struct ReceivedBody {
+  std::string bytes;
+  std::int64_t received = 0;
+  int pieces = 0;
+};
+
+constexpr const char* kReceivedBodyKey = "cassiausher-received-body";
+
+ReceivedBody& BodyOf(SoupServerMessage* message) {
+  auto* object = G_OBJECT(message);
+  gpointer data = g_object_get_data(object, kReceivedBodyKey);
+  if (data == nullptr) {
+    data = new ReceivedBody;
+    g_object_set_data_full(object, kReceivedBodyKey, data, [](gpointer body) {
+      delete static_cast<ReceivedBody*>(body);
+    });
+  }
+  return *static_cast<ReceivedBody*>(data);
+}
 
 }  // namespace
 
@@ -105,12 +131,7 @@
 }
 
 std::string_view HttpExchange::body() const {
-  SoupMessageBody* body = soup_server_message_get_request_body(message_.get());
-  if (body->data == nullptr) {
-    // Flattening stores a null-terminated copy in body->data.
-    const GBytesPtr flat(soup_message_body_flatten(body));
-  }
-  return {body->data, static_cast<std::size_t>(body->length)};
+  return BodyOf(message_.get()).bytes;
 }
 
 std::string_view HttpExchange::header(const char* name) const {
@@ -313,6 +334,7 @@
 }
 
 std::string HttpServer::Listen(GMainContext* context) {
+  context_ = context;
   watcher_ = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
   guard_ = std::make_unique<ReadGuard>(
@@ -455,6 +477,8 @@
 void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
   self->guard_->OnHeaders(message, BootTimeNow());
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   if (HeaderBytes(headers) > self->options_.max_header_bytes) {
@@ -472,20 +496,58 @@
 void HttpServer::OnGotChunk(SoupServerMessage* message, GBytes* chunk,
                             gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
-  self->guard_->OnBody(message,
-                       static_cast<std::int64_t>(g_bytes_get_size(chunk)));
-  auto* object = G_OBJECT(message);
-  const std::int64_t bytes =
-      GPOINTER_TO_SIZE(g_object_get_data(object, kBodyBytesKey)) +
-      g_bytes_get_size(chunk);
-  g_object_set_data(object, kBodyBytesKey,
-                    GSIZE_TO_POINTER(static_cast<gsize>(bytes)));
-  if (bytes <= self->options_.max_body_bytes) return;
-  if (soup_server_message_get_status(message) == 0) {
+  gsize size = 0;
+  const auto* piece = static_cast<const char*>(g_bytes_get_data(chunk, &size));
+  ReceivedBody& body = BodyOf(message);
+  body.received += static_cast<std::int64_t>(size);
+  self->guard_->OnBody(message, static_cast<std::int64_t>(size));
+  if (++body.pieces % kPiecesBetweenBreaks == 0) self->YieldReading(message);
+  const bool refused = soup_server_message_get_status(message) != 0;
+  if (refused) return;
+  if (body.received > self->options_.max_body_bytes) {
     self->RefuseEarly(message, 413, "the body is too large");
+    return;
+  }
+  if (body.pieces > kMaxPieces) {
+    self->RefuseEarly(message, 400, "the body has too many chunks");
+    return;
+  }
+  body.bytes.append(piece, size);
+  self->LimitReading();
+}
+
+void HttpServer::YieldReading(SoupServerMessage* message) {
+  struct Break {
+    HttpServer* server;
+    GObjectPtr<SoupServerMessage> message;
+  };
+  soup_server_message_pause(message);
+  std::erase_if(breaks_, [](const GSourcePtr& source) {
+    return g_source_is_destroyed(source.get());
+  });
+  GSource* source = g_idle_source_new();
+  g_source_set_priority(source, G_PRIORITY_DEFAULT);
+  g_source_set_callback(
+      source,
+      [](gpointer data) -> gboolean {
+        const auto* pause = static_cast<Break*>(data);
+        if (pause->server->guard_->IsRead(pause->message.get())) {
+          soup_server_message_unpause(pause->message.get());
+        }
+        return G_SOURCE_REMOVE;
+      },
+      new Break{this, ShareGObject(message)},
+      [](gpointer data) { delete static_cast<Break*>(data); });
+  g_source_attach(source, context_);
+  breaks_.emplace_back(source);
+}
+
+void HttpServer::LimitReading() {
+  while (guard_->body_bytes() > options_.max_reading_bytes) {
+    SoupServerMessage* largest = guard_->Largest();
+    if (largest == nullptr) return;
+    RefuseEarly(largest, 503, "too many requests are being read");
   }
-  // Discards bytes beyond the limit as they arrive.
-  soup_message_body_truncate(soup_server_message_get_request_body(message));
 }
 
 void HttpServer::OnGotBody(SoupServerMessage* message, gpointer self) {
@@ -515,6 +577,7 @@
 void HttpServer::RefuseEarly(SoupServerMessage* message, int status,
                              std::string_view text) {
   const std::string body = limit_handler_(status, text);
+  BodyOf(message).bytes = {};
   soup_message_headers_replace(
       soup_server_message_get_response_headers(message), "Connection", "close");
   soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -124,6 +124,9 @@
   /// A request that isn't read in full in this time from its first byte ends
   /// its connection.
   Duration read_timeout = Seconds(30);
+  /// Limit of the bodies of all requests that are being read. Beyond it the
+  /// request with the longest is answered with 503.
+  std::int64_t max_reading_bytes = 96 << 20;
   /// Larger request headers are answered with 431.
   std::int64_t max_header_bytes = 32 << 10;
 };
@@ -173,6 +176,10 @@
   /// Sends the refusal past libsoup, which reads a request to its end first,
   /// and ends the connection.
   void EndReading(SoupServerMessage* message, const ReadRefusal& refusal);
+  /// Lets the task do other work before it reads on: libsoup reads a connection
+  /// as long as bytes arrive.
+  void YieldReading(SoupServerMessage* message);
+  void LimitReading();
   void RefuseEarly(SoupServerMessage* message, int status,
                    std::string_view text);
 
@@ -184,6 +191,9 @@
   std::unique_ptr<CloseWatcher> watcher_;
   std::unique_ptr<LingeringCloser> closer_;
   std::unique_ptr<ReadGuard> guard_;
+  /// Continue the reading of requests. Some have done so.
+  std::vector<GSourcePtr> breaks_;
+  GMainContext* context_ = nullptr;
   std::uint16_t port_ = 0;
 };
 
--- a/drivers/read_guard.cc
+++ b/drivers/read_guard.cc
@@ -51,10 +51,28 @@
 }
 
 void ReadGuard::OnMessageFinalized(gpointer self, GObject* message) {
-  static_cast<ReadGuard*>(self)->reading_.erase(
+  static_cast<ReadGuard*>(self)->Forget(
       reinterpret_cast<SoupServerMessage*>(message));
 }
 
+void ReadGuard::Forget(SoupServerMessage* message) {
+  const auto found = reading_.find(message);
+  if (found == reading_.end()) return;
+  if (!found->second.refusal) body_bytes_ -= found->second.body_bytes;
+  reading_.erase(found);
+}
+
+SoupServerMessage* ReadGuard::Largest() const {
+  SoupServerMessage* largest = nullptr;
+  std::int64_t most = 0;
+  for (const auto& [message, reading] : reading_) {
+    if (reading.refusal || reading.body_bytes <= most) continue;
+    largest = message;
+    most = reading.body_bytes;
+  }
+  return largest;
+}
+
 void ReadGuard::Add(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket == nullptr) return;
@@ -75,16 +93,21 @@
 
 void ReadGuard::OnBody(SoupServerMessage* message, std::int64_t bytes) {
   const auto found = reading_.find(message);
-  if (found != reading_.end()) found->second.body_bytes += bytes;
+  if (found == reading_.end()) return;
+  found->second.body_bytes += bytes;
+  if (!found->second.refusal) body_bytes_ += bytes;
 }
 
 void ReadGuard::OnRefused(SoupServerMessage* message, ReadRefusal refusal) {
   const auto found = reading_.find(message);
-  if (found != reading_.end()) found->second.refusal = std::move(refusal);
+  if (found == reading_.end() || found->second.refusal) return;
+  body_bytes_ -= found->second.body_bytes;
+  found->second.refusal = std::move(refusal);
 }
 
 void ReadGuard::Remove(SoupServerMessage* message) {
-  if (reading_.erase(message) == 0) return;
+  if (!reading_.contains(message)) return;
+  Forget(message);
   g_object_weak_unref(G_OBJECT(message), &OnMessageFinalized, this);
 }
 
--- a/drivers/read_guard.h
+++ b/drivers/read_guard.h
@@ -40,6 +40,13 @@
   void Add(SoupServerMessage* message);
   void OnHeaders(SoupServerMessage* message, Time now);
   void OnBody(SoupServerMessage* message, std::int64_t bytes);
+  /// Of all requests that are being read.
+  std::int64_t body_bytes() const { return body_bytes_; }
+  /// The request with the longest body that isn't refused; null if none.
+  SoupServerMessage* Largest() const;
+  bool IsRead(SoupServerMessage* message) const {
+    return reading_.contains(message);
+  }
   /// The answer is known before the request was read in full.
   void OnRefused(SoupServerMessage* message, ReadRefusal refusal);
   /// The request was read in full, or its connection has ended.
@@ -56,6 +63,7 @@
     std::optional<ReadRefusal> refusal;
   };
 
+  void Forget(SoupServerMessage* message);
   static void OnMessageFinalized(gpointer self, GObject* message);
   /// Why the message is ended; null while it isn't.
   std::optional<ReadRefusal> Judge(Reading& reading, Time now) const;
@@ -66,6 +74,8 @@
   EndFunction end_;
   /// Holds weak references to the messages.
   std::unordered_map<SoupServerMessage*, Reading> reading_;
+  /// Sum over the requests in `reading_` that aren't refused.
+  std::int64_t body_bytes_ = 0;
   GSourcePtr timer_;
 };
 
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -43,6 +43,8 @@
 // for what callers haven't read. Each is larger than the largest answer.
 constexpr std::int64_t kMaxUnfinishedBytes = 20 << 20;
 constexpr std::int64_t kMaxUnsentBytes = 20 << 20;
+// The same for the bodies of requests that are being read.
+constexpr std::int64_t kMaxReadingBytes = 12 << 20;
 
 constexpr const char* kJson = "application/json";
 
@@ -80,7 +82,8 @@
   callers_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.callers->ip,
                         .port = settings_.callers->port,
-                        .max_unsent_bytes = kMaxUnsentBytes},
+                        .max_unsent_bytes = kMaxUnsentBytes,
+                        .max_reading_bytes = kMaxReadingBytes},
       [this](HttpExchangePtr exchange) {
         OnCallerRequest(std::move(exchange));
       },
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -62,7 +62,6 @@
 double FailureWeight(WorkOutcome outcome) {
   switch (outcome) {
     case WorkOutcome::kBroken:
-    case WorkOutcome::kExcessive:
     case WorkOutcome::kUnreachable:
       return 1;
     case WorkOutcome::kServerError:
@@ -365,7 +364,8 @@
   const double decay = ObservationDecay(entry, now);
   entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
                         kObservationWeight * FailureWeight(outcome);
-  // No sound endpoint exceeds a limit.
+  // No sound endpoint exceeds a limit. The circuit alone keeps work away, so
+  // that an endpoint that is well again isn't avoided for longer.
   const bool opens_circuit = outcome == WorkOutcome::kUnreachable ||
                              outcome == WorkOutcome::kExcessive;
   if (opens_circuit) {
--- a/tests/drivers/http_server_limits_test.cc
+++ b/tests/drivers/http_server_limits_test.cc
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <string>
@@ -78,7 +79,8 @@
         HttpServerOptions{.address = "127.0.0.1",
                           .max_body_bytes = 100000,
                           .max_unsent_bytes = 1 << 20,
-                          .read_timeout = Duration(kReadTimeoutMicroseconds)},
+                          .read_timeout = Duration(kReadTimeoutMicroseconds),
+                          .max_reading_bytes = 250000},
         [this](HttpExchangePtr exchange) {
           held.push_back(std::move(exchange));
         },
@@ -238,6 +240,43 @@
   LONGS_EQUAL(20000, held.back()->body().size());
 }
 
+// Hundreds of callers with bodies that aren't complete held up to the limit of
+// one body each.
+TEST(HttpServerLimits, BodiesBeingReadAreLimitedTogether) {
+  constexpr std::size_t kBodyBytes = 90000;
+  constexpr std::size_t kFirstBytes = 52000;
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < 5; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(server->port()));
+    callers.back()->Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+                         std::to_string(kBodyBytes) + "\r\n\r\n" +
+                         std::string(kFirstBytes, 'x'));
+  }
+  // Together 260,000 bytes of 250,000: one request is refused.
+  const auto any_ended = [&] {
+    return std::any_of(callers.begin(), callers.end(), [](const auto& caller) {
+      caller->Read();
+      return caller->ended;
+    });
+  };
+  CHECK_TRUE(RunUntil(any_ended, kReadTimeoutMicroseconds));
+  std::size_t refused = 0;
+  for (const auto& caller : callers) {
+    if (!caller->ended) continue;
+    ++refused;
+    CHECK(caller->received.starts_with("HTTP/1.1 503"));
+  }
+  LONGS_EQUAL(1, refused);
+  std::size_t taken = 0;
+  for (const auto& caller : callers) {
+    if (caller->ended) continue;
+    caller->Send(std::string(kBodyBytes - kFirstBytes, 'x'));
+    ++taken;
+    CHECK_TRUE(RunUntil([&] { return held.size() == taken; }));
+    LONGS_EQUAL(kBodyBytes, held.back()->body().size());
+  }
+}
+
 // Callers that read nothing held as much memory as their answers had.
 TEST(HttpServerLimits, UnreadAnswersAreCutBeyondTheLimit) {
   std::vector<std::unique_ptr<RawCaller>> callers;
