--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -18,6 +18,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/time.h"
 #include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
@@ -32,6 +33,10 @@
   /// Always opens a connection, so that the call can't be lost on a pooled one
   /// whose remote end no longer responds. The connection isn't reused.
   bool new_connection = false;
+  /// A longer body ends the call; 0 for no limit.
+  std::int64_t max_body_bytes = 0;
+  /// The call fails after this time; 0 for no limit.
+  Duration timeout{};
   /// libcurl may resend the call when a pooled connection turns out to be
   /// closed. If false, every call but GET opens a new connection.
   bool repeatable = false;
@@ -43,6 +48,10 @@
   virtual ~HttpCallSink() = default;
   virtual void OnHeaders(int status, SoupMessageHeaders* headers) = 0;
   virtual void OnBody(std::string_view bytes) = 0;
+  /// The remote end sent more headers, body, chunk framing or trailers than the
+  /// answer may have. OnDone follows with an error; the call isn't cancelled in
+  /// between.
+  virtual void OnExcess(std::string_view /*what*/) {}
   /// Called last. `error` is empty if the body is complete. `sent` is false if
   /// no connection could be established, so that the remote end got nothing.
   virtual void OnDone(std::string_view error, bool sent) = 0;
@@ -61,6 +70,11 @@
   CallId Start(const HttpCall& call, HttpCallSink* sink);
   /// Aborts the call and closes its connection; the sink isn't called again.
   void Cancel(CallId id);
+  /// Stops reading from the connection of an open call, so that its remote end
+  /// is slowed down by its own window. The end of the connection isn't noticed
+  /// either. What was read before may still be delivered.
+  void Pause(CallId id);
+  void Resume(CallId id);
   /// Whether the remote end may have received any part of an open call.
   bool WasSent(CallId id) const;
 
@@ -69,6 +83,7 @@
   struct Loop;
 
   void Prepare(const HttpCall& call, Pending* pending);
+  static void LimitFraming(Pending* pending);
   void Deliver();
   void DeliverOne(CallId id);
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,5 +1,6 @@
 #include "drivers/http_server.h"
 
+#include <fmt/format.h>
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,6 +10,7 @@
 #include <cerrno>
 #include <cstring>
 
+#include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
 
@@ -56,8 +58,34 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
-// GObject data key for the number of body bytes received for a message.
-constexpr const char* kBodyBytesKey = "cassiausher-body-bytes";
+// Pieces of a body that are read without a break. libsoup reads up to 8 KiB at
+// a time, and each chunk of a chunked body by itself.
+constexpr int kPiecesBetweenBreaks = 64;
+
+// More pieces take too much time. A sound body has some thousands.
+constexpr int kMaxPieces = 64 << 10;
+
+// Body of a request. libsoup would keep each piece in a buffer of its own,
+// which takes much more memory than its bytes if chunks are short.
+struct ReceivedBody {
+  std::string bytes;
+  std::int64_t received = 0;
+  int pieces = 0;
+};
+
+constexpr const char* kReceivedBodyKey = "cassiausher-received-body";
+
+ReceivedBody& BodyOf(SoupServerMessage* message) {
+  auto* object = G_OBJECT(message);
+  gpointer data = g_object_get_data(object, kReceivedBodyKey);
+  if (data == nullptr) {
+    data = new ReceivedBody;
+    g_object_set_data_full(object, kReceivedBodyKey, data, [](gpointer body) {
+      delete static_cast<ReceivedBody*>(body);
+    });
+  }
+  return *static_cast<ReceivedBody*>(data);
+}
 
 constexpr guint kServerError = 500;
 // libsoup handles the end of a connection in this time.
@@ -107,12 +135,7 @@
 }
 
 std::string_view HttpExchange::body() const {
-  SoupMessageBody* body = soup_server_message_get_request_body(message_.get());
-  if (body->data == nullptr) {
-    // Flattening stores a null-terminated copy in body->data.
-    const GBytesPtr flat(soup_message_body_flatten(body));
-  }
-  return {body->data, static_cast<std::size_t>(body->length)};
+  return BodyOf(message_.get()).bytes;
 }
 
 std::string_view HttpExchange::header(const char* name) const {
@@ -206,6 +229,43 @@
   server_->answers.OnHandedOver(message_.get());
   Finish();
   soup_server_message_unpause(message_.get());
+  LimitUnsent();
+}
+
+void HttpExchange::RespondPieces(int status, std::vector<std::string> pieces,
+                                 const HttpHeaders& headers) {
+  if (finished_ || streaming_) return;
+  SetHeaders(headers);
+  soup_server_message_set_status(message_.get(), static_cast<guint>(status),
+                                 nullptr);
+  SoupMessageBody* body = soup_server_message_get_response_body(message_.get());
+  soup_message_body_set_accumulate(body, FALSE);
+  std::int64_t size = 0;
+  for (std::string& piece : pieces) {
+    size += static_cast<std::int64_t>(piece.size());
+    auto* owned = new std::string(std::move(piece));
+    const GBytesPtr bytes(g_bytes_new_with_free_func(
+        owned->data(), owned->size(),
+        [](gpointer data) { delete static_cast<std::string*>(data); }, owned));
+    soup_message_body_append_bytes(body, bytes.get());
+  }
+  soup_message_headers_set_content_length(
+      soup_server_message_get_response_headers(message_.get()), size);
+  server_->answers.OnWritten(message_.get(), size);
+  server_->answers.OnHandedOver(message_.get());
+  Finish();
+  soup_server_message_unpause(message_.get());
+  LimitUnsent();
+}
+
+void HttpExchange::WatchSent(std::function<void()> on_sent) {
+  on_sent_ = std::move(on_sent);
+}
+
+void HttpExchange::LimitUnsent() {
+  while (server_->answers.process_bytes() > server_->max_unsent_bytes) {
+    if (!server_->answers.CutLargest()) return;
+  }
 }
 
 void HttpExchange::StartStream(int status, std::string_view content_type,
@@ -229,6 +289,7 @@
       g_signal_connect_swapped(message_.get(), "wrote-body-data",
                                G_CALLBACK(+[](HttpExchange* self, guint size) {
                                  self->unsent_bytes_ -= size;
+                                 if (self->on_sent_) self->on_sent_();
                                }),
                                this);
 }
@@ -242,6 +303,7 @@
       soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
       bytes.data(), bytes.size());
   soup_server_message_unpause(message_.get());
+  LimitUnsent();
 }
 
 void HttpExchange::EndStream() {
@@ -277,7 +339,9 @@
                        LimitHandler limit_handler)
     : options_(std::move(options)),
       handler_(std::move(handler)),
-      limit_handler_(std::move(limit_handler)) {}
+      limit_handler_(std::move(limit_handler)) {
+  state_->max_unsent_bytes = options_.max_unsent_bytes;
+}
 
 HttpServer::~HttpServer() {
   state_->stopped = true;
@@ -288,6 +352,11 @@
   context_ = context;
   state_->watcher = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
+  guard_ = std::make_unique<ReadGuard>(
+      context, options_.read_timeout,
+      [this](SoupServerMessage* message, const ReadRefusal& refusal) {
+        EndReading(message, refusal);
+      });
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -388,6 +457,7 @@
                         .label = state_->answers.LabelOf(message)};
   state_->answers.OnFinished(message, false);
   state_->answers.Forget(socket);
+  guard_->Remove(message);
   ended.stream.reset(soup_server_message_steal_connection(message));
   closer_->Close(std::move(ended), BootTimeNow());
 }
@@ -395,6 +465,7 @@
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
                                    gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
+  self->guard_->Remove(message);
   self->state_->answers.OnFinished(message, false);
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) self->WatchIdle(socket);
@@ -407,6 +478,7 @@
     return OnRequestFinished(server, message, data);
   }
   auto* self = static_cast<HttpServer*>(data);
+  self->guard_->Remove(message);
   self->state_->answers.OnFinished(message, true);
 }
 
@@ -436,18 +508,23 @@
                                   gpointer self) {
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), self);
+  g_signal_connect(message, "got-body", G_CALLBACK(&OnGotBody), self);
   g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
+  auto* server = static_cast<HttpServer*>(self);
+  server->guard_->Add(message);
   if (socket == nullptr) return;
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  static_cast<HttpServer*>(self)->state_->watcher->Remove(
-      g_socket_get_fd(socket));
+  server->state_->watcher->Remove(g_socket_get_fd(socket));
 }
 
 void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
+  self->guard_->OnHeaders(message, BootTimeNow());
+  soup_message_body_set_accumulate(
+      soup_server_message_get_request_body(message), FALSE);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   if (HeaderBytes(headers) > self->options_.max_header_bytes) {
@@ -465,28 +542,94 @@
 void HttpServer::OnGotChunk(SoupServerMessage* message, GBytes* chunk,
                             gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
-  auto* object = G_OBJECT(message);
-  const std::int64_t bytes =
-      GPOINTER_TO_SIZE(g_object_get_data(object, kBodyBytesKey)) +
-      g_bytes_get_size(chunk);
-  g_object_set_data(object, kBodyBytesKey,
-                    GSIZE_TO_POINTER(static_cast<gsize>(bytes)));
-  if (bytes <= self->options_.max_body_bytes) return;
-  if (soup_server_message_get_status(message) == 0) {
+  gsize size = 0;
+  const auto* piece = static_cast<const char*>(g_bytes_get_data(chunk, &size));
+  ReceivedBody& body = BodyOf(message);
+  body.received += static_cast<std::int64_t>(size);
+  self->guard_->OnBody(message, static_cast<std::int64_t>(size));
+  if (++body.pieces % kPiecesBetweenBreaks == 0) self->YieldReading(message);
+  const bool refused = soup_server_message_get_status(message) != 0;
+  if (refused) return;
+  if (body.received > self->options_.max_body_bytes) {
     self->RefuseEarly(message, 413, "the body is too large");
+    return;
+  }
+  if (body.pieces > kMaxPieces) {
+    self->RefuseEarly(message, 400, "the body has too many chunks");
+    return;
+  }
+  body.bytes.append(piece, size);
+  self->LimitReading();
+}
+
+void HttpServer::YieldReading(SoupServerMessage* message) {
+  struct Break {
+    HttpServer* server;
+    GObjectPtr<SoupServerMessage> message;
+  };
+  soup_server_message_pause(message);
+  std::erase_if(breaks_, [](const GSourcePtr& source) {
+    return g_source_is_destroyed(source.get());
+  });
+  GSource* source = g_idle_source_new();
+  g_source_set_priority(source, G_PRIORITY_DEFAULT);
+  g_source_set_callback(
+      source,
+      [](gpointer data) -> gboolean {
+        const auto* pause = static_cast<Break*>(data);
+        if (pause->server->guard_->IsRead(pause->message.get())) {
+          soup_server_message_unpause(pause->message.get());
+        }
+        return G_SOURCE_REMOVE;
+      },
+      new Break{this, ShareGObject(message)},
+      [](gpointer data) { delete static_cast<Break*>(data); });
+  g_source_attach(source, context_);
+  breaks_.emplace_back(source);
+}
+
+void HttpServer::LimitReading() {
+  while (guard_->body_bytes() > options_.max_reading_bytes) {
+    SoupServerMessage* largest = guard_->Largest();
+    if (largest == nullptr) return;
+    RefuseEarly(largest, 503, "too many requests are being read");
+  }
+}
+
+void HttpServer::OnGotBody(SoupServerMessage* message, gpointer self) {
+  static_cast<HttpServer*>(self)->guard_->Remove(message);
+}
+
+void HttpServer::EndReading(SoupServerMessage* message,
+                            const ReadRefusal& refusal) {
+  Log(LogLevel::kInfo, "request_not_read",
+      {{"status", refusal.status}, {"reason", refusal.text}});
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket == nullptr) return;
+  if (options_.tls_certificate_file.empty()) {
+    const std::string body = limit_handler_(refusal.status, refusal.text);
+    const std::string answer = fmt::format(
+        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
+        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
+        refusal.status,
+        soup_status_get_phrase(static_cast<guint>(refusal.status)), body.size(),
+        body);
+    // The socket has room: nothing was sent for this request.
+    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
   }
-  // Discards bytes beyond the limit as they arrive.
-  soup_message_body_truncate(soup_server_message_get_request_body(message));
+  CloseLingering(message);
 }
 
 void HttpServer::RefuseEarly(SoupServerMessage* message, int status,
                              std::string_view text) {
   const std::string body = limit_handler_(status, text);
+  BodyOf(message).bytes = {};
   soup_message_headers_replace(
       soup_server_message_get_response_headers(message), "Connection", "close");
   soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
   soup_server_message_set_response(message, "application/json",
                                    SOUP_MEMORY_COPY, body.data(), body.size());
+  guard_->OnRefused(message, {.status = status, .text = std::string(text)});
 }
 
 }  // namespace cassiausher
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -17,6 +17,7 @@
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/lingering_closer.h"
+#include "drivers/read_guard.h"
 
 namespace cassiausher {
 
@@ -31,6 +32,7 @@
   bool draining = false;
   /// The server was destroyed, and its connections with it.
   bool stopped = false;
+  std::int64_t max_unsent_bytes = 0;
 };
 
 /// One request and its response. Belongs to the server's task. Responds with
@@ -63,6 +65,10 @@
 
   void Respond(int status, std::string_view content_type, std::string_view body,
                const HttpHeaders& headers = {});
+  /// Takes the body over in pieces, which are released as they are sent. Its
+  /// type is in `headers`.
+  void RespondPieces(int status, std::vector<std::string> pieces,
+                     const HttpHeaders& headers);
   void StartStream(int status, std::string_view content_type,
                    const HttpHeaders& headers = {});
   void Write(std::string_view bytes);
@@ -76,6 +82,12 @@
   bool streaming() const { return streaming_; }
   /// Bytes written to the stream and not yet accepted by the socket.
   std::int64_t unsent_bytes() const { return unsent_bytes_; }
+  /// The same over all answers of the server.
+  std::int64_t unsent_bytes_of_server() const {
+    return server_->answers.process_bytes();
+  }
+  /// Calls `on_sent` each time the socket has accepted bytes of the stream.
+  void WatchSent(std::function<void()> on_sent);
 
  private:
   void Finish();
@@ -85,10 +97,12 @@
   /// that a connection was closed while a message on it is paused.
   void DropConnection();
   void SetHeaders(const HttpHeaders& headers);
+  void LimitUnsent();
 
   GObjectPtr<SoupServerMessage> message_;
   std::shared_ptr<HttpServerState> server_;
   std::function<void()> on_closed_;
+  std::function<void()> on_sent_;
   gulong finished_handler_ = 0;
   gulong wrote_handler_ = 0;
   int watched_descriptor_ = -1;
@@ -110,6 +124,15 @@
   std::string tls_key_file;
   /// A larger body is answered with 413 before it is read completely.
   std::int64_t max_body_bytes = 4 << 20;
+  /// Limit of what all callers together haven't read of their answers. Beyond
+  /// it the connection with the most unread bytes is closed, one after another.
+  std::int64_t max_unsent_bytes = 96 << 20;
+  /// A request that isn't read in full in this time from its first byte ends
+  /// its connection.
+  Duration read_timeout = Seconds(30);
+  /// Limit of the bodies of all requests that are being read. Beyond it the
+  /// request with the longest is answered with 503.
+  std::int64_t max_reading_bytes = 96 << 20;
   /// Larger request headers are answered with 431.
   std::int64_t max_header_bytes = 32 << 10;
 };
@@ -139,6 +162,8 @@
   bool Drained() const;
   /// Answers that their callers don't have in full.
   std::vector<UnsentAnswer> UnsentAnswers() const;
+  /// Bytes of answers that no socket has accepted yet.
+  std::int64_t unsent_bytes() const { return state_->answers.process_bytes(); }
 
  private:
   static void OnRequestFinished(SoupServer* server, SoupServerMessage* message,
@@ -157,6 +182,14 @@
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
   static void OnGotChunk(SoupServerMessage* message, GBytes* chunk,
                          gpointer self);
+  static void OnGotBody(SoupServerMessage* message, gpointer self);
+  /// Sends the refusal past libsoup, which reads a request to its end first,
+  /// and ends the connection.
+  void EndReading(SoupServerMessage* message, const ReadRefusal& refusal);
+  /// Lets the task do other work before it reads on: libsoup reads a connection
+  /// as long as bytes arrive.
+  void YieldReading(SoupServerMessage* message);
+  void LimitReading();
   void RefuseEarly(SoupServerMessage* message, int status,
                    std::string_view text);
 
@@ -166,6 +199,9 @@
   std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<LingeringCloser> closer_;
+  std::unique_ptr<ReadGuard> guard_;
+  /// Continue the reading of requests. Some have done so.
+  std::vector<GSourcePtr> breaks_;
   GMainContext* context_ = nullptr;
   /// Kept connections that their callers have closed.
   std::vector<GObjectPtr<GSocket>> closed_by_callers_;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -61,8 +61,18 @@
     .trial_timeout = Seconds(2),
 };
 
-CircuitBreakerOptions BreakerOptions(std::uint64_t seed) {
-  CircuitBreakerOptions options = kBreakerOptions;
+// For answers that exceed a limit: no sound endpoint sends one, so that one
+// that goes on doing so is tried more and more seldom.
+constexpr CircuitBreakerOptions kExcessBreakerOptions = {
+    .consecutive_failures = 1,
+    .backoff_minimum = Milliseconds(700),
+    .backoff_maximum = Seconds(4),
+    .trials = 1,
+    .trial_timeout = Seconds(2),
+};
+
+CircuitBreakerOptions WithSeed(CircuitBreakerOptions options,
+                               std::uint64_t seed) {
   options.random_seed = seed;
   return options;
 }
@@ -84,7 +94,9 @@
 }
 
 EndpointPool::Entry::Entry(const EndpointRecord& update, std::uint64_t seed)
-    : record(update), breaker(BreakerOptions(seed)) {}
+    : record(update),
+      breaker(WithSeed(kBreakerOptions, seed)),
+      excess_breaker(WithSeed(kExcessBreakerOptions, seed + 1)) {}
 
 EndpointPool::EndpointPool(EndpointPoolOptions options)
     : options_(std::move(options)), random_(options_.random_seed) {}
@@ -199,12 +211,16 @@
   score += ObservationDecay(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
   if (IsSilent(entry.record.id, now)) score += kLastResortPenaltyUs;
-  if (!entry.breaker.Admits(now)) score += kLastResortPenaltyUs;
+  if (!Admits(entry, now)) score += kLastResortPenaltyUs;
   return score;
 }
 
+bool EndpointPool::Admits(const Entry& entry, Time now) {
+  return entry.breaker.Admits(now) && entry.excess_breaker.Admits(now);
+}
+
 bool EndpointPool::IsLastResort(const Entry& entry, Time now) const {
-  return IsSilent(entry.record.id, now) || !entry.breaker.Admits(now);
+  return IsSilent(entry.record.id, now) || !Admits(entry, now);
 }
 
 const EndpointPool::Entry* EndpointPool::BetterOfTwo(
@@ -308,6 +324,7 @@
   if (found == entries_.end()) return;
   // Registers the trial request of a half-open circuit.
   found->second.breaker.Allow(now);
+  found->second.excess_breaker.Allow(now);
   ++found->second.in_flight;
   found->second.in_flight_tokens += PrefillCost(work);
   found->second.memory += work.memory;
@@ -386,6 +403,7 @@
   entry.memory -= work.memory;
   if (outcome == WorkOutcome::kAbandoned) {
     entry.breaker.OnCancelled();
+    entry.excess_breaker.OnCancelled();
     return;
   }
   if (outcome == WorkOutcome::kMisplaced) {
@@ -396,17 +414,28 @@
   const double decay = ObservationDecay(entry, now);
   entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
                         kObservationWeight * FailureWeight(entry, outcome, now);
+  ObserveCircuits(outcome, now, &entry);
+  if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
+    ObserveCost(work, queued, took, now, &entry);
+  }
+  entry.observed_at = now;
+}
+
+void EndpointPool::ObserveCircuits(WorkOutcome outcome, Time now,
+                                   Entry* entry) {
   const bool no_response =
       outcome == WorkOutcome::kUnreachable || outcome == WorkOutcome::kSilent;
   if (no_response) {
-    entry.breaker.OnFailure(now);
-  } else {
-    ObserveResponse(now, &entry);
+    entry->breaker.OnFailure(now);
+    entry->excess_breaker.OnCancelled();
+    return;
   }
-  if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
-    ObserveCost(work, queued, took, now, &entry);
+  ObserveResponse(now, entry);
+  if (outcome == WorkOutcome::kExcessive) {
+    entry->excess_breaker.OnFailure(now);
+  } else {
+    entry->excess_breaker.OnSuccess(now);
   }
-  entry.observed_at = now;
 }
 
 void EndpointPool::ObserveCost(const WorkSpec& work, Tokens queued,
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -101,6 +101,7 @@
   kUnreachable,  ///< No connection.
   kBroken,       ///< No response or an incomplete one.
   kSilent,       ///< Given up, since nothing arrived within its time limit.
+  kExcessive,    ///< A response that exceeds a limit, as one without end does.
   kMisplaced,    ///< Another endpoint now has the address.
   kRejected,     ///< The endpoint had no free capacity.
   kAbandoned,    ///< Cancelled here, for example as the caller disconnected.
@@ -215,7 +216,10 @@
     std::optional<Time> slow_since;
     /// When the circuit last closed; null before.
     std::optional<Time> recovered_at;
+    /// Opens when the endpoint doesn't respond.
     CircuitBreaker breaker;
+    /// Opens when an answer exceeds a limit.
+    CircuitBreaker excess_breaker;
   };
 
   static Tokens PrefillCost(const WorkSpec& work);
@@ -227,9 +231,13 @@
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  /// Whether both circuits let a call through.
+  static bool Admits(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
   bool IsLastResort(const Entry& entry, Time now) const;
   static void ObserveResponse(Time now, Entry* entry);
+  /// Opens or closes the circuits after a call.
+  static void ObserveCircuits(WorkOutcome outcome, Time now, Entry* entry);
   /// Weight of the outcome as a failure, between 0 and 1.
   double FailureWeight(const Entry& entry, WorkOutcome outcome, Time now) const;
   /// Counts the duration of a complete call in the endpoint's cost.
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -124,6 +124,7 @@
   kServerError,  ///< The endpoint responded with a server error.
   kBroken,       ///< No response or an incomplete one; may have run.
   kSilent,       ///< Nothing arrived within the time limit; may have run.
+  kExcessive,    ///< The response exceeds a limit; may have run.
 };
 
 /// Forwards one request. Not thread safe; pool, budget and permits must outlive
