Send no new streams to a runner whose streams are quiet

With longer waits for a silent runner, more new streams went to it before its circuit opened. A runner whose streams all had no event for 0.5 s now gets new ones only if no other runner can take them, until its next event. A stream that is the trial of a circuit waits 1.6 s for its first event, not 3 s.

Both unit tests fail without their part of the change.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -325,6 +325,7 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
+  context_.pool->OnEvent(call_->endpoint.id, now, &call_->work);
   if (!call_first_event_at_.has_value()) call_first_event_at_ = now;
   if (!begun_.has_value()) BeginStream();
   if (holding_) {
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -28,6 +28,9 @@
 // An endpoint that fails again this soon after it recovered is unreliable. A
 // sound one may fall silent again after a few seconds.
 constexpr Duration kRelapseTime = Seconds(1);
+// A runner whose streams all have had no event for this long gets no new ones
+// until the next event, if another runner can take them.
+constexpr Duration kQuietTime = Milliseconds(500);
 // Loads of other instances are valid for this long without an update.
 constexpr Duration kLoadLifetime = Seconds(2);
 // An endpoint whose address another endpoint has is excluded for this long,
@@ -108,12 +111,16 @@
   if (entry.record.incarnation == old_incarnation) return;
   if (old_version) versions_[update.service].replaced_at[*old_version] = now;
   const int in_flight = entry.in_flight;
+  const int streaming = entry.streaming;
+  const Time last_event_at = entry.last_event_at;
   const int reserved = entry.reserved;
   const Tokens tokens = entry.in_flight_tokens;
   const MemoryForecast memory = entry.memory;
   entry = Entry(entry.record, seed);
   entry.changed_at = now;
   entry.in_flight = in_flight;
+  entry.streaming = streaming;
+  entry.last_event_at = last_event_at;
   entry.reserved = reserved;
   entry.in_flight_tokens = tokens;
   entry.memory = memory;
@@ -198,13 +205,17 @@
   if (full) score += kFullPenaltyUs;
   score += ObservationDecay(entry, now) * entry.failure_share *
            static_cast<double>(options_.failure_penalty.count());
-  if (IsSilent(entry.record.id, now)) score += kLastResortPenaltyUs;
-  if (!entry.breaker.Admits(now)) score += kLastResortPenaltyUs;
+  if (IsLastResort(entry, now)) score += kLastResortPenaltyUs;
   return score;
 }
 
+bool EndpointPool::IsQuiet(const Entry& entry, Time now) {
+  return entry.streaming > 0 && now - entry.last_event_at >= kQuietTime;
+}
+
 bool EndpointPool::IsLastResort(const Entry& entry, Time now) const {
-  return IsSilent(entry.record.id, now) || !entry.breaker.Admits(now);
+  return IsSilent(entry.record.id, now) || IsQuiet(entry, now) ||
+         !entry.breaker.Admits(now);
 }
 
 const EndpointPool::Entry* EndpointPool::BetterOfTwo(
@@ -249,8 +260,11 @@
                               Time now) const {
   double occupancy = Occupancy(entry, work, now);
   if (now < entry.full_until) occupancy = std::max(occupancy, kOverFull);
-  return {entry.record, ExpectedTime(entry, work, now), occupancy,
-          IsLastResort(entry, now)};
+  return {.endpoint = entry.record,
+          .expected = ExpectedTime(entry, work, now),
+          .occupancy = occupancy,
+          .last_resort = IsLastResort(entry, now),
+          .trial = entry.breaker.state(now) != CircuitState::kClosed};
 }
 
 EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
@@ -342,6 +356,13 @@
   work->memory = memory;
 }
 
+void EndpointPool::OnEvent(const EndpointId& id, Time now, WorkSpec* work) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return;
+  found->second.last_event_at = now;
+  if (!std::exchange(work->streaming, true)) ++found->second.streaming;
+}
+
 void EndpointPool::OnResponse(const EndpointId& id, Time now) {
   const auto found = entries_.find(id);
   if (found != entries_.end()) ObserveResponse(now, &found->second);
@@ -382,6 +403,7 @@
   Entry& entry = found->second;
   const Tokens queued = entry.in_flight_tokens;
   --entry.in_flight;
+  if (work.streaming) --entry.streaming;
   entry.in_flight_tokens -= PrefillCost(work);
   entry.memory -= work.memory;
   if (outcome == WorkOutcome::kAbandoned) {
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -71,6 +71,8 @@
   EndpointId reserved_at;
   /// Only endpoints with this software version are considered; null for all.
   std::optional<SoftwareVersion> version;
+  /// The call is a stream whose first event has arrived.
+  bool streaming = false;
 };
 
 struct Placement {
@@ -83,6 +85,8 @@
   /// The endpoint is silent or its circuit blocks it, and so it is for all
   /// others that come into question.
   bool last_resort = false;
+  /// The work is the trial of a circuit that isn't closed.
+  bool trial = false;
 };
 
 /// Requests in progress or reserved at an endpoint.
@@ -152,6 +156,8 @@
   /// Replaces the memory forecast of work in progress, here and in `work`.
   void OnProgress(const EndpointId& id, const MemoryForecast& memory,
                   WorkSpec* work);
+  /// An event of a stream arrived; marks `work` as streaming.
+  void OnEvent(const EndpointId& id, Time now, WorkSpec* work);
   /// The endpoint began to respond to a call.
   void OnResponse(const EndpointId& id, Time now);
   /// `took` is the time to the response, or to the first event of a stream.
@@ -193,6 +199,10 @@
     EndpointRecord record;
     Time changed_at{};
     int in_flight = 0;
+    /// The part of `in_flight` that are streams with a first event.
+    int streaming = 0;
+    /// When the last event of any stream arrived.
+    Time last_event_at{};
     /// Streams whose prompt is still being prefilled.
     int reserved = 0;
     Tokens in_flight_tokens{0};
@@ -227,6 +237,8 @@
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  /// Whether none of the endpoint's streams had an event lately.
+  static bool IsQuiet(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
   bool IsLastResort(const Entry& entry, Time now) const;
   static void ObserveResponse(Time now, Entry* entry);
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -400,12 +400,15 @@
   // happens only if no prefill runner can be used.
   decode.prompt_is_prefilled = kv_source_.has_value();
   if (!runner.has_value()) return std::nullopt;
+  // The runner of a trial may be silent still, and its caller gives up soon.
+  const Duration first_event_timeout =
+      runner->trial ? kToleratedSilence : kFirstEventTimeout;
   StartCall call{.endpoint = runner->endpoint,
                  .work = decode,
                  .kv_source = kv_source_,
-                 .silence_limit = kFirstEventTimeout};
+                 .silence_limit = first_event_timeout};
   if (IsRetryable() && runs_ + 1 < facts_.attempts) {
-    call.answer_timeout = kFirstEventTimeout;
+    call.answer_timeout = first_event_timeout;
     // The caller would be cut off if the second run failed, so the first one is
     // kept for as long as its runner may be sound.
     call.gap_timeout =
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -152,6 +152,29 @@
   STRCMP_EQUAL("sound", PickId(Lookup(), now).c_str());
 }
 
+// New streams went to a silent runner until its older ones were given up, and
+// waited there for seconds.
+TEST(EndpointPool, ARunnerWhoseStreamsAreQuietGetsNoNewOnes) {
+  pool.Merge(Decoder("quiet"), kStart);
+  pool.Merge(Decoder("sound"), kStart);
+  const EndpointId quiet("quiet");
+  WorkSpec first = Stream();
+  pool.OnStart(quiet, first, kStart);
+  pool.OnEvent(quiet, kStart, &first);
+  WorkSpec next = Stream();
+  next.reserved_at = quiet;
+  const Time soon = kStart + Milliseconds(400);
+  STRCMP_EQUAL("quiet", PickId(next, soon).c_str());
+  const Time late = kStart + Milliseconds(600);
+  STRCMP_EQUAL("sound", PickId(next, late).c_str());
+  // It goes on, and gets work again at once.
+  pool.OnEvent(quiet, late, &first);
+  STRCMP_EQUAL("quiet", PickId(next, late).c_str());
+  // Without streams, nothing is known of it.
+  pool.OnFinish(quiet, first, WorkOutcome::kDone, Milliseconds(20), late);
+  STRCMP_EQUAL("quiet", PickId(next, late + Seconds(1)).c_str());
+}
+
 // The queue of connections of a silent endpoint fills, so that connecting to it
 // fails until it goes on. The backoff then grew to several seconds.
 TEST(EndpointPool, AnEndpointThatWasUnreachableGetsWorkAgainWithinASecond) {
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -284,6 +284,26 @@
   }
 }
 
+// Streams that try a silent runner again waited there for three seconds, until
+// their callers gave up.
+TEST(RequestForwarder, AStreamThatTriesARunnerAgainWaitsForAShortTime) {
+  AddRunners();
+  for (const char* runner : {"decode1", "decode2"}) {
+    const WorkSpec work{.role = EndpointRole::kDecode};
+    pool.OnStart(EndpointId(runner), work, kStart);
+    pool.OnFinish(EndpointId(runner), work, WorkOutcome::kSilent, Seconds(3),
+                  kStart);
+  }
+  const Time later = kStart + Seconds(1);
+  RequestFacts facts = StreamFacts(true);
+  facts.arrived = later;
+  RequestForwarder forwarder = Make(facts);
+  forwarder.Start(later);
+  const ForwardStep run = forwarder.OnPrefillDone(Cache(), later);
+  CHECK_TRUE(Call(run).answer_timeout > Milliseconds(1500));
+  CHECK_TRUE(Call(run).answer_timeout < Seconds(2));
+}
+
 // A silent prefill runner's prompt was ended although no retry was left to
 // prefill it elsewhere, and the request was refused.
 TEST(RequestForwarder, ASilentPrefillIsKeptIfItCantBeRepeated) {
