--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -354,6 +354,7 @@
     paused_ = true;
     progress_deadline_.reset();
     context_.client->Pause(call_id_);
+    context_.pool->OnPaused(call_->endpoint.id, &call_->work);
     return;
   }
   if (!paused_ || unread > limit / 2) return;
@@ -396,6 +397,7 @@
     longest_gap_ = std::max(longest_gap_, now - last_event_at_);
   }
   last_event_at_ = now;
+  context_.pool->OnEvent(call_->endpoint.id, now, &call_->work);
   if (!call_first_event_at_.has_value()) call_first_event_at_ = now;
   if (!begun_.has_value()) BeginStream();
   if (holding_) {
