Write the last log lines before cassiausher_node ends

Cause: the JSON log never waits for its reader, and the lines still buffered at the end were lost with the process, among them those that name the answers which it cut.

Change: FlushLog() waits up to 200 ms for the reader, last in main(). The part of the grace period that is kept for the end grows by 250 ms at entry instances and by 100 ms at control instances, so that the waits for the metrics, the peers and the log fit. The key=value format doesn't buffer.

--- a/core/log.cc
+++ b/core/log.cc
@@ -2,10 +2,12 @@
 
 #include <fcntl.h>
 #include <fmt/chrono.h>
+#include <poll.h>
 #include <unistd.h>
 
 #include <array>
 #include <atomic>
+#include <cerrno>
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -117,6 +119,14 @@
          "\n");
   }
 
+  void Flush(Duration timeout) {
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    const std::lock_guard lock(mutex_);
+    while (!pending_.empty() && WaitWritable(deadline)) {
+      if (!WritePending()) return;
+    }
+  }
+
   std::uint64_t left_out() const {
     return left_out_.load(std::memory_order_relaxed);
   }
@@ -136,9 +146,26 @@
     } else {
       pending_ += line;
     }
+    WritePending();
+  }
+
+  // Returns false if the reader has gone.
+  bool WritePending() {
     const ssize_t written =
         write(STDOUT_FILENO, pending_.data(), pending_.size());
     if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
+    return written >= 0 || errno == EAGAIN || errno == EINTR;
+  }
+
+  static bool WaitWritable(std::chrono::steady_clock::time_point deadline) {
+    pollfd output{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    for (;;) {
+      const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+          deadline - std::chrono::steady_clock::now());
+      if (left.count() <= 0) return false;
+      const int ready = poll(&output, 1, static_cast<int>(left.count()));
+      if (ready >= 0 || errno != EINTR) return ready > 0;
+    }
   }
 
   std::mutex mutex_;
@@ -155,6 +182,10 @@
 
 std::uint64_t DroppedLogLines() { return JsonSink::Instance().left_out(); }
 
+void FlushLog(Duration timeout) {
+  if (log_format == LogFormat::kJson) JsonSink::Instance().Flush(timeout);
+}
+
 void ConfigureLog(LogLevel lowest, std::string instance) {
   min_level = lowest;
   InstanceName() = std::move(instance);
--- a/core/log.h
+++ b/core/log.h
@@ -12,6 +12,8 @@
 #include <type_traits>
 #include <vector>
 
+#include "core/time.h"
+
 namespace cassiausher {
 
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
@@ -49,6 +51,11 @@
 /// Number of lines dropped so far; only LogFormat::kJson drops lines.
 std::uint64_t DroppedLogLines();
 
+/// Writes the lines that LogFormat::kJson still buffers for a slow reader, for
+/// at most `timeout`. Call it last in a process; lines that remain are lost
+/// with it. The other format doesn't buffer.
+void FlushLog(Duration timeout);
+
 /// Returns false if `name` is not a level.
 bool ParseLogLevel(std::string_view name, LogLevel* level);
 
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -28,8 +28,9 @@
 constexpr Duration kLeavePeriod = Milliseconds(400);
 constexpr Duration kShutdownPollPeriod = Milliseconds(20);
 // Part of the shutdown grace period in which the process exits before it is
-// killed.
-constexpr Duration kExitMargin = Milliseconds(600);
+// killed: after the last answers it still waits for readers of the metrics, for
+// peers and for the reader of the log, up to 200 ms each.
+constexpr Duration kExitMargin = Milliseconds(700);
 
 constexpr const char* kJson = "application/json";
 
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -28,8 +28,9 @@
 // process could cut them off.
 constexpr Duration kShutdownAcceptPeriod = Milliseconds(2900);
 // Part of the shutdown grace period in which the process exits before it is
-// killed.
-constexpr Duration kExitMargin = Milliseconds(600);
+// killed: after the last answers it still waits for readers of the metrics, for
+// peers and for the reader of the log, up to 200 ms each.
+constexpr Duration kExitMargin = Milliseconds(850);
 // Time to send the answers of requests that the end of the grace period cuts.
 constexpr Duration kLastAnswerPeriod = Milliseconds(150);
 constexpr Duration kShutdownPollPeriod = Milliseconds(50);
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -50,6 +50,8 @@
 // After a role has ended, callers of the metrics get this long to take them.
 constexpr Duration kMetricsDrainTimeout = Milliseconds(200);
 constexpr guint kDrainPollMs = 10;
+// A slow reader of the log gets this long to take the last lines.
+constexpr Duration kLogFlushTimeout = Milliseconds(200);
 
 enum class Role { kEntry, kControl };
 
@@ -251,4 +253,8 @@
 }  // namespace
 }  // namespace cassiausher
 
-int main(int argc, char** argv) { return cassiausher::Main(argc, argv); }
+int main(int argc, char** argv) {
+  const int status = cassiausher::Main(argc, argv);
+  cassiausher::FlushLog(cassiausher::kLogFlushTimeout);
+  return status;
+}
--- a/tests/core/log_test.cc
+++ b/tests/core/log_test.cc
@@ -1,6 +1,7 @@
 // Guards against logging that slows down or ends a process: a burst of one
 // event must be rate-limited, and a reader of standard output that doesn't read
-// or has closed the pipe must only cause lines to be dropped.
+// or has closed the pipe must only cause lines to be dropped. Guards also
+// against last lines that are lost with the process.
 #include "core/log.h"
 
 #include <CppUTest/TestHarness.h>
@@ -128,6 +129,53 @@
   child.ReadOutput();
 }
 
+// More than a pipe holds, each line of an event of its own.
+void LogMoreThanAPipeHolds() {
+  const std::string text(1000, 'x');
+  for (int i = 0; i < 120; ++i) {
+    Log(LogLevel::kInfo, "event_" + std::to_string(i), {{"text", text}});
+  }
+  Log(LogLevel::kInfo, "stopped");
+}
+
+// The lines of a process that said why it cut answers were lost with it.
+TEST(Log, LastLinesAreWrittenBeforeTheProcessEnds) {
+  Child child([] {
+    LogMoreThanAPipeHolds();
+    FlushLog(Seconds(5));
+    return 0;
+  });
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  const std::string output = child.ReadOutput();
+  CHECK_EQUAL(0, child.Wait());
+  CHECK(output.find("\"stopped\"") != std::string::npos);
+}
+
+TEST(Log, ReaderThatDoesNotReadDelaysTheEndOnlyBriefly) {
+  Child child([] {
+    LogMoreThanAPipeHolds();
+    const auto start = steady_clock::now();
+    FlushLog(Milliseconds(200));
+    const auto took = steady_clock::now() - start;
+    return took < std::chrono::milliseconds(600) ? 0 : 1;
+  });
+  CHECK_EQUAL(0, child.Wait());
+  child.ReadOutput();
+}
+
+TEST(Log, ReaderThatHasGoneDoesNotDelayTheEnd) {
+  Child child([] {
+    std::signal(SIGPIPE, SIG_IGN);
+    LogMoreThanAPipeHolds();
+    const auto start = steady_clock::now();
+    FlushLog(Seconds(20));
+    const auto took = steady_clock::now() - start;
+    return took < std::chrono::seconds(5) ? 0 : 1;
+  });
+  child.CloseOutput();
+  CHECK_EQUAL(0, child.Wait());
+}
+
 TEST(Log, ProcessSurvivesClosedOutput) {
   Child child([] {
     // As the programs do at startup.
