--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -15,6 +15,7 @@
 #include <thread>
 #include <vector>
 
+#include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
 
 using namespace cassiausher;  // NOLINT: test file
@@ -344,6 +345,51 @@
   CHECK(server->Drained());
 }
 
+// A caller that reads nothing must not hold up an instance whose shutdown limit
+// is minutes away.
+TEST(HttpDrain, WatchGivesUpAnswersThatNobodyReads) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+  held.clear();
+  RunFor(100);
+  DrainWatch watch;
+  const Time start{};
+  CHECK_FALSE(watch.Done(*server, start));
+  const Time almost = start + DrainWatch::kStalledTimeout - Milliseconds(1);
+  CHECK_FALSE(watch.Done(*server, almost));
+  CHECK(watch.Done(*server, start + DrainWatch::kStalledTimeout));
+}
+
+TEST(HttpDrain, WatchWaitsForRequestsThatAreOpen) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  DrainWatch watch;
+  const Time start{};
+  CHECK_FALSE(watch.Done(*server, start));
+  CHECK_FALSE(watch.Done(*server, start + 2 * DrainWatch::kStalledTimeout));
+}
+
+TEST(HttpDrain, WatchWaitsForCallersThatReadSlowly) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  server->BeginDrain();
+  held[0]->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+  held.clear();
+  RunFor(100);
+  DrainWatch watch;
+  const Time start{};
+  CHECK_FALSE(watch.Done(*server, start));
+  caller.Read();
+  RunFor(100);
+  CHECK_FALSE(watch.Done(*server, start + DrainWatch::kStalledTimeout));
+}
+
 // Over TLS the connection must not only stay open until the answer has arrived:
 // without the close_notify alert the caller can't tell it from a cut one.
 TEST(HttpDrain, AnswerOverTlsArrivesInFullAndEndsWithAnAlert) {
