Freeze control instances before the power fails in the run of processes

A version that is acknowledged before a majority has it reached the others within the millisecond that the kill takes, so the run didn't notice it. Before some losses of power any number of the other control instances are now frozen.

--- a/tests/soak/power_soak.py
+++ b/tests/soak/power_soak.py
@@ -12,6 +12,7 @@
 import copy
 import random
 import shutil
+import signal
 import time
 
 import aiohttp
@@ -155,12 +156,22 @@
                 control = self.random.choice(self.deployment.controls)
             self.note(f"version {self.operator.version} acknowledged by {control.name}")
             return control
+        if self.random.random() < 0.5:
+            self._freeze_others(control)
         task = asyncio.create_task(self.operator.submit(control))
         self.note(f"version {self.operator.version + 1} sent to {control.name}")
         await asyncio.sleep(self.random.uniform(MIN_AFTER_SEND_S, MAX_AFTER_SEND_S))
         self.tasks.append(task)
         return control
 
+    def _freeze_others(self, control):
+        """Freezes any number of the others until the power fails, so that a version may not reach a majority."""
+        others = [other for other in self.deployment.controls if other is not control]
+        frozen = self.random.sample(others, self.random.randint(1, len(others)))
+        for other in frozen:
+            other.process.send_signal(signal.SIGSTOP)
+        self.note(f"SIGSTOP {', '.join(other.name for other in frozen)}")
+
     async def _lose_power(self, last):
         instances = self.deployment.instances()
         for instance in instances:
