Cut a failed write durably before it is repeated

A retry wrote over the rest of a failed write whose truncation was not synced. A loss of power could leave sectors of both, so that the damaged record neither ended the file nor lacked a whole sector, and the log was refused as corrupt.

The rest is now cut and synced before any next write.

--- a/modules/file_log/file_log.h
+++ b/modules/file_log/file_log.h
@@ -92,7 +92,7 @@
   /// Writes and syncs the pending records, in a new segment if they don't fit.
   boost::leaf::result<void> SyncRecords();
   /// Removes the rest of a failed write from the last segment durably, so that
-  /// it doesn't return after a loss of power once a later segment exists.
+  /// no part of it returns after a loss of power beside later writes.
   boost::leaf::result<void> CutFailedWrite();
   /// Creates the next segment with the pending records.
   boost::leaf::result<void> StartSegment();
--- a/scripts/mutations/consensus.sh
+++ b/scripts/mutations/consensus.sh
@@ -202,9 +202,9 @@
 mutate loaded_not_synced $file_log \
   '  BOOST_LEAF_CHECK(SyncLoaded());
 ' ''
-# A failed write is cut without a sync before a new segment follows.
+# A failed write is cut without a sync before the next one.
 mutate failed_write_returns $file_log \
-  '    BOOST_LEAF_CHECK(CutFailedWrite());
+  '  BOOST_LEAF_CHECK(CutFailedWrite());
 ' ''
 # Compaction removes segments with entries that no snapshot covers.
 mutate compact_too_far $file_log \
