Repeat a bootstrap of which only the term was on the disk

The bootstrap writes its term and the first configuration together. If a crash tore that write between the two, the first initial voter had a term and no configuration, took this for a lost log and never bootstrapped: the group didn't begin until its folders were emptied by hand.

Term 1 without a vote and without a log now counts as a bootstrap to repeat, at the first initial voter only. Nothing is sent in that term before the configuration is durable, and the others must still all reply that they have none.

--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -77,6 +77,12 @@
     output_.snapshot_to_install = *stored.snapshot;
   }
   for (const LogEntry& entry : stored.entries) AppendEntry(entry);
+  // A crash can persist the term of the bootstrap without its entry. Nothing
+  // was sent in that term yet, and the bootstrap has to be repeated.
+  const HardState& loaded = stored.hard_state;
+  const bool bootstrap_lost = IsFounder() && configurations_.empty() &&
+                              loaded.term == 1 && loaded.vote.empty();
+  if (bootstrap_lost) hard_state_.term = 0;
   // A crash can persist the entries of a batch without its hard state.
   hard_state_.term = std::max(hard_state_.term, log_.LastTerm());
   if (hard_state_.term != stored.hard_state.term) hard_state_.vote = {};
@@ -366,12 +372,15 @@
   BootstrapIfAllReplied();
 }
 
-void Raft::BootstrapIfAllReplied() {
+bool Raft::IsFounder() const {
   // Only the first initial voter bootstraps, so that no two groups can be
   // bootstrapped concurrently.
-  if (options_.initial_voters.empty() ||
-      *options_.initial_voters.begin() != options_.self)
-    return;
+  return !options_.initial_voters.empty() &&
+         *options_.initial_voters.begin() == options_.self;
+}
+
+void Raft::BootstrapIfAllReplied() {
+  if (!IsFounder()) return;
   if (bootstrap_forbidden_ || !configurations_.empty() || term() > 0) return;
   RaftConfiguration first;
   first.group = replica_.storage;
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -292,6 +292,7 @@
   void HandleHello(const ReplicaId& from, const proto::RaftHello& hello);
   void HandleHelloReply(const ReplicaId& from,
                         const proto::RaftHelloReply& reply);
+  bool IsFounder() const;
   void BootstrapIfAllReplied();
 
   // Validation of incoming messages. Step() counts what IsWellFormed() and
--- a/tests/consensus/raft_rules_test.cc
+++ b/tests/consensus/raft_rules_test.cc
@@ -317,3 +317,27 @@
     LONGS_EQUAL(quorum, configuration.Quorum());
   }
 }
+
+// Guards against a group that never bootstraps because a crash during the
+// bootstrap left its term without its configuration. A later term or a vote
+// proves that the log was lost, and prevents a second group.
+TEST(RaftRules, BootstrapIsRepeatedIfOnlyItsTermIsOnTheDisk) {
+  const auto bootstraps = [](Term term, const ReplicaId& vote) {
+    StoredState stored;
+    stored.hard_state = {.term = term, .vote = vote, .storage = 1};
+    Raft raft({.self = replica_a.instance,
+               .initial_voters = {replica_a.instance, replica_b.instance,
+                                  replica_c.instance}},
+              stored, Time{});
+    for (const ReplicaId& other : {replica_b, replica_c}) {
+      proto::RaftMessage message = From(other, 0);
+      auto* reply = message.mutable_hello_reply();
+      for (const char* name : {"a", "b", "c"}) reply->add_founders(name);
+      raft.Step(message, Time{});
+    }
+    return !raft.TakeOutput().entries.empty();
+  };
+  CHECK(bootstraps(1, {}));
+  CHECK(!bootstraps(1, replica_b));
+  CHECK(!bootstraps(2, {}));
+}
