Bound the memory of an entry instance in bursts of answers without end

Strings of incomplete events grow to twice their size, libcurl keeps up to 100 KiB of an incomplete header line until the deadline, and glibc keeps large buffers once they were freed.

The account of unfinished answers counts the memory of events, not their size, and its limit is 18 MiB. A call ends once its connection has carried 48 KiB before the headers are complete; headers may have 32 KiB. Buffers from 128 KiB are mapped each by itself.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -7,6 +7,8 @@
 #include <deque>
 #include <map>
 
+#include "drivers/bytes_read.h"
+
 namespace cassiausher {
 namespace {
 
@@ -20,7 +22,11 @@
 constexpr int kFirstFinalStatus = 200;
 // Limits of the header lines of one call, over all its informational answers
 // and the final one. Each line takes more memory than its text.
-constexpr std::int64_t kMaxHeaderBytes = 64 << 10;
+constexpr std::int64_t kMaxHeaderBytes = 32 << 10;
+// What a connection may carry until the headers are complete: these, the
+// handshake of TLS and one read buffer. Ends a header line without end before
+// libcurl does, which keeps up to 100 KiB of it.
+constexpr std::int64_t kMaxBytesBeforeBody = kMaxHeaderBytes + (16 << 10);
 constexpr int kMaxHeaderLines = 512;
 // Limit of the bytes of a body that aren't content: sizes and extensions of
 // chunks, and trailers. A chunk of one byte takes five of them.
@@ -80,6 +86,10 @@
   std::string error;
   bool sent = false;
 
+  /// Of the connection that was opened for this call. None if an open one is
+  /// used, which has carried other answers.
+  curl_socket_t new_socket = CURL_SOCKET_BAD;
+
   // Received so far, for the limits.
   std::int64_t header_bytes = 0;
   int header_lines = 0;
@@ -134,6 +144,15 @@
     return excess.empty();
   }
 
+  /// Looks at the connection, since libcurl doesn't tell of incomplete lines.
+  bool HeadIsWithinLimit() {
+    if (headers_complete) return excess.empty();
+    if (new_socket == CURL_SOCKET_BAD) return excess.empty();
+    const std::int64_t read = BytesRead(new_socket).value_or(0);
+    if (read > kMaxBytesBeforeBody) excess = "too many headers";
+    return excess.empty();
+  }
+
   void OnTransferEnd(CURLcode result) {
     done = true;
     sent = Sent();
@@ -343,13 +362,13 @@
   };
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
-  LimitFraming(pending);
+  WatchLimits(pending);
 }
 
 // Only libcurl's debug callback gets the body as received, with its framing. It
 // can't end the transfer, so the progress callback does, which follows each
 // read.
-void HttpClient::LimitFraming(Pending* pending) {
+void HttpClient::WatchLimits(Pending* pending) {
   CURL* easy = pending->easy;
   const curl_debug_callback on_debug = [](CURL*, curl_infotype type, char*,
                                           std::size_t size, void* user) {
@@ -362,11 +381,21 @@
   curl_easy_setopt(easy, CURLOPT_VERBOSE, 1L);
   const curl_xferinfo_callback on_progress =
       [](void* user, curl_off_t, curl_off_t, curl_off_t, curl_off_t) {
-        return static_cast<Pending*>(user)->FramingIsWithinLimit() ? 0 : 1;
+        auto* self = static_cast<Pending*>(user);
+        const bool within =
+            self->FramingIsWithinLimit() && self->HeadIsWithinLimit();
+        return within ? 0 : 1;
       };
   curl_easy_setopt(easy, CURLOPT_XFERINFOFUNCTION, on_progress);
   curl_easy_setopt(easy, CURLOPT_XFERINFODATA, pending);
   curl_easy_setopt(easy, CURLOPT_NOPROGRESS, 0L);
+  const curl_sockopt_callback on_socket = [](void* user, curl_socket_t socket,
+                                             curlsocktype) -> int {
+    static_cast<Pending*>(user)->new_socket = socket;
+    return CURL_SOCKOPT_OK;
+  };
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, pending);
 }
 
 void HttpClient::Cancel(CallId id) { pending_.erase(id); }
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -83,7 +83,7 @@
   struct Loop;
 
   void Prepare(const HttpCall& call, Pending* pending);
-  static void LimitFraming(Pending* pending);
+  static void WatchLimits(Pending* pending);
   void Deliver();
   void DeliverOne(CallId id);
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -262,6 +262,8 @@
 void HttpExchange::LimitUnsent() {
   while (server_->answers.process_bytes() > server_->max_unsent_bytes) {
     if (!server_->answers.CutLargest()) return;
+    if (server_->metrics == nullptr) continue;
+    server_->metrics->counter("unread_answers_cut_total").Add();
   }
 }
 
@@ -327,6 +329,7 @@
       handler_(std::move(handler)),
       limit_handler_(std::move(limit_handler)) {
   state_->max_unsent_bytes = options_.max_unsent_bytes;
+  state_->metrics = options_.metrics;
 }
 
 HttpServer::~HttpServer() {
@@ -558,6 +561,9 @@
                             const ReadRefusal& refusal) {
   Log(LogLevel::kInfo, "request_not_read",
       {{"status", refusal.status}, {"reason", refusal.text}});
+  if (options_.metrics != nullptr) {
+    options_.metrics->counter("requests_not_read_total").Add();
+  }
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket == nullptr) return;
   if (options_.tls_certificate_file.empty()) {
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/metrics.h"
 #include "drivers/answer_tracker.h"
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
@@ -29,6 +30,7 @@
   /// Each answer ends its connection.
   bool draining = false;
   std::int64_t max_unsent_bytes = 0;
+  Metrics* metrics = nullptr;
 };
 
 /// One request and its response. Belongs to the server's task. Responds with
@@ -118,6 +120,8 @@
   std::string tls_key_file;
   /// A larger body is answered with 413 before it is read completely.
   std::int64_t max_body_bytes = 4 << 20;
+  /// Counts what the limits end; null for nowhere.
+  Metrics* metrics = nullptr;
   /// Limit of what all callers together haven't read of their answers. Beyond
   /// it the connection with the most unread bytes is closed, one after another.
   std::int64_t max_unsent_bytes = 96 << 20;
--- a/drivers/read_guard.cc
+++ b/drivers/read_guard.cc
@@ -1,14 +1,10 @@
 #include "drivers/read_guard.h"
 
 #include <gio/gio.h>
-#include <linux/tcp.h>
-#include <netinet/in.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
 
-#include <cstddef>
 #include <utility>
 
+#include "drivers/bytes_read.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
 
@@ -26,21 +22,6 @@
 
 }  // namespace
 
-std::optional<std::int64_t> BytesRead(GSocket* socket) {
-  const int descriptor = g_socket_get_fd(socket);
-  tcp_info info{};
-  socklen_t size = sizeof(info);
-  if (getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) {
-    return std::nullopt;
-  }
-  constexpr std::size_t kNeeded = offsetof(tcp_info, tcpi_bytes_received) +
-                                  sizeof(info.tcpi_bytes_received);
-  if (size < kNeeded) return std::nullopt;
-  int unread = 0;
-  if (ioctl(descriptor, FIONREAD, &unread) != 0) return std::nullopt;
-  return static_cast<std::int64_t>(info.tcpi_bytes_received) - unread;
-}
-
 ReadGuard::ReadGuard(GMainContext* context, Duration timeout, EndFunction end)
     : context_(context), timeout_(timeout), end_(std::move(end)) {}
 
@@ -80,7 +61,7 @@
   if (!added) return;
   g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, this);
   entry->second.socket = ShareGObject(socket);
-  entry->second.earlier_bytes = BytesRead(socket).value_or(0);
+  entry->second.earlier_bytes = BytesRead(g_socket_get_fd(socket)).value_or(0);
   if (timer_) return;
   timer_ = AddTimer(context_, kPollPeriod, [this] { Poll(BootTimeNow()); });
 }
@@ -113,9 +94,9 @@
 
 std::optional<ReadRefusal> ReadGuard::Judge(Reading& reading, Time now) const {
   if (reading.refusal.has_value()) return reading.refusal;
-  const std::int64_t read =
-      BytesRead(reading.socket.get()).value_or(reading.earlier_bytes) -
-      reading.earlier_bytes;
+  const std::int64_t read = BytesRead(g_socket_get_fd(reading.socket.get()))
+                                .value_or(reading.earlier_bytes) -
+                            reading.earlier_bytes;
   if (read > 0 && !reading.since.has_value()) reading.since = now;
   if (!reading.since.has_value()) return std::nullopt;
   if (now - *reading.since >= timeout_) {
--- a/drivers/read_guard.h
+++ b/drivers/read_guard.h
@@ -79,9 +79,6 @@
   GSourcePtr timer_;
 };
 
-/// Bytes that were read from a TCP connection; null if the system doesn't tell.
-std::optional<std::int64_t> BytesRead(GSocket* socket);
-
 }  // namespace cassiausher
 
 #endif  // DRIVERS_READ_GUARD_H_
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -73,7 +73,8 @@
   if (auto error = log_.Start(); !error.empty()) return error;
   server_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.control->ip,
-                        .port = settings_.control->port},
+                        .port = settings_.control->port,
+                        .metrics = &metrics_},
       [this](HttpExchangePtr exchange) { OnCall(std::move(exchange)); },
       [](int, std::string_view message) {
         return FormatError({.type = "limit",
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -41,8 +41,8 @@
 
 // Limits of the process for answers that it holds until they are complete, and
 // for what callers haven't read. Each is larger than the largest answer.
-constexpr std::int64_t kMaxUnfinishedBytes = 20 << 20;
-constexpr std::int64_t kMaxUnsentBytes = 20 << 20;
+constexpr std::int64_t kMaxUnfinishedBytes = 18 << 20;
+constexpr std::int64_t kMaxUnsentBytes = 18 << 20;
 // The same for the bodies of requests that are being read.
 constexpr std::int64_t kMaxReadingBytes = 12 << 20;
 
@@ -82,6 +82,7 @@
   callers_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.callers->ip,
                         .port = settings_.callers->port,
+                        .metrics = &metrics_,
                         .max_unsent_bytes = kMaxUnsentBytes,
                         .max_reading_bytes = kMaxReadingBytes},
       [this](HttpExchangePtr exchange) {
@@ -91,7 +92,8 @@
   if (auto error = callers_->Listen(context_); !error.empty()) return error;
   readiness_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.readiness->ip,
-                        .port = settings_.readiness->port},
+                        .port = settings_.readiness->port,
+                        .metrics = &metrics_},
       [this](HttpExchangePtr exchange) {
         const bool known =
             IsReadinessCall(exchange->method(), exchange->path());
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -335,8 +335,7 @@
 }
 
 void ForwardedRequest::AccountBytes() {
-  const std::size_t events =
-      events_.incomplete_event().size() + held_events_.size();
+  const std::size_t events = events_.memory_bytes() + held_events_.capacity();
   context_.bytes->Set(bytes_id_,
                       body_.size() + static_cast<std::int64_t>(events));
 }
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -1,6 +1,7 @@
 // Entry point of cassiausher_node, which runs one role of a deployment.
 #include <docopt/docopt.h>
 #include <glib-unix.h>
+#include <malloc.h>
 
 #include <csignal>
 #include <cstdio>
@@ -47,6 +48,8 @@
 constexpr int kExitBadSettings = 2;
 constexpr std::uint16_t kMetricsPort = 9464;
 constexpr guint kReloadPeriodMs = 5000;
+// Larger buffers are mapped each by itself.
+constexpr int kMappedBufferBytes = 128 << 10;
 // After a role has ended, callers of the metrics get this long to take them.
 constexpr Duration kMetricsDrainTimeout = Milliseconds(200);
 constexpr guint kDrainPollMs = 10;
@@ -132,7 +135,8 @@
 
   void ServeMetrics(const NodeSettings& settings) {
     metrics_server_ = std::make_unique<HttpServer>(
-        HttpServerOptions{.address = settings.ip, .port = kMetricsPort},
+        HttpServerOptions{
+            .address = settings.ip, .port = kMetricsPort, .metrics = &metrics_},
         [this](HttpExchangePtr exchange) {
           metrics_.gauge("log_lines_left_out")
               .Set(static_cast<std::int64_t>(DroppedLogLines()));
@@ -251,4 +255,10 @@
 }  // namespace
 }  // namespace cassiausher
 
-int main(int argc, char** argv) { return cassiausher::Main(argc, argv); }
+int main(int argc, char** argv) {
+  // Returns large buffers to the system when they are freed. Without a fixed
+  // size glibc keeps them, and the process stays as large as in its largest
+  // burst.
+  mallopt(M_MMAP_THRESHOLD, cassiausher::kMappedBufferBytes);
+  return cassiausher::Main(argc, argv);
+}
--- a/servers/entry/event_splitter.h
+++ b/servers/entry/event_splitter.h
@@ -28,6 +28,8 @@
   std::optional<std::int64_t> last_id() const { return last_id_; }
   /// Bytes of an event that isn't complete yet.
   const std::string& incomplete_event() const { return buffer_; }
+  /// Memory of the incomplete event.
+  std::size_t memory_bytes() const { return buffer_.capacity(); }
   /// Whether the incomplete event has exceeded its limit. Nothing more may be
   /// fed then.
   bool over_limit() const { return buffer_.size() > kMaxEventBytes; }
--- a/tests/drivers/http_client_test.cc
+++ b/tests/drivers/http_client_test.cc
@@ -179,14 +179,14 @@
 namespace {
 
 // Sends a head once and a piece again and again until the connection ends or
-// `kEndlessBytes` were sent.
+// `kEndlessBytes` were sent. Nothing follows the head if the piece is empty.
 class EndlessServer {
  public:
   static constexpr std::size_t kEndlessBytes = std::size_t{8} << 20;
 
   EndlessServer(std::string head, const std::string& piece)
       : head_(std::move(head)), listener_(g_socket_listener_new()) {
-    while (block_.size() < kBlockBytes) block_ += piece;
+    while (!piece.empty() && block_.size() < kBlockBytes) block_ += piece;
     port_ =
         g_socket_listener_add_any_inet_port(listener_.get(), nullptr, nullptr);
     thread_ = std::thread([this] { Serve(); });
@@ -210,7 +210,8 @@
     GOutputStream* output =
         g_io_stream_get_output_stream(G_IO_STREAM(connection.get()));
     bool open = Send(output, head_);
-    for (std::size_t sent = 0; open && sent < kEndlessBytes;) {
+    const std::size_t total = block_.empty() ? 0 : kEndlessBytes;
+    for (std::size_t sent = 0; open && sent < total;) {
       open = Send(output, block_);
       sent += block_.size();
     }
@@ -255,6 +256,14 @@
   CheckExcessive("HTTP/1.1 200 OK\r\nX-Long: ", "x");
 }
 
+// libcurl would keep up to 100 KiB of an incomplete line until the deadline.
+TEST(HttpClientEndless, LongHeaderLineThatStallsEndsTheCall) {
+  const std::string line(80000, 'x');
+  EndlessServer server("HTTP/1.1 200 OK\r\nX-Long: " + line, "");
+  Call(server.url());
+  CHECK_TRUE(sink.excessive);
+}
+
 TEST(HttpClientEndless, InformationalAnswersWithoutEndEndTheCall) {
   CheckExcessive("", "HTTP/1.1 103 Early Hints\r\nX-More: x\r\n\r\n");
 }
--- a/tests/soak/endless_bytes_soak.py
+++ b/tests/soak/endless_bytes_soak.py
@@ -40,6 +40,12 @@
     (b"POST /safe/ HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: ", b"x"),
     (b"POST /safe/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 100000000000\r\n\r\n", b"x"),
 )
+# Ways of a burst, in which all endpoints answer many calls at once in the same way, and the bytes that each call sends
+# before it stalls: just below the limits of a single call, and beyond them.
+BURSTS = (("header-line", 96 << 10), ("header-lines", 48 << 10), ("event", 960 << 10), ("body", 14 << 20),
+          ("event", 64 << 20), ("body", 64 << 20))
+BURST_CALLS = 250
+BURST_DELAY_S = 0.25
 MAX_SENT_BY_CALLER = 64 << 20
 CALLER_ENDED_WITHIN_S = 5.0
 
@@ -92,11 +98,18 @@
         if self.open:
             await asyncio.wait(self.open, timeout=20)
 
-    async def _call(self):
+    async def burst(self, entry):
+        """Returns the attempts of many calls at once to one entry instance."""
+        before = len(self.attempts)
+        await asyncio.gather(*(self._call(entry) for _ in range(BURST_CALLS)))
+        burst, self.attempts = self.attempts[before:], self.attempts[:before]
+        return burst
+
+    async def _call(self, entry=None):
         kind = self.random.choices(("safe", "unsafe", "stream"), (6, 1, 3))[0]
-        attempt = Attempt(f"{len(self.attempts) + 1:016x}", kind, time.monotonic())
+        attempt = Attempt(f"{self.run_.random.getrandbits(64):016x}", kind, time.monotonic())
         self.attempts.append(attempt)
-        entry = self.random.choice(self.run_.deployment.entries)
+        entry = entry or self.random.choice(self.run_.deployment.entries)
         headers = {"Host": HOST, "X-Request-Id": attempt.request, "X-Deadline-Ms": str(int(DEADLINE_S * 1000))}
         timeout = aiohttp.ClientTimeout(total=DEADLINE_S + 5)
         try:
@@ -220,6 +233,23 @@
     return [f"{len(after)} calls in the {BACK_WITHIN_S:g} s after the endpoint was well"]
 
 
+async def play_bursts(run, callers):
+    """All endpoints are in trouble, so that nobody can be served, but everybody is answered."""
+    attempts = []
+    for way, call_bytes in BURSTS:
+        for endpoint in run.endpoints:
+            endpoint.call_bytes, endpoint.delay_s = call_bytes, BURST_DELAY_S
+            endpoint.set_way(way)
+        began = time.monotonic()
+        burst = await callers.burst(run.deployment.entries[1])
+        attempts += burst
+        statuses = collections.Counter(attempt.status for attempt in burst)
+        print(f"burst of {way}, {call_bytes >> 10} KB a call: statuses {dict(statuses)}, "
+              f""
+              f"{time.monotonic() - began:.2f} s, {peak_resident_kb(run.deployment.entries[1])} KB")
+    return attempts
+
+
 def find_ended(run):
     return [f"{instance.name} has ended" for instance in run.deployment.instances() if not instance.running()]
 
@@ -239,12 +269,13 @@
         phases, *_ = await asyncio.gather(
             play_ways(bad, run.random, options.seconds), callers.run(options.rate, until), endless.run(until - 6))
         await callers.finish()
+        bursts = await play_bursts(run, callers) if options.bursts else []
         outcomes = collections.Counter((a.kind, a.status, a.error) for a in callers.attempts)
         print(f"requests by kind, status and error: {dict(sorted(outcomes.items()))}")
         breaches = find_ended(run)
         if not breaches:
             breaches += find_large(run)
-        breaches += find_late(callers.attempts) + find_unserved(callers.attempts) + endless.breaches
+        breaches += find_late(callers.attempts + bursts) + find_unserved(callers.attempts) + endless.breaches
         breaches += find_many_calls(run, bad, phases, arrivals) + find_shunned(bad, phases, arrivals)
         return run.report(breaches, [f"{at - run.began_at:.1f} s: {way}" for at, way in bad.ways])
 
--- a/tests/soak/endless_endpoint.py
+++ b/tests/soak/endless_endpoint.py
@@ -46,6 +46,9 @@
         self.ways = []
         self.server = None
         self.open = set()
+        # What is sent of a bad answer, after this time.
+        self.call_bytes = CALL_BYTES
+        self.delay_s = 0.0
 
     def set_way(self, way):
         self.way = way
@@ -101,10 +104,11 @@
 
     async def _send_endless(self, writer, way, common):
         rest, piece = WAYS[way]
+        await asyncio.sleep(self.delay_s)
         if rest is not None:
             writer.write(b"HTTP/1.1 200 OK\r\n" + common + rest)
         block = block_of(piece)
-        for _ in range(CALL_BYTES // len(block)):
+        for _ in range(self.call_bytes // len(block)):
             writer.write(block)
             await writer.drain()
         await asyncio.sleep(60)
