--- a/tests/soak/endless_endpoint.py
+++ b/tests/soak/endless_endpoint.py
@@ -41,7 +41,7 @@
 
     def __init__(self, *args):
         super().__init__(*args)
-        self.slots = 200
+        self.slots = 6
         self.way = None
         self.ways = []
         self.server = None
