--- a/main/active_request.cc
+++ b/main/active_request.cc
@@ -214,7 +214,7 @@
   }
   if (flow_.done()) return;
   context_.metrics.slow_callers.Add();
-  exchange_->EndStream();
+  exchange_->Abort();
   OnCallerGone();
 }
 
