Let spares find the group by its members

A replica without a configuration asked only the initial voters for the group. If two of three had lost their disks and the third was a spare, all three asked each other for ever, and the lost voters were never replaced although the rest of the group served.

The members that the leader sends to every control instance now also tell where to ask.

--- a/main/configuration_log.cc
+++ b/main/configuration_log.cc
@@ -297,6 +297,7 @@
   const Raft& raft = host_->raft();
   const auto configuration = FromProto(members.configuration());
   if (!configuration.has_value()) return;
+  host_->raft().LearnVoters(*configuration);
   const bool own_group = raft.configuration().group == configuration->group;
   if (!own_group || members.commit() < raft.commit_index()) return;
   if (configuration->IsMember(raft.replica())) return;
--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -372,6 +372,14 @@
   BootstrapIfAllReplied();
 }
 
+void Raft::LearnVoters(const RaftConfiguration& configuration) {
+  if (!configurations_.empty()) return;
+  for (const ReplicaId& voter : configuration.voters) {
+    if (hello_targets_.size() >= kMaxUnconfigured) return;
+    hello_targets_.insert(voter.instance);
+  }
+}
+
 bool Raft::IsFounder() const {
   // Only the first initial voter bootstraps, so that no two groups can be
   // bootstrapped concurrently.
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -157,6 +157,9 @@
   Raft(RaftOptions options, const StoredState& stored, Time now);
 
   void Step(const proto::RaftMessage& message, Time now);
+  /// Tells a replica without a configuration where the group is, in case all
+  /// initial voters have none either.
+  void LearnVoters(const RaftConfiguration& configuration);
   /// Must be called at least twice per heartbeat interval.
   void Tick(Time now);
   ProposeResult Propose(std::string data, Time now);
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -339,7 +339,8 @@
 void Simulation::ResetReplaced(const Raft& leader) {
   for (auto& [name, machine] : machines_) {
     if (!machine->process) continue;
-    const Raft& raft = *machine->process->raft;
+    Raft& raft = *machine->process->raft;
+    raft.LearnVoters(leader.configuration());
     const bool own_group =
         raft.configuration().group == leader.configuration().group;
     if (!own_group || leader.commit_index() < raft.commit_index()) continue;
