--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -470,8 +470,8 @@
   }
   const bool needs_segment =
       segments_.empty() || synced_size_ + bytes.size() > options_.segment_bytes;
-  // Otherwise a loss of power could leave a mixture of the failed write and this
-  // one.
+  // Otherwise a loss of power could leave a mixture of the failed write and
+  // this one.
   BOOST_LEAF_CHECK(CutFailedWrite());
   if (needs_segment) {
     BOOST_LEAF_CHECK(StartSegment());
