Don't end a broken-off stream with the last chunk

Cause: since callers' connections are taken over from libsoup to be closed, a stream that is broken off was taken over before its socket was shut down; libsoup writes the last chunk when it gives the stream away. The socket is now shut down first.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -329,11 +329,13 @@
   const GObjectPtr<GSocket> held = ShareGObject(socket);
   server_->answers.OnFinished(message_.get(), true);
   server_->answers.Forget(socket);
+  // First, since libsoup writes the last chunk when it gives the stream away,
+  // which would make the answer look complete.
+  g_socket_shutdown(held.get(), TRUE, TRUE, nullptr);
   const GObjectPtr<GIOStream> stream(
       soup_server_message_steal_connection(message_.get()));
   // The stream is released after its socket is closed, so that it doesn't
   // write to it.
-  g_socket_shutdown(held.get(), TRUE, TRUE, nullptr);
   g_socket_close(held.get(), nullptr);
 }
 
--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -395,6 +395,24 @@
   CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
 }
 
+// A stream that was broken off ended with the last chunk, as a complete one.
+TEST(HttpDrain, AbortedStreamDoesNotLookComplete) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->StartStream(200, "text/event-stream");
+  held[0]->Write("an event");
+  RunFor(50);
+  held[0]->Abort();
+  held.clear();
+  CHECK(RunUntil([&] {
+    caller.Read();
+    return caller.closed || caller.reset;
+  }));
+  CHECK(caller.received.find("an event") != std::string::npos);
+  CHECK_FALSE(caller.received.ends_with("0\r\n\r\n"));
+}
+
 // The kernel keeps the count of unsent bytes of a connection that was reset.
 TEST(HttpDrain, CallerThatClosesWithTheAnswerUnreadIsNotUnsent) {
   auto caller = std::make_unique<SlowCaller>(server->port());
