--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -505,13 +505,7 @@
 void ForwardedRequest::FailCall(CallFailure failure, std::string_view reason) {
   if (!call_.has_value()) return;
   const std::string text(reason);
-  Log(LogLevel::kWarning, "call_failed",
-      {{"request", caller_.id.value()},
-       {"call", calls_},
-       {"endpoint", call_->endpoint.id.value()},
-       {"failure", Name(failure)},
-       {"reason", text},
-       {"after_ms", ToMilliseconds(BootTimeNow() - call_started_)}});
+  const EndpointId endpoint = call_->endpoint.id;
   switch (failure) {
     case CallFailure::kNotExecuted:
       FinishCall(WorkOutcome::kRejected);
@@ -533,6 +527,16 @@
     default:
       FinishCall(WorkOutcome::kBroken);
   }
+  const Time now = BootTimeNow();
+  Log(LogLevel::kWarning, "call_failed",
+      {{"request", caller_.id.value()},
+       {"call", calls_},
+       {"endpoint", endpoint.value()},
+       {"failure", Name(failure)},
+       {"reason", text},
+       {"after_ms", ToMilliseconds(now - call_started_)},
+       {"circuit_open_ms",
+        ToMilliseconds(context_.pool->OpenFor(endpoint, now))}});
   context_.metrics
       ->counter(
           fmt::format("call_failures_total{{failure=\"{}\"}}", Name(failure)))
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -466,6 +466,18 @@
   }
 }
 
+Duration EndpointPool::OpenFor(const EndpointId& id, Time now) const {
+  const auto found = entries_.find(id);
+  Duration open{0};
+  if (found == entries_.end()) return open;
+  for (const CircuitBreaker* breaker :
+       {&found->second.breaker, &found->second.excess_breaker}) {
+    if (breaker->state(now) != CircuitState::kOpen) continue;
+    open = std::max(open, breaker->retry_at() - now);
+  }
+  return open;
+}
+
 void EndpointPool::ObserveCost(const WorkSpec& work, Tokens queued,
                                Duration took, Time now, Entry* entry) const {
   const double units =
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -168,6 +168,9 @@
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
 
+  /// How long the endpoint's circuits stay open; 0 if none is.
+  Duration OpenFor(const EndpointId& id, Time now) const;
+
   /// Requests of this instance that wait for capacity.
   int waiting() const { return waiting_; }
   void ChangeWaiting(int difference) { waiting_ += difference; }
