Finish a call that is given up for silence once

Cause: a merge lost the break after the case kSilent of FailCall, so that the call was finished a second time, as one whose answer exceeds a limit.

Change: the outcome of a failure is a value, from a switch that returns and that the compiler checks for missing cases; a call is finished in one place.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -70,6 +70,26 @@
   return "unknown";
 }
 
+WorkOutcome OutcomeOf(CallFailure failure) {
+  switch (failure) {
+    case CallFailure::kNotSent:
+      return WorkOutcome::kUnreachable;
+    case CallFailure::kNotExecuted:
+      return WorkOutcome::kRejected;
+    case CallFailure::kMisplaced:
+      return WorkOutcome::kMisplaced;
+    case CallFailure::kServerError:
+      return WorkOutcome::kServerError;
+    case CallFailure::kBroken:
+      return WorkOutcome::kBroken;
+    case CallFailure::kSilent:
+      return WorkOutcome::kSilent;
+    case CallFailure::kExcessive:
+      return WorkOutcome::kExcessive;
+  }
+  return WorkOutcome::kBroken;
+}
+
 std::string RefusalBody(std::string_view reason, Duration retry_after) {
   return FormatError({.type = "unavailable",
                       .code = "refused",
@@ -506,27 +526,7 @@
   if (!call_.has_value()) return;
   const std::string text(reason);
   const EndpointId endpoint = call_->endpoint.id;
-  switch (failure) {
-    case CallFailure::kNotExecuted:
-      FinishCall(WorkOutcome::kRejected);
-      break;
-    case CallFailure::kMisplaced:
-      FinishCall(WorkOutcome::kMisplaced);
-      break;
-    case CallFailure::kNotSent:
-      FinishCall(WorkOutcome::kUnreachable);
-      break;
-    case CallFailure::kServerError:
-      FinishCall(WorkOutcome::kServerError);
-      break;
-    case CallFailure::kSilent:
-      FinishCall(WorkOutcome::kSilent);
-    case CallFailure::kExcessive:
-      FinishCall(WorkOutcome::kExcessive);
-      break;
-    default:
-      FinishCall(WorkOutcome::kBroken);
-  }
+  FinishCall(OutcomeOf(failure));
   const Time now = BootTimeNow();
   Log(LogLevel::kWarning, "call_failed",
       {{"request", caller_.id.value()},
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -15,6 +15,7 @@
 #include "core/compression.h"
 #include "core/metrics.h"
 #include "drivers/http_client.h"
+#include "drivers/http_server.h"
 #include "main/control_node.h"
 #include "main/entry_node.h"
 #include "main/node_link.h"
@@ -43,7 +44,23 @@
 std::string RouteText(int number) {
   const std::string name = std::to_string(number);
   return R"({"name":"r)" + name + R"(","host":"a.example","path-prefix":"/)" +
-         name + R"(/","kind":"safe","timeout-ms":600,"service":"s"})";
+         name +
+         R"(/","kind":"safe","timeout-ms":600,"attempts":2,"service":"s"})";
+}
+
+proto::EndpointRecord Endpoint(const std::string& id,
+                               const std::string& data_centre,
+                               std::uint16_t port) {
+  proto::EndpointRecord record;
+  record.set_id(id);
+  record.set_service("s");
+  record.set_role(proto::ENDPOINT_ROLE_PLAIN);
+  record.set_address(std::string(kNodeIp) + ":" + std::to_string(port));
+  record.set_data_centre(data_centre);
+  record.set_slots(4);
+  record.set_born_ms(1);
+  record.set_sequence(1);
+  return record;
 }
 
 /// A document with the given number of routes, /0/ and following.
@@ -103,6 +120,7 @@
   std::unique_ptr<Peer> peer;
   std::unique_ptr<ControlNode> control;
   std::unique_ptr<EntryNode> entry;
+  std::vector<std::unique_ptr<HttpServer>> servers;
   Response response;
 
   void setup() override {
@@ -120,6 +138,7 @@
     peer.reset();
     control.reset();
     entry.reset();
+    servers.clear();
     std::filesystem::remove_all(folder);
     g_main_context_pop_thread_default(context);
     g_main_context_unref(context);
@@ -154,6 +173,14 @@
     return response.status;
   }
 
+  std::uint16_t StartServer(HttpServer::Handler handler) {
+    servers.push_back(std::make_unique<HttpServer>(
+        HttpServerOptions{.address = kNodeIp}, std::move(handler),
+        [](int, std::string_view message) { return std::string(message); }));
+    STRCMP_EQUAL("", servers.back()->Listen(context).c_str());
+    return servers.back()->port();
+  }
+
   /// `seeds` bootstrap the log; with several, the control node has no leader.
   void StartControl(const std::vector<std::string>& seeds = {kNodeIp}) {
     static const bool registered = (RegisterFileLog(), true);
@@ -372,3 +399,39 @@
   LONGS_EQUAL(503, Call("GET", "/1/", ""));
   CHECK_FALSE(response.retry_after.empty());
 }
+
+// A call that was given up for silence was finished twice, the second time as
+// one whose answer exceeded a limit. The instance reported one request less
+// than none at the endpoint, and kept work away from it for up to 5 s.
+TEST(NodeRoles, ACallGivenUpForSilenceIsFinishedOnce) {
+  std::vector<HttpExchangePtr> held;
+  const std::uint16_t silent_port = StartServer(
+      [&](HttpExchangePtr exchange) { held.push_back(std::move(exchange)); });
+  const std::uint16_t sound_port =
+      StartServer([](const HttpExchangePtr& exchange) {
+        exchange->Respond(200, "text/plain", "sound",
+                          {{"X-Server-Stamp", "sound.1"}});
+      });
+  StartEntry();
+  bool applied = false;
+  proto::Follow last;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    if (!message.has_follow()) return;
+    last = message.follow();
+    applied |= last.configuration_version() == 1;
+    proto::NodeMessage answer;
+    auto* update = answer.mutable_update();
+    update->set_registry_epoch(1);
+    update->mutable_configuration()->set_version(1);
+    update->mutable_configuration()->set_document(Document(1, 1));
+    *update->add_records() = Endpoint("silent", "dc1", silent_port);
+    *update->add_records() = Endpoint("sound", "dc2", sound_port);
+    peer->link.Send(InstanceId(kNodeIp), answer);
+  };
+  CHECK_TRUE(RunUntil([&] { return applied; }));
+  LONGS_EQUAL(200, Call("GET", "/0/", ""));
+  LONGS_EQUAL(1, held.size());
+  last.Clear();
+  CHECK_TRUE(RunUntil([&] { return last.configuration_version() == 1; }));
+  LONGS_EQUAL(0, last.loads_size());
+}
