Don't count calls that a silence held up as the endpoint's cost

Cause: a call that took over six times the expected time was recognised as held up, but one that was sent shortly before the silence ended wasn't. One that took 126 ms raised the expected time to 47 ms, above that of a remote endpoint, with a half-life of 3 s. An instance that sent no call between two silences also took the second for a continuation of the first.

Change: the pool records since when an endpoint owes any response; when one arrives after more than six times the expected time, calls that began earlier say nothing of its cost. Held-up answers count as slowness only if the calls followed each other within a silence's length.

--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -80,10 +80,16 @@
   return options;
 }
 
-double DefaultUnitCost(const EndpointRecord& record, const WorkSpec& work) {
-  if (work.prompt.value() == 0) return kPlainRequestUs;
-  return record.role == EndpointRole::kPrefill ? kPrefillTokenUs
-                                               : kDecodeTokenUs;
+double DefaultUnitCost(EndpointRole role) {
+  switch (role) {
+    case EndpointRole::kPrefill:
+      return kPrefillTokenUs;
+    case EndpointRole::kDecode:
+      return kDecodeTokenUs;
+    case EndpointRole::kPlain:
+      return kPlainRequestUs;
+  }
+  return kPlainRequestUs;
 }
 
 }  // namespace
@@ -180,9 +186,8 @@
   return std::exp2(-age / ToSeconds(options_.observation_half_life));
 }
 
-double EndpointPool::UnitCost(const Entry& entry, const WorkSpec& work,
-                              Time now) const {
-  const double assumed = DefaultUnitCost(entry.record, work);
+double EndpointPool::UnitCost(const Entry& entry, Time now) const {
+  const double assumed = DefaultUnitCost(entry.record.role);
   if (entry.unit_cost_us <= 0) return assumed;
   const double decay = ObservationDecay(entry, now);
   return decay * entry.unit_cost_us + (1 - decay) * assumed;
@@ -190,7 +195,7 @@
 
 Duration EndpointPool::ExpectedTime(const Entry& entry, const WorkSpec& work,
                                     Time now) const {
-  const double unit = UnitCost(entry, work, now);
+  const double unit = UnitCost(entry, now);
   if (work.prompt.value() > 0) {
     Tokens tokens = entry.in_flight_tokens + PrefillCost(work);
     // Prompts that other instances sent to a prefill runner are queued ahead.
@@ -339,6 +344,7 @@
   // Registers the trial request of a half-open circuit.
   found->second.breaker.Allow(now);
   found->second.excess_breaker.Allow(now);
+  if (!found->second.unanswered_since) found->second.unanswered_since = now;
   ++found->second.in_flight;
   found->second.in_flight_tokens += PrefillCost(work);
   found->second.memory += work.memory;
@@ -377,6 +383,7 @@
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   found->second.last_event_at = now;
+  found->second.unanswered_since = now;
   if (!std::exchange(work->streaming, true)) ++found->second.streaming;
 }
 
@@ -388,10 +395,18 @@
 
 void EndpointPool::OnResponse(const EndpointId& id, Time now) {
   const auto found = entries_.find(id);
-  if (found != entries_.end()) ObserveResponse(now, &found->second);
+  if (found == entries_.end()) return;
+  ObserveResponse(found->second.in_flight_tokens, now, &found->second);
 }
 
-void EndpointPool::ObserveResponse(Time now, Entry* entry) {
+void EndpointPool::ObserveResponse(Tokens queued, Time now,
+                                   Entry* entry) const {
+  const Time unanswered_since = entry->unanswered_since.value_or(now);
+  if (now - unanswered_since > SlowTime(*entry, queued, now)) {
+    entry->resumed_at = now;
+  }
+  entry->unanswered_since.reset();
+  if (entry->in_flight > 0) entry->unanswered_since = now;
   const bool was_closed = entry->breaker.state(now) == CircuitState::kClosed;
   entry->breaker.OnSuccess(now);
   const bool is_closed = entry->breaker.state(now) == CircuitState::kClosed;
@@ -442,15 +457,15 @@
   const double decay = ObservationDecay(entry, now);
   entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
                         kObservationWeight * FailureWeight(entry, outcome, now);
-  ObserveCircuits(outcome, now, &entry);
+  ObserveCircuits(outcome, queued, now, &entry);
   if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
-    ObserveCost(work, queued, took, now, &entry);
+    ObserveCost(queued, took, now, &entry);
   }
   entry.observed_at = now;
 }
 
-void EndpointPool::ObserveCircuits(WorkOutcome outcome, Time now,
-                                   Entry* entry) {
+void EndpointPool::ObserveCircuits(WorkOutcome outcome, Tokens queued, Time now,
+                                   Entry* entry) const {
   const bool no_response =
       outcome == WorkOutcome::kUnreachable || outcome == WorkOutcome::kSilent;
   if (no_response) {
@@ -458,7 +473,7 @@
     entry->excess_breaker.OnCancelled();
     return;
   }
-  ObserveResponse(now, entry);
+  ObserveResponse(queued, now, entry);
   if (outcome == WorkOutcome::kExcessive) {
     entry->excess_breaker.OnFailure(now);
   } else {
@@ -478,22 +493,36 @@
   return open;
 }
 
-void EndpointPool::ObserveCost(const WorkSpec& work, Tokens queued,
-                               Duration took, Time now, Entry* entry) const {
+Duration EndpointPool::SlowTime(const Entry& entry, Tokens queued,
+                                Time now) const {
+  const auto units = std::max<std::int64_t>(1, queued.value());
+  return FromSeconds(kHeldUpFactor * UnitCost(entry, now) *
+                     static_cast<double>(units) / 1e6);
+}
+
+bool EndpointPool::WasHeldUp(Duration took, Duration slow, Time now,
+                             Entry* entry) {
+  const Time began = now - took;
+  // Calls that were sent late in a silence take less than `slow`.
+  if (took <= slow && began >= entry->resumed_at) {
+    entry->slow_since.reset();
+    return false;
+  }
+  const bool same_silence = began - entry->held_up_at <= kToleratedSilence;
+  if (!entry->slow_since.has_value() || !same_silence) entry->slow_since = now;
+  entry->held_up_at = now;
+  // An endpoint that is slow for longer than a silence lasts is overloaded.
+  return now - *entry->slow_since < kToleratedSilence;
+}
+
+void EndpointPool::ObserveCost(Tokens queued, Duration took, Time now,
+                               Entry* entry) const {
+  if (WasHeldUp(took, SlowTime(*entry, queued, now), now, entry)) return;
   const double units =
       static_cast<double>(std::max<std::int64_t>(1, queued.value()));
   const double sample = static_cast<double>(took.count()) / units;
-  const double before = UnitCost(*entry, work, now);
-  if (sample <= kHeldUpFactor * before) {
-    entry->slow_since.reset();
-  } else {
-    // The answers that a silence held up arrive together when it ends. They
-    // tell nothing about the time that later calls take.
-    if (!entry->slow_since.has_value()) entry->slow_since = now;
-    if (now - *entry->slow_since < kToleratedSilence) return;
-  }
-  entry->unit_cost_us =
-      (1 - kObservationWeight) * before + kObservationWeight * sample;
+  entry->unit_cost_us = (1 - kObservationWeight) * UnitCost(*entry, now) +
+                        kObservationWeight * sample;
 }
 
 std::size_t EndpointPool::ReadyCount(
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -227,8 +227,15 @@
     /// Moving average of failure weights, between 0 and 1.
     double failure_share = 0;
     Time observed_at{};
-    /// Since when all calls took several times as long as expected; null if the
-    /// last one didn't.
+    /// Since when calls have been waiting without any response or event; null
+    /// if none has been waiting since the last one.
+    std::optional<Time> unanswered_since;
+    /// When the endpoint last responded after a time much longer than calls
+    /// take.
+    Time resumed_at{};
+    /// When the last answer arrived that was held up.
+    Time held_up_at{};
+    /// Since when all answers have been held up; null if the last one wasn't.
     std::optional<Time> slow_since;
     /// When the circuit last closed; null before.
     std::optional<Time> recovered_at;
@@ -239,7 +246,7 @@
   };
 
   static Tokens PrefillCost(const WorkSpec& work);
-  double UnitCost(const Entry& entry, const WorkSpec& work, Time now) const;
+  double UnitCost(const Entry& entry, Time now) const;
   /// Weight of past observations, which halves with each half-life.
   double ObservationDecay(const Entry& entry, Time now) const;
   Duration ExpectedTime(const Entry& entry, const WorkSpec& work,
@@ -253,14 +260,20 @@
   static bool IsQuiet(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
   bool IsLastResort(const Entry& entry, Time now) const;
-  static void ObserveResponse(Time now, Entry* entry);
+  void ObserveResponse(Tokens queued, Time now, Entry* entry) const;
   /// Opens or closes the circuits after a call.
-  static void ObserveCircuits(WorkOutcome outcome, Time now, Entry* entry);
+  void ObserveCircuits(WorkOutcome outcome, Tokens queued, Time now,
+                       Entry* entry) const;
   /// Weight of the outcome as a failure, between 0 and 1.
   double FailureWeight(const Entry& entry, WorkOutcome outcome, Time now) const;
   /// Counts the duration of a complete call in the endpoint's cost.
-  void ObserveCost(const WorkSpec& work, Tokens queued, Duration took, Time now,
-                   Entry* entry) const;
+  void ObserveCost(Tokens queued, Duration took, Time now, Entry* entry) const;
+  /// A call with `queued` tokens in flight that takes longer than this was held
+  /// up.
+  Duration SlowTime(const Entry& entry, Tokens queued, Time now) const;
+  /// Whether a call that took `took` until `now` says nothing of the time that
+  /// later calls take, since a silence held it up.
+  static bool WasHeldUp(Duration took, Duration slow, Time now, Entry* entry);
   double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
   EndpointLoad OtherLoad(const Entry& entry, Time now) const;
   Placement Place(const Entry& entry, const WorkSpec& work, Time now) const;
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -179,6 +179,54 @@
   STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
 }
 
+// Calls sent shortly before a silence ended took a few times as long as others,
+// which counted as the endpoint's cost and kept work away for four seconds
+// (soak_silence, seed 1).
+TEST(EndpointPool, CallsSentLateInASilenceDontKeepWorkAway) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  const EndpointId silent("silent");
+  const Time late = kStart + Milliseconds(1120);
+  const Time goes_on = kStart + Milliseconds(1200);
+  pool.OnStart(silent, Lookup(), kStart);
+  for (int i = 0; i < 3; ++i) pool.OnStart(silent, Lookup(), late);
+  for (int i = 0; i < 3; ++i) {
+    pool.OnFinish(silent, Lookup(), WorkOutcome::kDone, goes_on - late,
+                  goes_on);
+  }
+  pool.OnFinish(silent, Lookup(), WorkOutcome::kDone, goes_on - kStart,
+                goes_on);
+  STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
+}
+
+// The same with a trial call as the only one that waits, since the earlier ones
+// were given up.
+TEST(EndpointPool, ATrialSentLateInASilenceDoesntKeepWorkAway) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  Finish("silent", WorkOutcome::kSilent, Milliseconds(150), kStart);
+  const Time trial = kStart + Milliseconds(1120);
+  const Time goes_on = kStart + Milliseconds(1200);
+  pool.OnStart(EndpointId("silent"), Lookup(), trial);
+  pool.OnFinish(EndpointId("silent"), Lookup(), WorkOutcome::kDone,
+                goes_on - trial, goes_on);
+  STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
+}
+
+// An instance that sent an endpoint no call between two silences took the
+// second for a continuation of the first.
+TEST(EndpointPool, TwoSilencesAreNotTakenForASlowEndpoint) {
+  pool.Merge(Plain("silent", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  for (const Time goes_on : {kStart + Seconds(2), kStart + Seconds(6)}) {
+    const Duration took = Milliseconds(1200);
+    pool.OnStart(EndpointId("silent"), Lookup(), goes_on - took);
+    pool.OnFinish(EndpointId("silent"), Lookup(), WorkOutcome::kDone, took,
+                  goes_on);
+    STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
+  }
+}
+
 // An endpoint that stays much slower than before is avoided all the same.
 TEST(EndpointPool, AnEndpointThatStaysSlowIsAvoided) {
   pool.Merge(Plain("slow", "here"), kStart);
