End a process only when no request was read since its last check

Cause: whether every caller had its answer was checked by a timer of the role, then by one of the metrics, which looked at its own server only; the process ended 10 to 200 ms after the role's check, and a loop that is told to quit still serves the sources that were ready in the same iteration.

Change: RunUntilDrained() checks all servers of the process, directly after an iteration of the loop and with nothing between that check and the end.

The race itself wasn't seen again, with or without the change.

--- a/drivers/drain_watch.h
+++ b/drivers/drain_watch.h
@@ -1,8 +1,12 @@
-// Tells when a stopping HTTP server has nothing left to send.
+// When a stopping HTTP server has nothing left to send, and the end of its
+// process.
 #ifndef DRIVERS_DRAIN_WATCH_H_
 #define DRIVERS_DRAIN_WATCH_H_
 
+#include <glib.h>
+
 #include <cstdint>
+#include <functional>
 
 #include "core/time.h"
 #include "drivers/http_server.h"
@@ -27,6 +31,12 @@
   Time progress_at_{};
 };
 
+/// Runs `context` until `drained` holds after an iteration that may have read
+/// further requests, or until `deadline` on the boot clock. Returns whether
+/// `drained` holds.
+bool RunUntilDrained(GMainContext* context,
+                     const std::function<bool()>& drained, Time deadline);
+
 }  // namespace cassiausher
 
 #endif  // DRIVERS_DRAIN_WATCH_H_
--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -115,11 +115,13 @@
   const Duration elapsed = now - shutdown_started_;
   if (elapsed < kLeavePeriod) return;
   const Duration limit = settings_.shutdown_grace - kExitMargin;
-  if (!server_->Drained() && elapsed < limit) return;
+  if (!Drained() && elapsed < limit) return;
   shutdown_timer_.reset();
   on_done_();
 }
 
+bool ControlNode::Drained() const { return server_->Drained(); }
+
 void ControlNode::LogCut() const {
   LogCutAnswers(server_->UnsentAnswers(), "control", metrics_);
 }
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -46,6 +46,8 @@
   /// messages had time to be sent and callers have their answers, or the grace
   /// period nearly ends.
   void Shutdown(std::function<void()> on_done);
+  /// Whether every caller has its answers.
+  bool Drained() const;
   /// Logs the answers that the end of the process cuts.
   void LogCut() const;
 
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -451,7 +451,7 @@
                              [this] { AdvanceShutdown(BootTimeNow()); });
 }
 
-bool EntryNode::Idle() const {
+bool EntryNode::Drained() const {
   return requests_.empty() && callers_->Drained() && readiness_->Drained();
 }
 
@@ -464,8 +464,8 @@
     listening_ = false;
   }
   if (!cut_ && elapsed >= limit) CutRequests();
-  const bool idle = !listening_ && Idle();
-  if (!idle && elapsed < limit + kLastAnswerPeriod) return;
+  const bool drained = !listening_ && Drained();
+  if (!drained && elapsed < limit + kLastAnswerPeriod) return;
   shutdown_timer_.reset();
   on_done_();
 }
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -46,6 +46,8 @@
   /// Stops accepting callers, waits until callers have the answers of all
   /// requests or the grace period nearly ends, then calls `on_done`.
   void Shutdown(std::function<void()> on_done);
+  /// Whether no request is in progress and every caller has its answers.
+  bool Drained() const;
   /// Logs the answers that the end of the process cuts.
   void LogCut() const;
 
@@ -85,7 +87,6 @@
   void AdvanceShutdown(Time now);
   /// Ends the requests in progress, since the grace period ends.
   void CutRequests();
-  bool Idle() const;
 
   NodeSettings settings_;
   Metrics& metrics_;
--- a/main/node_main.cc
+++ b/main/node_main.cc
@@ -14,6 +14,7 @@
 #include "core/log.h"
 #include "core/metrics.h"
 #include "drivers/clock.h"
+#include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
 #include "main/control_node.h"
 #include "main/entry_node.h"
@@ -50,9 +51,9 @@
 constexpr guint kReloadPeriodMs = 5000;
 // Larger buffers are mapped each by itself.
 constexpr int kMappedBufferBytes = 128 << 10;
-// After a role has ended, callers of the metrics get this long to take them.
-constexpr Duration kMetricsDrainTimeout = Milliseconds(200);
-constexpr guint kDrainPollMs = 10;
+// After a role has ended, callers of the metrics and callers that were refused
+// last get this long to take their answers.
+constexpr Duration kLastDrainTimeout = Milliseconds(200);
 // A slow reader of the log gets this long to take the last lines.
 constexpr Duration kLogFlushTimeout = Milliseconds(200);
 
@@ -109,6 +110,10 @@
     }
     ServeMetrics(settings);
     g_main_loop_run(loop_);
+    metrics_server_->StopListening();
+    RunUntilDrained(
+        g_main_context_default(), [this] { return Drained(); },
+        BootTimeNow() + kLastDrainTimeout);
     if (entry_) entry_->LogCut();
     if (control_) control_->LogCut();
     LogCutAnswers(metrics_server_->UnsentAnswers(), "metrics", metrics_);
@@ -166,7 +171,7 @@
   static gboolean OnTerminate(gpointer data) {
     auto* self = static_cast<Node*>(data);
     Log(LogLevel::kInfo, "stopping", {});
-    const auto on_done = [self] { self->EndMetrics(); };
+    const auto on_done = [self] { g_main_loop_quit(self->loop_); };
     self->metrics_server_->BeginDrain();
     if (self->entry_) {
       self->entry_->Shutdown(on_done);
@@ -176,22 +181,9 @@
     return G_SOURCE_CONTINUE;
   }
 
-  // Ends the process once callers of the metrics have their answers.
-  void EndMetrics() {
-    metrics_server_->StopListening();
-    metrics_deadline_ = BootTimeNow() + kMetricsDrainTimeout;
-    g_timeout_add(
-        kDrainPollMs,
-        [](gpointer data) -> gboolean {
-          auto* self = static_cast<Node*>(data);
-          const bool drained = self->metrics_server_->Drained();
-          if (!drained && BootTimeNow() < self->metrics_deadline_) {
-            return G_SOURCE_CONTINUE;
-          }
-          g_main_loop_quit(self->loop_);
-          return G_SOURCE_REMOVE;
-        },
-        this);
+  bool Drained() const {
+    return metrics_server_->Drained() && (!entry_ || entry_->Drained()) &&
+           (!control_ || control_->Drained());
   }
 
   static gboolean OnReload(gpointer data) {
@@ -225,7 +217,6 @@
   std::unique_ptr<EntryNode> entry_;
   std::unique_ptr<ControlNode> control_;
   std::unique_ptr<HttpServer> metrics_server_;
-  Time metrics_deadline_{};
 };
 
 int Main(int argc, char** argv) {
--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -16,6 +16,7 @@
 #include <thread>
 #include <vector>
 
+#include "drivers/clock.h"
 #include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
 
@@ -290,6 +291,54 @@
   CHECK(held.empty());
 }
 
+// A process ended although its server had read one more request in the loop's
+// last iteration (drain_soak, seed 134: answer_cut for a refusal).
+TEST(HttpDrain, ARequestReadInTheLastIterationIsAnsweredInFull) {
+  SlowCaller caller(server->port());
+  caller.Send(kRequest);
+  Receive(1);
+  held[0]->Respond(200, "text/plain", "first");
+  held.clear();
+  CHECK(RunUntil([&] { return server->Drained(); }));
+  GMainLoop* loop = g_main_loop_new(context, FALSE);
+  const GSourcePtr timer(g_timeout_source_new(1));
+  g_source_set_callback(
+      timer.get(),
+      [](gpointer data) -> gboolean {
+        g_main_loop_quit(static_cast<GMainLoop*>(data));
+        return G_SOURCE_REMOVE;
+      },
+      loop, nullptr);
+  g_source_attach(timer.get(), context);
+  caller.Send(kRequest);
+  // Both are ready in the same iteration.
+  g_usleep(20'000);
+  g_main_loop_run(loop);
+  g_main_loop_unref(loop);
+  LONGS_EQUAL(1, held.size());
+  const bool drained = RunUntilDrained(
+      context,
+      [&] {
+        for (const HttpExchangePtr& exchange : held) {
+          exchange->Respond(200, "text/plain", std::string(kLargeBytes, 'x'));
+        }
+        held.clear();
+        caller.Read();
+        return server->Drained();
+      },
+      BootTimeNow() + Seconds(8));
+  CHECK(drained);
+  LONGS_EQUAL(0, server->UnsentAnswers().size());
+  CHECK(caller.received.size() > kLargeBytes);
+}
+
+TEST(HttpDrain, RunUntilDrainedEndsAtItsDeadline) {
+  const Time deadline = BootTimeNow() + Milliseconds(30);
+  CHECK_FALSE(RunUntilDrained(
+      context, [] { return false; }, deadline));
+  CHECK(BootTimeNow() >= deadline);
+}
+
 TEST(HttpDrain, CallersOwnConnectionCloseDoesNotCutTheAnswer) {
   SlowCaller caller(server->port());
   caller.Send("GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
