--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -9,25 +9,9 @@
 namespace cassiausher {
 namespace {
 
-// Costs assumed until some are observed. A decode runner prefills a prompt at
-// half the speed of a prefill runner.
-constexpr double kPrefillTokenUs = 18;
-constexpr double kDecodeTokenUs = 36;
-constexpr double kPlainRequestUs = 15000;
 // Decoding from a fetched KV cache is assumed to take the time of prefilling
 // this fraction of the prompt.
 constexpr std::int64_t kDecodeCostDivisor = 8;
-// The slowest requests of a healthy endpoint take five times the mean, so a
-// call that takes more than this many times its expected time was held up.
-constexpr double kHeldUpFactor = 6;
-// Weight of the newest observation in moving averages.
-constexpr double kObservationWeight = 0.25;
-// Weight of a server error as a failure, where a broken connection counts 1.
-// Lower, since some requests fail at any endpoint.
-constexpr double kServerErrorWeight = 0.25;
-// An endpoint that fails again this soon after it recovered is unreliable. A
-// sound one may fall silent again after a few seconds.
-constexpr Duration kRelapseTime = Seconds(1);
 // A runner whose streams all have had no event for this long gets no new ones
 // until the next event, if another runner can take them.
 constexpr Duration kQuietTime = Milliseconds(500);
@@ -50,48 +34,6 @@
 // expected time.
 constexpr double kLastResortPenaltyUs = 1e9;
 
-constexpr CircuitBreakerOptions kBreakerOptions = {
-    // One failure is enough: connections to a healthy endpoint rarely fail.
-    .consecutive_failures = 1,
-    .failure_ratio = 0.6,
-    .window_calls = 6,
-    .window = Seconds(3),
-    // Short, since a sound endpoint may be silent for up to kToleratedSilence
-    // and should get work again within a second after that.
-    .backoff_minimum = Milliseconds(700),
-    .backoff_maximum = Milliseconds(700),
-    .trials = 1,
-    .trial_timeout = Seconds(2),
-};
-
-// For answers that exceed a limit: no sound endpoint sends one, so that one
-// that goes on doing so is tried more and more seldom.
-constexpr CircuitBreakerOptions kExcessBreakerOptions = {
-    .consecutive_failures = 1,
-    .backoff_minimum = Milliseconds(700),
-    .backoff_maximum = Seconds(4),
-    .trials = 1,
-    .trial_timeout = Seconds(2),
-};
-
-CircuitBreakerOptions WithSeed(CircuitBreakerOptions options,
-                               std::uint64_t seed) {
-  options.random_seed = seed;
-  return options;
-}
-
-double DefaultUnitCost(EndpointRole role) {
-  switch (role) {
-    case EndpointRole::kPrefill:
-      return kPrefillTokenUs;
-    case EndpointRole::kDecode:
-      return kDecodeTokenUs;
-    case EndpointRole::kPlain:
-      return kPlainRequestUs;
-  }
-  return kPlainRequestUs;
-}
-
 }  // namespace
 
 void AddLoads(const EndpointLoads& more, EndpointLoads* sum) {
@@ -102,18 +44,18 @@
   }
 }
 
-EndpointPool::Entry::Entry(const EndpointRecord& update, std::uint64_t seed)
+EndpointPool::Entry::Entry(const EndpointRecord& update, Duration half_life)
     : record(update),
-      breaker(WithSeed(kBreakerOptions, seed)),
-      excess_breaker(WithSeed(kExcessBreakerOptions, seed + 1)) {}
+      health(update.role, half_life,
+             std::hash<std::string>{}(update.id.value())) {}
 
 EndpointPool::EndpointPool(EndpointPoolOptions options)
     : options_(std::move(options)), random_(options_.random_seed) {}
 
 void EndpointPool::Merge(const EndpointRecord& update, Time now) {
-  const std::uint64_t seed = std::hash<std::string>{}(update.id.value());
+  const Duration half_life = options_.observation_half_life;
   const auto [found, added] =
-      entries_.try_emplace(update.id, Entry(update, seed));
+      entries_.try_emplace(update.id, Entry(update, half_life));
   Entry& entry = found->second;
   if (added) {
     versions_.try_emplace(update.service, VersionHistory{.known_since = now});
@@ -124,6 +66,7 @@
   const std::optional<SoftwareVersion> old_version = entry.record.version;
   if (!cassiausher::Merge(update, &entry.record)) return;
   entry.changed_at = now;
+  entry.health.set_role(entry.record.role);
   // Observations of the old incarnation don't apply to the new one; work in
   // flight and reservations are kept.
   if (entry.record.incarnation == old_incarnation) return;
@@ -134,7 +77,7 @@
   const int reserved = entry.reserved;
   const Tokens tokens = entry.in_flight_tokens;
   const MemoryForecast memory = entry.memory;
-  entry = Entry(entry.record, seed);
+  entry = Entry(entry.record, half_life);
   entry.changed_at = now;
   entry.in_flight = in_flight;
   entry.streaming = streaming;
@@ -181,21 +124,9 @@
   return Tokens(work.prompt.value() / kDecodeCostDivisor);
 }
 
-double EndpointPool::ObservationDecay(const Entry& entry, Time now) const {
-  const double age = ToSeconds(now - entry.observed_at);
-  return std::exp2(-age / ToSeconds(options_.observation_half_life));
-}
-
-double EndpointPool::UnitCost(const Entry& entry, Time now) const {
-  const double assumed = DefaultUnitCost(entry.record.role);
-  if (entry.unit_cost_us <= 0) return assumed;
-  const double decay = ObservationDecay(entry, now);
-  return decay * entry.unit_cost_us + (1 - decay) * assumed;
-}
-
 Duration EndpointPool::ExpectedTime(const Entry& entry, const WorkSpec& work,
                                     Time now) const {
-  const double unit = UnitCost(entry, now);
+  const double unit = entry.health.UnitCost(now);
   if (work.prompt.value() > 0) {
     Tokens tokens = entry.in_flight_tokens + PrefillCost(work);
     // Prompts that other instances sent to a prefill runner are queued ahead.
@@ -220,23 +151,19 @@
   score += kOccupancyPenaltyUs * occupancy;
   const bool full = occupancy > work.full_occupancy || now < entry.full_until;
   if (full) score += kFullPenaltyUs;
-  score += ObservationDecay(entry, now) * entry.failure_share *
+  score += entry.health.FailureShare(now) *
            static_cast<double>(options_.failure_penalty.count());
   if (IsLastResort(entry, now)) score += kLastResortPenaltyUs;
   return score;
 }
 
-bool EndpointPool::Admits(const Entry& entry, Time now) {
-  return entry.breaker.Admits(now) && entry.excess_breaker.Admits(now);
-}
-
 bool EndpointPool::IsQuiet(const Entry& entry, Time now) {
   return entry.streaming > 0 && now - entry.last_event_at >= kQuietTime;
 }
 
 bool EndpointPool::IsLastResort(const Entry& entry, Time now) const {
   return IsSilent(entry.record.id, now) || IsQuiet(entry, now) ||
-         !Admits(entry, now);
+         !entry.health.Admits(now);
 }
 
 const EndpointPool::Entry* EndpointPool::BetterOfTwo(
@@ -285,7 +212,7 @@
           .expected = ExpectedTime(entry, work, now),
           .occupancy = occupancy,
           .last_resort = IsLastResort(entry, now),
-          .trial = entry.breaker.state(now) != CircuitState::kClosed};
+          .trial = entry.health.IsTrial(now)};
 }
 
 EndpointLoad EndpointPool::OtherLoad(const Entry& entry, Time now) const {
@@ -341,10 +268,7 @@
                            Time now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
-  // Registers the trial request of a half-open circuit.
-  found->second.breaker.Allow(now);
-  found->second.excess_breaker.Allow(now);
-  if (!found->second.unanswered_since) found->second.unanswered_since = now;
+  found->second.health.OnStart(now);
   ++found->second.in_flight;
   found->second.in_flight_tokens += PrefillCost(work);
   found->second.memory += work.memory;
@@ -383,7 +307,7 @@
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   found->second.last_event_at = now;
-  found->second.unanswered_since = now;
+  found->second.health.OnEvent(now);
   if (!std::exchange(work->streaming, true)) ++found->second.streaming;
 }
 
@@ -396,42 +320,9 @@
 void EndpointPool::OnResponse(const EndpointId& id, Time now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
-  ObserveResponse(found->second.in_flight_tokens, now, &found->second);
-}
-
-void EndpointPool::ObserveResponse(Tokens queued, Time now,
-                                   Entry* entry) const {
-  const Time unanswered_since = entry->unanswered_since.value_or(now);
-  if (now - unanswered_since > SlowTime(*entry, queued, now)) {
-    entry->resumed_at = now;
-  }
-  entry->unanswered_since.reset();
-  if (entry->in_flight > 0) entry->unanswered_since = now;
-  const bool was_closed = entry->breaker.state(now) == CircuitState::kClosed;
-  entry->breaker.OnSuccess(now);
-  const bool is_closed = entry->breaker.state(now) == CircuitState::kClosed;
-  if (is_closed && !was_closed) entry->recovered_at = now;
-}
-
-double EndpointPool::FailureWeight(const Entry& entry, WorkOutcome outcome,
-                                   Time now) const {
-  switch (outcome) {
-    case WorkOutcome::kBroken:
-      return 1;
-    case WorkOutcome::kServerError:
-      return kServerErrorWeight;
-    case WorkOutcome::kUnreachable:
-    case WorkOutcome::kSilent: {
-      // The circuit keeps work away while this lasts. Only an endpoint that
-      // fails again soon after it recovered is avoided for longer.
-      const bool again = entry.recovered_at.has_value() &&
-                         now - *entry.recovered_at < kRelapseTime &&
-                         entry.breaker.state(now) == CircuitState::kClosed;
-      return again ? 1 : 0;
-    }
-    default:
-      return 0;
-  }
+  const Entry& entry = found->second;
+  found->second.health.OnResponse({entry.in_flight, entry.in_flight_tokens},
+                                  now);
 }
 
 void EndpointPool::OnFinish(const EndpointId& id, const WorkSpec& work,
@@ -445,8 +336,7 @@
   entry.in_flight_tokens -= PrefillCost(work);
   entry.memory -= work.memory;
   if (outcome == WorkOutcome::kAbandoned) {
-    entry.breaker.OnCancelled();
-    entry.excess_breaker.OnCancelled();
+    entry.health.OnCancelled();
     return;
   }
   if (outcome == WorkOutcome::kMisplaced) {
@@ -454,75 +344,17 @@
     return;
   }
   if (outcome == WorkOutcome::kRejected) entry.full_until = now + kFullBackoff;
-  const double decay = ObservationDecay(entry, now);
-  entry.failure_share = (1 - kObservationWeight) * decay * entry.failure_share +
-                        kObservationWeight * FailureWeight(entry, outcome, now);
-  ObserveCircuits(outcome, queued, now, &entry);
+  entry.health.OnOutcome(outcome, {entry.in_flight, queued}, now);
   if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
-    ObserveCost(queued, took, now, &entry);
-  }
-  entry.observed_at = now;
-}
-
-void EndpointPool::ObserveCircuits(WorkOutcome outcome, Tokens queued, Time now,
-                                   Entry* entry) const {
-  const bool no_response =
-      outcome == WorkOutcome::kUnreachable || outcome == WorkOutcome::kSilent;
-  if (no_response) {
-    entry->breaker.OnFailure(now);
-    entry->excess_breaker.OnCancelled();
-    return;
-  }
-  ObserveResponse(queued, now, entry);
-  if (outcome == WorkOutcome::kExcessive) {
-    entry->excess_breaker.OnFailure(now);
-  } else {
-    entry->excess_breaker.OnSuccess(now);
+    entry.health.OnCost(queued, took, now);
   }
+  entry.health.SetObserved(now);
 }
 
 Duration EndpointPool::OpenFor(const EndpointId& id, Time now) const {
   const auto found = entries_.find(id);
-  Duration open{0};
-  if (found == entries_.end()) return open;
-  for (const CircuitBreaker* breaker :
-       {&found->second.breaker, &found->second.excess_breaker}) {
-    if (breaker->state(now) != CircuitState::kOpen) continue;
-    open = std::max(open, breaker->retry_at() - now);
-  }
-  return open;
-}
-
-Duration EndpointPool::SlowTime(const Entry& entry, Tokens queued,
-                                Time now) const {
-  const auto units = std::max<std::int64_t>(1, queued.value());
-  return FromSeconds(kHeldUpFactor * UnitCost(entry, now) *
-                     static_cast<double>(units) / 1e6);
-}
-
-bool EndpointPool::WasHeldUp(Duration took, Duration slow, Time now,
-                             Entry* entry) {
-  const Time began = now - took;
-  // Calls that were sent late in a silence take less than `slow`.
-  if (took <= slow && began >= entry->resumed_at) {
-    entry->slow_since.reset();
-    return false;
-  }
-  const bool same_silence = began - entry->held_up_at <= kToleratedSilence;
-  if (!entry->slow_since.has_value() || !same_silence) entry->slow_since = now;
-  entry->held_up_at = now;
-  // An endpoint that is slow for longer than a silence lasts is overloaded.
-  return now - *entry->slow_since < kToleratedSilence;
-}
-
-void EndpointPool::ObserveCost(Tokens queued, Duration took, Time now,
-                               Entry* entry) const {
-  if (WasHeldUp(took, SlowTime(*entry, queued, now), now, entry)) return;
-  const double units =
-      static_cast<double>(std::max<std::int64_t>(1, queued.value()));
-  const double sample = static_cast<double>(took.count()) / units;
-  entry->unit_cost_us = (1 - kObservationWeight) * UnitCost(*entry, now) +
-                        kObservationWeight * sample;
+  if (found == entries_.end()) return Duration(0);
+  return found->second.health.OpenFor(now);
 }
 
 std::size_t EndpointPool::ReadyCount(
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -17,8 +17,8 @@
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/endpoint_record.h"
+#include "servers/entry/endpoint_health.h"
 #include "servers/entry/memory_forecast.h"
-#include "servers/routing/circuit_breaker.h"
 
 namespace cassiausher {
 
@@ -40,9 +40,6 @@
   std::uint64_t random_seed = 1;
 };
 
-/// A sound endpoint may send nothing for almost this long and then go on.
-inline constexpr Duration kToleratedSilence = Milliseconds(1600);
-
 /// Forecast share of a runner's KV memory above which it counts as full while
 /// the deviation of output lengths is unknown. Below 1, since a runner that
 /// runs out of memory has to prefill a request again.
@@ -99,18 +96,6 @@
 
 void AddLoads(const EndpointLoads& more, EndpointLoads* sum);
 
-enum class WorkOutcome {
-  kDone,
-  kServerError,  ///< The endpoint responded with a server error.
-  kUnreachable,  ///< No connection.
-  kBroken,       ///< No response or an incomplete one.
-  kSilent,       ///< Given up, since nothing arrived within its time limit.
-  kExcessive,    ///< A response that exceeds a limit, as one without end does.
-  kMisplaced,    ///< Another endpoint now has the address.
-  kRejected,     ///< The endpoint had no free capacity.
-  kAbandoned,    ///< Cancelled here, for example as the caller disconnected.
-};
-
 /// Not thread safe. An entry instance doesn't see the whole load of an
 /// endpoint, so expected times are corrected by observed ones.
 class EndpointPool {
@@ -201,7 +186,7 @@
     std::map<SoftwareVersion, Time> replaced_at;
   };
   struct Entry {
-    explicit Entry(const EndpointRecord& update, std::uint64_t seed);
+    Entry(const EndpointRecord& update, Duration half_life);
 
     EndpointRecord record;
     Time changed_at{};
@@ -221,59 +206,19 @@
     Time changing_until{};
     /// Rejected a request for lack of capacity; counts as full until then.
     Time full_until{};
-    /// Moving average of microseconds per prompt token, or per request of a
-    /// plain service; 0 until observed.
-    double unit_cost_us = 0;
-    /// Moving average of failure weights, between 0 and 1.
-    double failure_share = 0;
-    Time observed_at{};
-    /// Since when calls have been waiting without any response or event; null
-    /// if none has been waiting since the last one.
-    std::optional<Time> unanswered_since;
-    /// When the endpoint last responded after a time much longer than calls
-    /// take.
-    Time resumed_at{};
-    /// When the last answer arrived that was held up.
-    Time held_up_at{};
-    /// Since when all answers have been held up; null if the last one wasn't.
-    std::optional<Time> slow_since;
-    /// When the circuit last closed; null before.
-    std::optional<Time> recovered_at;
-    /// Opens when the endpoint doesn't respond.
-    CircuitBreaker breaker;
-    /// Opens when an answer exceeds a limit.
-    CircuitBreaker excess_breaker;
+    EndpointHealth health;
   };
 
   static Tokens PrefillCost(const WorkSpec& work);
-  double UnitCost(const Entry& entry, Time now) const;
-  /// Weight of past observations, which halves with each half-life.
-  double ObservationDecay(const Entry& entry, Time now) const;
   Duration ExpectedTime(const Entry& entry, const WorkSpec& work,
                         Time now) const;
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
-  /// Whether both circuits let a call through.
-  static bool Admits(const Entry& entry, Time now);
   /// Whether none of the endpoint's streams had an event lately.
   static bool IsQuiet(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
   bool IsLastResort(const Entry& entry, Time now) const;
-  void ObserveResponse(Tokens queued, Time now, Entry* entry) const;
-  /// Opens or closes the circuits after a call.
-  void ObserveCircuits(WorkOutcome outcome, Tokens queued, Time now,
-                       Entry* entry) const;
-  /// Weight of the outcome as a failure, between 0 and 1.
-  double FailureWeight(const Entry& entry, WorkOutcome outcome, Time now) const;
-  /// Counts the duration of a complete call in the endpoint's cost.
-  void ObserveCost(Tokens queued, Duration took, Time now, Entry* entry) const;
-  /// A call with `queued` tokens in flight that takes longer than this was held
-  /// up.
-  Duration SlowTime(const Entry& entry, Tokens queued, Time now) const;
-  /// Whether a call that took `took` until `now` says nothing of the time that
-  /// later calls take, since a silence held it up.
-  static bool WasHeldUp(Duration took, Duration slow, Time now, Entry* entry);
   double Occupancy(const Entry& entry, const WorkSpec& work, Time now) const;
   EndpointLoad OtherLoad(const Entry& entry, Time now) const;
   Placement Place(const Entry& entry, const WorkSpec& work, Time now) const;
