Ignore failures of calls that began before an endpoint recovered

Callers saw nothing; an endpoint could get no work for over ten seconds after a silence.

Cause: a call that began in a silence and was given up just after its end counted as a failure soon after a recovery, and opened the circuit again.

Change: a call without a response that began before the circuit last closed changes neither the circuit nor the share of failures.

--- a/servers/entry/endpoint_health.cc
+++ b/servers/entry/endpoint_health.cc
@@ -65,6 +65,11 @@
   return kPlainRequestUs;
 }
 
+bool IsWithoutResponse(WorkOutcome outcome) {
+  return outcome == WorkOutcome::kUnreachable ||
+         outcome == WorkOutcome::kSilent;
+}
+
 }  // namespace
 
 EndpointHealth::EndpointHealth(EndpointRole role, Duration half_life,
@@ -95,8 +100,11 @@
 }
 
 void EndpointHealth::OnOutcome(WorkOutcome outcome,
-                               const CallsInFlight& in_flight, Time now) {
-  failure_share_ = (1 - kObservationWeight) * Decay(now) * failure_share_ +
+                               const CallsInFlight& in_flight, Time began,
+                               Time now) {
+  failure_share_ *= Decay(now);
+  if (IsWithoutResponse(outcome) && BeganBeforeRecovery(began)) return;
+  failure_share_ = (1 - kObservationWeight) * failure_share_ +
                    kObservationWeight * FailureWeight(outcome, now);
   ObserveCircuits(outcome, in_flight, now);
 }
@@ -170,9 +178,7 @@
 
 void EndpointHealth::ObserveCircuits(WorkOutcome outcome,
                                      const CallsInFlight& in_flight, Time now) {
-  const bool no_response =
-      outcome == WorkOutcome::kUnreachable || outcome == WorkOutcome::kSilent;
-  if (no_response) {
+  if (IsWithoutResponse(outcome)) {
     breaker_.OnFailure(now);
     excess_breaker_.OnCancelled();
     return;
--- a/servers/entry/endpoint_health.h
+++ b/servers/entry/endpoint_health.h
@@ -47,9 +47,11 @@
   void OnResponse(const CallsInFlight& in_flight, Time now);
   /// An event of a stream arrived.
   void OnEvent(Time now) { unanswered_since_ = now; }
-  /// A call ended, which is no longer among `in_flight` but whose prompt still
-  /// counts in it. Outcomes other than kAbandoned and kMisplaced.
-  void OnOutcome(WorkOutcome outcome, const CallsInFlight& in_flight, Time now);
+  /// A call that began at `began` ended. It is no longer among `in_flight`, but
+  /// its prompt still counts in it. Outcomes other than kAbandoned and
+  /// kMisplaced.
+  void OnOutcome(WorkOutcome outcome, const CallsInFlight& in_flight,
+                 Time began, Time now);
   /// Counts the duration of a complete call in the endpoint's cost. `queued`
   /// includes its prompt.
   void OnCost(Tokens queued, Duration took, Time now);
@@ -77,6 +79,11 @@
   /// Opens or closes the circuits after a call.
   void ObserveCircuits(WorkOutcome outcome, const CallsInFlight& in_flight,
                        Time now);
+  /// Whether a call that began at `began` says nothing of the endpoint's
+  /// present state if it fails.
+  bool BeganBeforeRecovery(Time began) const {
+    return recovered_at_.has_value() && began < *recovered_at_;
+  }
   /// A call with `queued` tokens in flight that takes longer than this was held
   /// up.
   Duration SlowTime(Tokens queued, Time now) const;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -344,7 +344,7 @@
     return;
   }
   if (outcome == WorkOutcome::kRejected) entry.full_until = now + kFullBackoff;
-  entry.health.OnOutcome(outcome, {entry.in_flight, queued}, now);
+  entry.health.OnOutcome(outcome, {entry.in_flight, queued}, now - took, now);
   if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
     entry.health.OnCost(queued, took, now);
   }
