Let a cost age through calls that don't count for it

Callers saw nothing; an endpoint that was slow once could be avoided for longer than its half-life says.

Cause: each call that ended renewed the time of the last observation, also one that was rejected, failed or was held up, so that the cost observed long before counted in full again.

Change: the decay until now is applied to both averages before each observation.

--- a/servers/entry/endpoint_health.cc
+++ b/servers/entry/endpoint_health.cc
@@ -102,7 +102,7 @@
 void EndpointHealth::OnOutcome(WorkOutcome outcome,
                                const CallsInFlight& in_flight, Time began,
                                Time now) {
-  failure_share_ *= Decay(now);
+  Age(now);
   if (IsWithoutResponse(outcome) && BeganBeforeRecovery(began)) return;
   failure_share_ = (1 - kObservationWeight) * failure_share_ +
                    kObservationWeight * FailureWeight(outcome, now);
@@ -110,6 +110,7 @@
 }
 
 void EndpointHealth::OnCost(Tokens queued, Duration took, Time now) {
+  Age(now);
   if (WasHeldUp(took, SlowTime(queued, now), now)) return;
   const double units =
       static_cast<double>(std::max<std::int64_t>(1, queued.value()));
@@ -152,10 +153,16 @@
 }
 
 double EndpointHealth::Decay(Time now) const {
-  const double age = ToSeconds(now - observed_at_);
+  const double age = ToSeconds(now - aged_at_);
   return std::exp2(-age / ToSeconds(half_life_));
 }
 
+void EndpointHealth::Age(Time now) {
+  if (unit_cost_us_ > 0) unit_cost_us_ = UnitCost(now);
+  failure_share_ = FailureShare(now);
+  aged_at_ = now;
+}
+
 double EndpointHealth::FailureWeight(WorkOutcome outcome, Time now) const {
   switch (outcome) {
     case WorkOutcome::kBroken:
--- a/servers/entry/endpoint_health.h
+++ b/servers/entry/endpoint_health.h
@@ -57,8 +57,6 @@
   void OnCost(Tokens queued, Duration took, Time now);
   /// The caller of a call cancelled it.
   void OnCancelled();
-  /// Call it after the observations of one call.
-  void SetObserved(Time now) { observed_at_ = now; }
 
   /// Whether both circuits let a call through.
   bool Admits(Time now) const;
@@ -72,8 +70,10 @@
   double FailureShare(Time now) const;
 
  private:
-  /// Weight of past observations, which halves with each half-life.
+  /// Weight of what was observed until `aged_at_`; halves with each half-life.
   double Decay(Time now) const;
+  /// Applies the decay until `now` to the moving averages.
+  void Age(Time now);
   /// Weight of the outcome as a failure, between 0 and 1.
   double FailureWeight(WorkOutcome outcome, Time now) const;
   /// Opens or closes the circuits after a call.
@@ -97,7 +97,8 @@
   double unit_cost_us_ = 0;
   /// Moving average of failure weights, between 0 and 1.
   double failure_share_ = 0;
-  Time observed_at_{};
+  /// The moving averages hold as of this time.
+  Time aged_at_{};
   /// Since when calls have been waiting without any response or event; null if
   /// none has been waiting since the last one.
   std::optional<Time> unanswered_since_;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -348,7 +348,6 @@
   if (outcome == WorkOutcome::kDone && !work.prompt_is_prefilled) {
     entry.health.OnCost(queued, took, now);
   }
-  entry.health.SetObserved(now);
 }
 
 Duration EndpointPool::OpenFor(const EndpointId& id, Time now) const {
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -144,6 +144,20 @@
   STRCMP_EQUAL("sound", PickId(Lookup(), kStart).c_str());
 }
 
+// A call that says nothing of an endpoint's cost made the cost observed long
+// before count in full again.
+TEST(EndpointPool, AnOldCostDoesNotReturnWithACallThatDoesNotCountForIt) {
+  pool.Merge(Plain("once-slow", "here"), kStart);
+  pool.Merge(Plain("sound", "there"), kStart);
+  for (int i = 0; i < 4; ++i) {
+    Finish("once-slow", WorkOutcome::kDone, Milliseconds(75), kStart);
+  }
+  const Time later = kStart + Seconds(12);
+  STRCMP_EQUAL("once-slow", PickId(Lookup(), later).c_str());
+  Finish("once-slow", WorkOutcome::kRejected, Milliseconds(5), later);
+  STRCMP_EQUAL("once-slow", PickId(Lookup(), later + Seconds(1)).c_str());
+}
+
 // An endpoint fell silent for a second with several calls open, of which the
 // entry instance gave up those that it could repeat. The share of failures then
 // kept work away for over ten seconds.
