Begin the soaks' traffic once the endpoints are registered

Cause: a run began its traffic when the entry instances took callers, also if the processes of its endpoints had not sent a heartbeat yet. The instances refused with "no endpoint is known", as they should, which silence_soak.py counts as a breach.

Change: Run.start() waits until a control instance has acknowledged a heartbeat of each endpoint, and then for the entry instances' updates. No check changed.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -66,6 +66,8 @@
         self.site = None
         self.runner = None
         self.beats = None
+        # Set once a control instance has acknowledged a heartbeat.
+        self.announced = asyncio.Event()
 
     def set_limit(self, limit):
         self.limit = limit
@@ -100,6 +102,8 @@
     async def _announce(self):
         while True:
             acknowledged = await self.announcer.call("PUT", self.name, self.heartbeat())
+            if acknowledged:
+                self.announced.set()
             await asyncio.sleep(HEARTBEAT_PERIOD_S if acknowledged else 0.1)
 
     async def _record(self, request):
--- a/tests/soak/run_support.py
+++ b/tests/soak/run_support.py
@@ -20,6 +20,8 @@
 from deployment import Deployment
 
 START_TIMEOUT_S = 60.0
+# From a heartbeat at a control instance to the entry instances' registries.
+REGISTRY_DELAY_S = 1.0
 FIRST_BLOCK = 16
 BLOCKS = 200
 RESERVATION_PORT = 7659
@@ -94,7 +96,7 @@
         await endpoint.start(self.session, self.random.sample(self.deployment.control_urls(), self.options.controls))
 
     async def start(self, configuration):
-        """Starts all processes and returns once every entry instance takes callers."""
+        """Starts all processes and returns once every entry instance takes callers and has learned of the endpoints."""
         await self.deployment.start()
         await self._put(configuration)
         asyncio.create_task(self.balancer.run())
@@ -103,6 +105,9 @@
             if time.monotonic() > deadline:
                 raise RuntimeError(f"only {len(self.balancer.in_rotation())} entry instances are ready")
             await asyncio.sleep(0.2)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            await asyncio.gather(*(endpoint.announced.wait() for endpoint in self.endpoints))
+        await asyncio.sleep(REGISTRY_DELAY_S)
         self.began_at = time.monotonic()
 
     async def _put(self, configuration):
--- a/tests/soak/silent_endpoints.py
+++ b/tests/soak/silent_endpoints.py
@@ -16,6 +16,7 @@
 from endpoints import Arrival, ModelEndpoint, PlainEndpoint
 
 ARRIVAL_FIELDS = 4
+ANNOUNCED_LINE = "announced"
 
 
 class EndpointProcess:
@@ -32,6 +33,7 @@
         self.silent = False
         self.process = None
         self.reader = None
+        self.announced = asyncio.Event()
 
     async def start(self, _session, control_urls):
         description = json.dumps(self.description | {"control_urls": control_urls})
@@ -41,6 +43,8 @@
 
     async def _read(self):
         async for line in self.process.stdout:
+            if line.decode().strip() == ANNOUNCED_LINE:
+                self.announced.set()
             fields = line.decode().rstrip("\n").split("\t")
             if len(fields) == ARRIVAL_FIELDS:
                 self.arrivals.append(Arrival(float(fields[0]), *fields[1:]))
@@ -78,6 +82,8 @@
         endpoint = ModelEndpoint(*common, stage=description["stage"], seed=description["seed"])
     async with aiohttp.ClientSession() as session:
         await endpoint.start(session, description["control_urls"])
+        await endpoint.announced.wait()
+        print(ANNOUNCED_LINE, flush=True)
         await asyncio.Event().wait()
 
 
