Recognise the silence of a runner with several prompts queued

Cause, by reading and the new test: a silence had to be six times as long as reading all queued prompts takes, 1.6 s for three of 5,000 tokens, so that a silence of 1.2 s was counted as the runner's cost.

Change: the time is that of one queued prompt.

Result: the new test failed before (the other runner was picked). entry_tests: 156 passed.

--- a/servers/entry/endpoint_health.cc
+++ b/servers/entry/endpoint_health.cc
@@ -87,10 +87,11 @@
 }
 
 void EndpointHealth::OnResponse(const CallsInFlight& in_flight, Time now) {
+  // Prompts are read one after another, so that one of them is answered long
+  // before all are read.
+  const Tokens average(in_flight.queued.value() / std::max(1, in_flight.calls));
   const Time unanswered_since = unanswered_since_.value_or(now);
-  if (now - unanswered_since > SlowTime(in_flight.queued, now)) {
-    resumed_at_ = now;
-  }
+  if (now - unanswered_since > SlowTime(average, now)) resumed_at_ = now;
   unanswered_since_.reset();
   if (in_flight.calls > 0) unanswered_since_ = now;
   const bool was_closed = breaker_.state(now) == CircuitState::kClosed;
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -227,6 +227,28 @@
   STRCMP_EQUAL("silent", PickId(Lookup(), goes_on).c_str());
 }
 
+// A runner with three prompts queued was taken for slow after a silence, since
+// a silence had to be several times as long as reading all of them takes
+// (soak_silence, seed 10).
+TEST(EndpointPool, PromptsHeldUpByASilenceDontKeepWorkAway) {
+  EndpointRecord silent = Decoder("silent");
+  EndpointRecord sound = Decoder("sound");
+  silent.role = sound.role = EndpointRole::kPrefill;
+  pool.Merge(silent, kStart);
+  pool.Merge(sound, kStart);
+  const WorkSpec prompt{.service = ServiceId("model"),
+                        .role = EndpointRole::kPrefill,
+                        .prompt = Tokens(5000)};
+  const Time goes_on = kStart + Milliseconds(1200);
+  for (int i = 0; i < 3; ++i) pool.OnStart(silent.id, prompt, kStart);
+  for (int i = 0; i < 3; ++i) {
+    pool.OnResponse(silent.id, goes_on);
+    pool.OnFinish(silent.id, prompt, WorkOutcome::kDone, goes_on - kStart,
+                  goes_on);
+  }
+  STRCMP_EQUAL("silent", PickId(prompt, goes_on).c_str());
+}
+
 // An instance that sent an endpoint no call between two silences took the
 // second for a continuation of the first.
 TEST(EndpointPool, TwoSilencesAreNotTakenForASlowEndpoint) {
