Move the fixture of the node role tests into a header

Tests of an entry instance's end need the same stand-ins for its peer and its endpoints. No check is changed.

--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -1,8 +1,6 @@
 // Guards against control instances that send the configuration again with each
 // change of the registry, and against entry instances that answer by a version
-// which they know is not the newest. Real sockets on loopback; each instance
-// has an address of its own in 127.0.0.0/8.
-#include <CppUTest/TestHarness.h>
+// which they know is not the newest.
 #include <stdlib.h>
 
 #include <filesystem>
@@ -13,172 +11,35 @@
 #include <vector>
 
 #include "core/compression.h"
-#include "core/metrics.h"
-#include "drivers/http_client.h"
-#include "drivers/http_server.h"
 #include "main/control_node.h"
-#include "main/entry_node.h"
-#include "main/node_link.h"
 #include "modules/file_log/register_types.h"
-#include "platform/configuration_document.h"
+#include "tests/main/node_fixture.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
 namespace {
 
-constexpr std::uint16_t kPeerPort = 21930;
-constexpr std::uint16_t kHttpPort = 21931;
-constexpr std::uint16_t kReadinessPort = 21932;
-constexpr const char* kNodeIp = "127.0.20.1";
-constexpr const char* kPeerIp = "127.0.20.2";
-
-NodeSettings SettingsOf(const std::string& ip) {
-  NodeSettings settings;
-  settings.instance = ip;
-  settings.ip = ip;
-  settings.data_centre = DataCentreId("dc1");
-  settings.peer_port = kPeerPort;
-  return settings;
-}
-
-std::string RouteText(int number) {
-  const std::string name = std::to_string(number);
-  return R"({"name":"r)" + name + R"(","host":"a.example","path-prefix":"/)" +
-         name +
-         R"(/","kind":"safe","timeout-ms":600,"attempts":2,"service":"s"})";
-}
-
-proto::EndpointRecord Endpoint(const std::string& id,
-                               const std::string& data_centre,
-                               std::uint16_t port) {
-  proto::EndpointRecord record;
-  record.set_id(id);
-  record.set_service("s");
-  record.set_role(proto::ENDPOINT_ROLE_PLAIN);
-  record.set_address(std::string(kNodeIp) + ":" + std::to_string(port));
-  record.set_data_centre(data_centre);
-  record.set_slots(4);
-  record.set_born_ms(1);
-  record.set_sequence(1);
-  return record;
-}
-
-/// A document with the given number of routes, /0/ and following.
-std::string Document(int version, int routes) {
-  std::string text = R"({"version":)" + std::to_string(version) +
-                     R"(,"services":[{"name":"s"}],"routes":[)";
-  for (int i = 0; i < routes; ++i) {
-    if (i > 0) text += ',';
-    text += RouteText(i);
-  }
-  return text + "]}";
-}
-
 std::string Heartbeat(int endpoint) {
   return R"({"service":"s","address":"10.9.0.)" + std::to_string(endpoint) +
          R"(:80","zone":"dc1","slots":4,"state":"ready","seq":1})";
 }
 
-struct Response : HttpCallSink {
-  void OnHeaders(int code, SoupMessageHeaders* headers) override {
-    status = code;
-    const char* value = soup_message_headers_get_one(headers, "Retry-After");
-    if (value != nullptr) retry_after = value;
-  }
-  void OnBody(std::string_view) override {}
-  void OnDone(std::string_view, bool) override { done = true; }
-
-  int status = 0;
-  std::string retry_after;
-  bool done = false;
-};
-
-// Another instance that the node under test talks to.
-struct Peer {
-  explicit Peer(const std::string& ip)
-      : settings(SettingsOf(ip)),
-        link(settings, 1, metrics,
-             [this](const InstanceId&, const proto::NodeMessage& message) {
-               if (on_message) on_message(message);
-             }) {}
-
-  NodeSettings settings;
-  Metrics metrics;
-  std::function<void(const proto::NodeMessage&)> on_message;
-  NodeLink link;
-};
-
 }  // namespace
 
-TEST_GROUP(NodeRoles) {
-  GMainContext* context = nullptr;
+TEST_GROUP_BASE(NodeRoles, NodeFixture) {
   std::string folder;
-  Metrics metrics;
-  ConfigurationDocumentCodec codec;
-  // Members, since a failed check doesn't destroy the locals of a test.
-  std::unique_ptr<HttpClient> client;
-  std::unique_ptr<Peer> peer;
   std::unique_ptr<ControlNode> control;
-  std::unique_ptr<EntryNode> entry;
-  std::vector<std::unique_ptr<HttpServer>> servers;
-  Response response;
 
   void setup() override {
-    context = g_main_context_new();
-    g_main_context_push_thread_default(context);
-    client = std::make_unique<HttpClient>();
-    peer = std::make_unique<Peer>(kPeerIp);
-    STRCMP_EQUAL("", peer->link.Listen(context).c_str());
+    NodeFixture::setup();
     char name[] = "/tmp/cassiausher-node-XXXXXX";
     folder = mkdtemp(name);
   }
 
   void teardown() override {
-    client.reset();
-    peer.reset();
     control.reset();
-    entry.reset();
-    servers.clear();
+    NodeFixture::teardown();
     std::filesystem::remove_all(folder);
-    g_main_context_pop_thread_default(context);
-    g_main_context_unref(context);
-  }
-
-  // Runs the loop until `done` or 10 s have passed.
-  bool RunUntil(const std::function<bool()>& done) {
-    const gint64 deadline = g_get_monotonic_time() + 10 * G_USEC_PER_SEC;
-    while (!done()) {
-      if (g_get_monotonic_time() > deadline) return false;
-      if (!g_main_context_iteration(context, FALSE)) g_usleep(1000);
-    }
-    return true;
-  }
-
-  void RunFor(Duration duration) {
-    const gint64 end = g_get_monotonic_time() + duration.count();
-    RunUntil([end] { return g_get_monotonic_time() >= end; });
-  }
-
-  int Call(const std::string& method, const std::string& path,
-           const std::string& body) {
-    response = {};
-    client->Start({.method = method,
-                   .url = std::string("http://") + kNodeIp + ":" +
-                          std::to_string(kHttpPort) + path,
-                   .headers = {{"Host", "a.example"}},
-                   .body = body,
-                   .new_connection = true},
-                  &response);
-    CHECK_TRUE(RunUntil([&] { return response.done; }));
-    return response.status;
-  }
-
-  std::uint16_t StartServer(HttpServer::Handler handler) {
-    servers.push_back(std::make_unique<HttpServer>(
-        HttpServerOptions{.address = kNodeIp}, std::move(handler),
-        [](int, std::string_view message) { return std::string(message); }));
-    STRCMP_EQUAL("", servers.back()->Listen(context).c_str());
-    return servers.back()->port();
   }
 
   /// `seeds` bootstrap the log; with several, the control node has no leader.
@@ -195,15 +56,6 @@
     control = std::make_unique<ControlNode>(settings, codec, metrics, context);
     STRCMP_EQUAL("", control->Start().c_str());
   }
-
-  void StartEntry() {
-    NodeSettings settings = SettingsOf(kNodeIp);
-    settings.callers = SocketAddress{kNodeIp, kHttpPort};
-    settings.readiness = SocketAddress{kNodeIp, kReadinessPort};
-    settings.seeds = {SocketAddress{kPeerIp, kHttpPort}};
-    entry = std::make_unique<EntryNode>(settings, codec, metrics, context);
-    STRCMP_EQUAL("", entry->Start().c_str());
-  }
 };
 
 // Incident inc1: while endpoints registered and left, every change of the
