Test that a stopping instance refuses what it can't complete

EntryNode::CanComplete refuses, while the instance stops, a request whose service's answers take longer than the time that is left; no test covered it. If it always returns true, the new test fails with "entry_drain_test.cc: LONGS_EQUAL(503, Call("GET", "/0/", "")) failed, expected <503>, but was <504>".

--- /dev/null
+++ b/tests/main/entry_drain_test.cc
@@ -0,0 +1,82 @@
+// Guards against a stopping entry instance that takes requests which its end
+// cuts.
+#include <string>
+#include <vector>
+
+#include "tests/main/node_fixture.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr int kRouteTimeoutMs = 5000;
+constexpr Duration kAnswerTime = Milliseconds(500);
+// Leaves 450 ms, less than an answer takes, to complete requests.
+constexpr Duration kGraceBelowAnAnswer = Milliseconds(1300);
+// From this on a service's answers have an expected time.
+constexpr int kObservedAnswers = 5;
+
+}  // namespace
+
+TEST_GROUP_BASE(EntryDrain, NodeFixture) {
+  // Calls that the endpoint hasn't answered.
+  std::vector<HttpExchangePtr> held;
+  std::vector<Response> responses{kObservedAnswers};
+
+  void teardown() override {
+    held.clear();
+    NodeFixture::teardown();
+  }
+
+  /// Starts an entry instance with one endpoint, which holds its calls.
+  void Start(Duration shutdown_grace) {
+    const std::uint16_t port = StartServer(
+        [this](HttpExchangePtr call) { held.push_back(std::move(call)); });
+    StartEntry(shutdown_grace);
+    bool applied = false;
+    peer->on_message = [&, port](const proto::NodeMessage& message) {
+      if (!message.has_follow()) return;
+      applied |= message.follow().configuration_version() == 1;
+      proto::NodeMessage answer;
+      auto* update = answer.mutable_update();
+      update->set_registry_epoch(1);
+      update->mutable_configuration()->set_version(1);
+      update->mutable_configuration()->set_document(
+          Document(1, 1, kRouteTimeoutMs));
+      proto::EndpointRecord* record = update->add_records();
+      *record = Endpoint("e", "dc1", port);
+      record->set_slots(kObservedAnswers);
+      peer->link.Send(InstanceId(kNodeIp), answer);
+    };
+    CHECK_TRUE(RunUntil([&] { return applied; }));
+    peer->on_message = nullptr;
+  }
+
+  void AnswerHeldCalls() {
+    for (const HttpExchangePtr& call : held) {
+      call->Respond(200, "text/plain", "x", {{"X-Server-Stamp", "e.1"}});
+    }
+    held.clear();
+  }
+};
+
+// A request that came late in a shutdown ran until the end of the process cut
+// it, although its service's answers were known to take longer.
+TEST(EntryDrain, ARequestThatCannotBeCompletedInTimeIsRefusedAtOnce) {
+  Start(kGraceBelowAnAnswer);
+  for (Response& one : responses) {
+    client->Start(MakeCall("GET", "/0/", ""), &one);
+  }
+  CHECK_TRUE(RunUntil([&] { return held.size() == responses.size(); }));
+  RunFor(kAnswerTime);
+  AnswerHeldCalls();
+  for (const Response& one : responses) {
+    CHECK_TRUE(RunUntil([&] { return one.done; }));
+    LONGS_EQUAL(200, one.status);
+  }
+  entry->Shutdown([] {});
+  LONGS_EQUAL(503, Call("GET", "/0/", ""));
+  STRCMP_CONTAINS("the instance stops before the answer ends",
+                  response.body.c_str());
+  CHECK_FALSE(response.retry_after.empty());
+}
