Test that both listeners of a stopping entry instance are closed

Without readiness_->StopListening() the new test fails with "entry_drain_test.cc: LONGS_EQUAL(0, Call(readiness)) failed, expected <0>, but was <503>".

--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/entry_drain_test.cc
@@ -1,5 +1,5 @@
 // Guards against a stopping entry instance that takes requests which its end
-// cuts.
+// cuts, and against one that doesn't end.
 #include <string>
 #include <vector>
 
@@ -13,6 +13,8 @@
 constexpr Duration kAnswerTime = Milliseconds(500);
 // Leaves 450 ms, less than an answer takes, to complete requests.
 constexpr Duration kGraceBelowAnAnswer = Milliseconds(1300);
+// Leaves 50 ms to complete requests.
+constexpr Duration kShortGrace = Milliseconds(900);
 // From this on a service's answers have an expected time.
 constexpr int kObservedAnswers = 5;
 
@@ -52,6 +54,12 @@
     peer->on_message = nullptr;
   }
 
+  void ShutDown() {
+    bool done = false;
+    entry->Shutdown([&] { done = true; });
+    CHECK_TRUE(RunUntil([&] { return done; }));
+  }
+
   void AnswerHeldCalls() {
     for (const HttpExchangePtr& call : held) {
       call->Respond(200, "text/plain", "x", {{"X-Server-Stamp", "e.1"}});
@@ -80,3 +88,18 @@
                   response.body.c_str());
   CHECK_FALSE(response.retry_after.empty());
 }
+
+// With a probe each second, whose connection lingers for a second, the listener
+// for readiness was never drained while it stayed open.
+TEST(EntryDrain, BothListenersAreClosedAtTheEnd) {
+  Start(kShortGrace);
+  HttpCall readiness = MakeCall("GET", "/api/ready", "");
+  readiness.url = std::string("http://") + kNodeIp + ":" +
+                  std::to_string(kReadinessPort) + "/api/ready";
+  LONGS_EQUAL(200, Call(readiness));
+  ShutDown();
+  LONGS_EQUAL(0, Call("GET", "/0/", ""));
+  CHECK_FALSE(response.sent);
+  LONGS_EQUAL(0, Call(readiness));
+  CHECK_FALSE(response.sent);
+}
