Test what the cut at the end of the grace period does

Each of the two tests fails without its line: without complete_ in ForwardedRequest::Cut, ACompleteStreamIsReleasedAtTheCut: "LONGS_EQUAL(200, response.status) failed, expected <200>, but was <504>"; without cut_ in EntryNode::RefusalReason, ARequestAfterTheCutIsRefused: "LONGS_EQUAL(503, Call(kept)) failed, expected <503>, but was <504>".

That the log names the cut answers after the last work of the process is not tested: the order is that of Node::Run in node_main.cc, and only a run of the whole process with a caller that reads too slowly shows it.

--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/entry_drain_test.cc
@@ -18,6 +18,11 @@
 // From this on a service's answers have an expected time.
 constexpr int kObservedAnswers = 5;
 
+constexpr const char* kResumableStream =
+    R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",)"
+    R"("host":"a.example","path-prefix":"/0/","kind":"stream",)"
+    R"("timeout-ms":5000,"attempts":2,"service":"s","resumable":true}]})";
+
 }  // namespace
 
 TEST_GROUP_BASE(EntryDrain, NodeFixture) {
@@ -31,7 +36,8 @@
   }
 
   /// Starts an entry instance with one endpoint, which holds its calls.
-  void Start(Duration shutdown_grace) {
+  void Start(Duration shutdown_grace,
+             const std::string& document = Document(1, 1, kRouteTimeoutMs)) {
     const std::uint16_t port = StartServer(
         [this](HttpExchangePtr call) { held.push_back(std::move(call)); });
     StartEntry(shutdown_grace);
@@ -43,11 +49,12 @@
       auto* update = answer.mutable_update();
       update->set_registry_epoch(1);
       update->mutable_configuration()->set_version(1);
-      update->mutable_configuration()->set_document(
-          Document(1, 1, kRouteTimeoutMs));
+      update->mutable_configuration()->set_document(document);
+      update->set_keeps_origins(true);
       proto::EndpointRecord* record = update->add_records();
       *record = Endpoint("e", "dc1", port);
       record->set_slots(kObservedAnswers);
+      record->set_software_version("v1");
       peer->link.Send(InstanceId(kNodeIp), answer);
     };
     CHECK_TRUE(RunUntil([&] { return applied; }));
@@ -103,3 +110,39 @@
   LONGS_EQUAL(0, Call(readiness));
   CHECK_FALSE(response.sent);
 }
+
+// A request on a kept connection that came after the others had been cut was
+// run if the grace period was shorter than the time in which an instance
+// accepts requests.
+TEST(EntryDrain, ARequestAfterTheCutIsRefused) {
+  Start(kShortGrace);
+  HttpCall kept = MakeCall("GET", "/0/", "");
+  kept.new_connection = false;
+  client->Start(kept, &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  AnswerHeldCalls();
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(200, response.status);
+  ShutDown();
+  LONGS_EQUAL(503, Call(kept));
+  CHECK_TRUE(held.empty());
+}
+
+// A stream whose run was complete, and which only waited until its origin was
+// confirmed, was answered 504 at the end of the grace period.
+TEST(EntryDrain, ACompleteStreamIsReleasedAtTheCut) {
+  Start(kShortGrace, kResumableStream);
+  bool stored = false;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    stored |= message.has_store_origins();
+  };
+  client->Start(MakeCall("GET", "/0/", ""), &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  held[0]->Respond(200, "text/event-stream", "data: x\n\n",
+                   {{"X-Server-Stamp", "e.1"}});
+  CHECK_TRUE(RunUntil([&] { return stored; }));
+  ShutDown();
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(200, response.status);
+  STRCMP_EQUAL("data: x\n\n", response.body.c_str());
+}
