Test that a replaced log is moved away before any of it is removed

The new test watches the log's folder: its first change must be its new name, so that a kill at any moment leaves either the whole log or none under its own name. The steps that two tests share are functions of the group now; no check is changed.

--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -2,7 +2,10 @@
 // change of the registry, and against entry instances that answer by a version
 // which they know is not the newest.
 #include <stdlib.h>
+#include <sys/inotify.h>
+#include <unistd.h>
 
+#include <array>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -29,6 +32,8 @@
 TEST_GROUP_BASE(NodeRoles, NodeFixture) {
   std::string folder;
   std::unique_ptr<ControlNode> control;
+  /// Of the log, as the control node reports them.
+  proto::Members members;
 
   void setup() override {
     NodeFixture::setup();
@@ -56,6 +61,31 @@
     control = std::make_unique<ControlNode>(settings, codec, metrics, context);
     STRCMP_EQUAL("", control->Start().c_str());
   }
+
+  void SendMembers() {
+    proto::NodeMessage message;
+    auto* sync = message.mutable_sync();
+    if (members.commit() > 0) *sync->mutable_members() = members;
+    peer->link.Send(InstanceId(kNodeIp), message);
+    RunFor(Milliseconds(100));
+  }
+  void LearnMembers() {
+    peer->on_message = [&](const proto::NodeMessage& message) {
+      if (message.has_sync() && message.sync().has_members()) {
+        members = message.sync().members();
+      }
+    };
+    CHECK_TRUE(RunUntil([&] {
+      SendMembers();
+      return members.commit() > 0;
+    }));
+    peer->on_message = nullptr;
+  }
+  /// Puts the peer in the place of the control node.
+  void ReplaceVoter() {
+    members.set_commit(members.commit() + 1);
+    members.mutable_configuration()->mutable_voters(0)->set_instance(kPeerIp);
+  }
 };
 
 // Incident inc1: while endpoints registered and left, every change of the
@@ -123,30 +153,12 @@
   StartControl();
   CHECK_TRUE(RunUntil(
       [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
-  proto::Members members;
-  peer->on_message = [&](const proto::NodeMessage& message) {
-    if (message.has_sync() && message.sync().has_members()) {
-      members = message.sync().members();
-    }
-  };
-  const auto send_members = [&] {
-    proto::NodeMessage message;
-    auto* sync = message.mutable_sync();
-    if (members.commit() > 0) *sync->mutable_members() = members;
-    peer->link.Send(InstanceId(kNodeIp), message);
-    RunFor(Milliseconds(100));
-  };
-  CHECK_TRUE(RunUntil([&] {
-    send_members();
-    return members.commit() > 0;
-  }));
-  peer->on_message = nullptr;
+  LearnMembers();
   // A file in place of the folder makes every write fail.
   std::filesystem::remove_all(folder);
   CHECK_TRUE(std::ofstream(folder).put('x').good());
-  members.set_commit(members.commit() + 1);
-  members.mutable_configuration()->mutable_voters(0)->set_instance(kPeerIp);
-  for (int i = 0; i < 5; ++i) send_members();
+  ReplaceVoter();
+  for (int i = 0; i < 5; ++i) SendMembers();
   LONGS_EQUAL(503, Call("GET", "/api/config", ""));
   LONGS_EQUAL(200, Call("PUT", "/api/instances/e1", Heartbeat(1)));
   std::filesystem::remove(folder);
@@ -156,6 +168,26 @@
   }));
 }
 
+// A kill while the log of a replaced replica was removed in its place left a
+// part of it, which was refused as damaged at each later start.
+TEST(NodeRoles, ReplacedLogIsMovedAwayBeforeItIsRemoved) {
+  StartControl();
+  CHECK_TRUE(RunUntil(
+      [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
+  LearnMembers();
+  const int watch = inotify_init1(IN_NONBLOCK | IN_CLOEXEC);
+  inotify_add_watch(watch, (folder + "/log").c_str(), IN_MOVE_SELF | IN_DELETE);
+  ReplaceVoter();
+  alignas(inotify_event) std::array<char, 4096> events{};
+  CHECK_TRUE(RunUntil([&] {
+    SendMembers();
+    return read(watch, events.data(), events.size()) > 0;
+  }));
+  close(watch);
+  const auto* first = reinterpret_cast<const inotify_event*>(events.data());
+  LONGS_EQUAL(IN_MOVE_SELF, first->mask);
+}
+
 // Guards against a control instance that answers no operator because it is a
 // spare: it isn't a member of the log and hears nothing from the leader's Raft.
 TEST(NodeRoles, SpareSendsOperatorsCallsToTheLeader) {
