Test that the daemon ignores answers to an earlier process

With next_id_ = 1 the new test fails with "configuration_service_test.cc:39: LONGS_EQUAL(0, answers) failed, expected <0 (0x0)>, but was <1 (0x1)>".

--- /dev/null
+++ b/tests/main/configuration_service_test.cc
@@ -0,0 +1,42 @@
+// Guards against answers of the leader to an earlier process of the instance.
+#include "main/configuration_service.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <string>
+
+using namespace cassiausher;  // NOLINT: test file
+
+TEST_GROUP(ConfigurationService){};
+
+// The ids of requests to the leader began at 1 in each process, so that an
+// answer to a killed process was taken for one to its successor.
+TEST(ConfigurationService, AnswersToAnEarlierProcessAreIgnored) {
+  Settings settings;
+  settings.instance = InstanceId("spare");
+  settings.peers.push_back({.instance = InstanceId("leader"), .voter = true});
+  Metrics metrics;
+  std::uint64_t sent_id = 0;
+  ControlContext context{
+      .settings = settings,
+      .metrics = metrics,
+      .send = [&](const InstanceId&, const proto::Envelope& envelope) {
+        sent_id = envelope.change_request().id();
+      }};
+  ConfigurationService service(context, [](const auto&) {});
+  service.SetMembers({}, {InstanceId("leader")}, {}, Time{});
+  int answers = 0;
+  service.Submit(
+      {}, [&](int, const std::string&) { ++answers; }, Time{});
+  const auto answer = [&](std::uint64_t id) {
+    proto::Envelope envelope;
+    envelope.mutable_change_reply()->set_id(id);
+    envelope.mutable_change_reply()->set_answer("{}");
+    service.OnEnvelope(envelope, InstanceId("leader"), Time{});
+  };
+  // The calls of a process that served a few before it was killed.
+  for (std::uint64_t id = 1; id <= 10; ++id) answer(id);
+  LONGS_EQUAL(0, answers);
+  answer(sent_id);
+  LONGS_EQUAL(1, answers);
+}
