--- /dev/null
+++ b/tests/main/entry_drain_test.cc
@@ -0,0 +1,148 @@
+// Guards against a stopping entry instance that takes requests which its end
+// cuts, and against one that doesn't end.
+#include <string>
+#include <vector>
+
+#include "tests/main/node_fixture.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr int kRouteTimeoutMs = 5000;
+constexpr Duration kAnswerTime = Milliseconds(500);
+// Leaves 450 ms, less than an answer takes, to complete requests.
+constexpr Duration kGraceBelowAnAnswer = Milliseconds(1300);
+// Leaves 50 ms to complete requests.
+constexpr Duration kShortGrace = Milliseconds(900);
+// From this on a service's answers have an expected time.
+constexpr int kObservedAnswers = 5;
+
+constexpr const char* kResumableStream =
+    R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",)"
+    R"("host":"a.example","path-prefix":"/0/","kind":"stream",)"
+    R"("timeout-ms":5000,"attempts":2,"service":"s","resumable":true}]})";
+
+}  // namespace
+
+TEST_GROUP_BASE(EntryDrain, NodeFixture) {
+  // Calls that the endpoint hasn't answered.
+  std::vector<HttpExchangePtr> held;
+  std::vector<Response> responses{kObservedAnswers};
+
+  void teardown() override {
+    held.clear();
+    NodeFixture::teardown();
+  }
+
+  /// Starts an entry instance with one endpoint, which holds its calls.
+  void Start(Duration shutdown_grace,
+             const std::string& document = Document(1, 1, kRouteTimeoutMs)) {
+    const std::uint16_t port = StartServer(
+        [this](HttpExchangePtr call) { held.push_back(std::move(call)); });
+    StartEntry(shutdown_grace);
+    bool applied = false;
+    peer->on_message = [&, port](const proto::NodeMessage& message) {
+      if (!message.has_follow()) return;
+      applied |= message.follow().configuration_version() == 1;
+      proto::NodeMessage answer;
+      auto* update = answer.mutable_update();
+      update->set_registry_epoch(1);
+      update->mutable_configuration()->set_version(1);
+      update->mutable_configuration()->set_document(document);
+      update->set_keeps_origins(true);
+      proto::EndpointRecord* record = update->add_records();
+      *record = Endpoint("e", "dc1", port);
+      record->set_slots(kObservedAnswers);
+      record->set_software_version("v1");
+      peer->link.Send(InstanceId(kNodeIp), answer);
+    };
+    CHECK_TRUE(RunUntil([&] { return applied; }));
+    peer->on_message = nullptr;
+  }
+
+  void ShutDown() {
+    bool done = false;
+    entry->Shutdown([&] { done = true; });
+    CHECK_TRUE(RunUntil([&] { return done; }));
+  }
+
+  void AnswerHeldCalls() {
+    for (const HttpExchangePtr& call : held) {
+      call->Respond(200, "text/plain", "x", {{"X-Server-Stamp", "e.1"}});
+    }
+    held.clear();
+  }
+};
+
+// A request that came late in a shutdown ran until the end of the process cut
+// it, although its service's answers were known to take longer.
+TEST(EntryDrain, ARequestThatCannotBeCompletedInTimeIsRefusedAtOnce) {
+  Start(kGraceBelowAnAnswer);
+  for (Response& one : responses) {
+    client->Start(MakeCall("GET", "/0/", ""), &one);
+  }
+  CHECK_TRUE(RunUntil([&] { return held.size() == responses.size(); }));
+  RunFor(kAnswerTime);
+  AnswerHeldCalls();
+  for (const Response& one : responses) {
+    CHECK_TRUE(RunUntil([&] { return one.done; }));
+    LONGS_EQUAL(200, one.status);
+  }
+  entry->Shutdown([] {});
+  LONGS_EQUAL(503, Call("GET", "/0/", ""));
+  STRCMP_CONTAINS("the instance stops before the answer ends",
+                  response.body.c_str());
+  CHECK_FALSE(response.retry_after.empty());
+}
+
+// With a probe each second, whose connection lingers for a second, the listener
+// for readiness was never drained while it stayed open.
+TEST(EntryDrain, BothListenersAreClosedAtTheEnd) {
+  Start(kShortGrace);
+  HttpCall readiness = MakeCall("GET", "/api/ready", "");
+  readiness.url = std::string("http://") + kNodeIp + ":" +
+                  std::to_string(kReadinessPort) + "/api/ready";
+  LONGS_EQUAL(200, Call(readiness));
+  ShutDown();
+  LONGS_EQUAL(0, Call("GET", "/0/", ""));
+  CHECK_FALSE(response.sent);
+  LONGS_EQUAL(0, Call(readiness));
+  CHECK_FALSE(response.sent);
+}
+
+// A request on a kept connection that came after the others had been cut was
+// run if the grace period was shorter than the time in which an instance
+// accepts requests.
+TEST(EntryDrain, ARequestAfterTheCutIsRefused) {
+  Start(kShortGrace);
+  HttpCall kept = MakeCall("GET", "/0/", "");
+  kept.new_connection = false;
+  client->Start(kept, &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  AnswerHeldCalls();
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(200, response.status);
+  ShutDown();
+  LONGS_EQUAL(503, Call(kept));
+  CHECK_TRUE(held.empty());
+}
+
+// A stream whose run was complete, and which only waited until its origin was
+// confirmed, was answered 504 at the end of the grace period.
+TEST(EntryDrain, ACompleteStreamIsReleasedAtTheCut) {
+  Start(kShortGrace, kResumableStream);
+  bool stored = false;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    stored |= message.has_store_origins();
+  };
+  client->Start(MakeCall("GET", "/0/", ""), &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  held[0]->Respond(200, "text/event-stream", "data: x\n\n",
+                   {{"X-Server-Stamp", "e.1"}});
+  CHECK_TRUE(RunUntil([&] { return stored; }));
+  ShutDown();
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(200, response.status);
+  STRCMP_EQUAL("data: x\n\n", response.body.c_str());
+}
