Move the decisions of the shutdown into a class without clocks

Daemon::AdvanceShutdown read the flags of the tasks while it decided, so that neither the order of the phases nor the limit could be tested without threads.

ShutdownSequence gets the present time and what the tasks report, and returns the step to take. Behaviour is unchanged: same phases, same times.

--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -14,11 +14,6 @@
 namespace {
 
 constexpr guint kShutdownPollMs = 20;
-// Time to send the last messages: request progress and the membership leave.
-constexpr Duration kSendPeriod = Milliseconds(300);
-// Part of the shutdown limit that is kept for the end: the last answers, the
-// last outcomes, and what is sent and logged last.
-constexpr Duration kEndMargin = Seconds(3);
 constexpr const char* kDefaultPolicy = "reserving";
 
 }  // namespace
@@ -26,7 +21,8 @@
 Daemon::Daemon(Settings settings, std::string settings_file)
     : settings_(std::move(settings)),
       settings_file_(std::move(settings_file)),
-      loop_(g_main_loop_new(nullptr, FALSE)) {
+      loop_(g_main_loop_new(nullptr, FALSE)),
+      shutdown_(Milliseconds(settings_.limits.shutdown_ms)) {
   RegisterPolicies(policies_);
   RegisterEndpointDrivers(drivers_);
   RegisterLogStorages();
@@ -106,11 +102,9 @@
 }
 
 void Daemon::BeginShutdown() {
-  if (phase_ != ShutdownPhase::kNone) return;
-  shutdown_began_ = MonotonicNow();
+  if (!shutdown_.Begin(MonotonicNow())) return;
   Log(LogLevel::kInfo, "shutdown_started",
       {{"open_requests", metrics_.gauge("requests_open").value()}});
-  EnterPhase(ShutdownPhase::kRequests, shutdown_began_);
   admin_->Post(DrainRequested{});
   control_->Post(ShutdownRequested{});
   for (const auto& task : serving_) task->Post(ShutdownRequested{});
@@ -125,51 +119,34 @@
       this);
 }
 
-bool Daemon::Idle() const {
-  return control_->handed_over() &&
-         std::all_of(serving_.begin(), serving_.end(),
-                     [](const auto& task) { return task->drained(); });
-}
-
-void Daemon::EnterPhase(ShutdownPhase phase, Time now) {
-  phase_ = phase;
-  phase_began_ = now;
+ShutdownReport Daemon::Report() const {
+  return {.handed_over = control_->handed_over(),
+          .callers_answered =
+              std::all_of(serving_.begin(), serving_.end(),
+                          [](const auto& task) { return task->drained(); }),
+          .operators_answered = admin_->drained(),
+          .left = control_->left()};
 }
 
 void Daemon::EndRequests() {
-  if (requests_ended_) return;
-  requests_ended_ = true;
   for (const auto& task : serving_) task->Post(EndRequestsOrdered{});
   control_->Post(EndRequestsOrdered{});
 }
 
 bool Daemon::AdvanceShutdown(Time now) {
-  const Duration limit = Milliseconds(settings_.limits.shutdown_ms);
-  const Duration margin = std::min(kEndMargin, limit / 2);
-  const Time requests_end = shutdown_began_ + limit - margin;
-  const Time answers_end = requests_end + margin * 2 / 5;
-  const Time leave_end = requests_end + margin * 3 / 5;
-  if (now >= requests_end) EndRequests();
-  switch (phase_) {
-    case ShutdownPhase::kNone:
+  const ShutdownStep step = shutdown_.Advance(now, Report());
+  if (step.end_requests) EndRequests();
+  switch (step.action) {
+    case ShutdownAction::kWait:
       return true;
-    case ShutdownPhase::kRequests:
-      if (!Idle() && now < requests_end) return true;
+    case ShutdownAction::kStopAdmin:
       admin_->Post(StopRequested{});
-      EnterPhase(ShutdownPhase::kAdmin, now);
       return true;
-    case ShutdownPhase::kAdmin:
-      // Requests on connections that callers keep are still refused.
-      if (!(Idle() && admin_->drained()) && now < answers_end) return true;
+    case ShutdownAction::kLeave:
       control_->Post(LeaveRequested{});
-      EnterPhase(ShutdownPhase::kLeaving, now);
-      return true;
-    case ShutdownPhase::kLeaving:
-      if (!control_->left() && now < leave_end) return true;
-      EnterPhase(ShutdownPhase::kSending, now);
       return true;
-    case ShutdownPhase::kSending:
-      return now - phase_began_ < std::min(kSendPeriod, margin / 5);
+    case ShutdownAction::kEndProcess:
+      break;
   }
   return false;
 }
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -15,24 +15,12 @@
 #include "main/admin_task.h"
 #include "main/control_task.h"
 #include "main/serving_task.h"
+#include "main/shutdown_sequence.h"
 #include "servers/routing/routing_policy.h"
 #include "servers/serving/endpoint_driver.h"
 
 namespace cassiausher {
 
-/// Steps of a shutdown, in order.
-enum class ShutdownPhase {
-  kNone,
-  /// Requests in progress end; new ones are refused.
-  kRequests,
-  /// The admin listener is closed; its callers get their last answers.
-  kAdmin,
-  /// The control task records the last outcomes and leaves the membership.
-  kLeaving,
-  /// The last messages are sent.
-  kSending,
-};
-
 class Daemon {
  public:
   /// `settings_file` is reloaded on SIGHUP.
@@ -54,10 +42,8 @@
   /// Takes the next step of the shutdown that is due. Returns false once the
   /// process may end.
   bool AdvanceShutdown(Time now);
-  /// Whether every caller has its answer and other instances own the pools.
-  bool Idle() const;
-  void EnterPhase(ShutdownPhase phase, Time now);
-  /// Ends requests that are open near the limit. Does nothing when repeated.
+  ShutdownReport Report() const;
+  /// Ends requests that are open near the limit.
   void EndRequests();
 
   Settings settings_;
@@ -70,10 +56,7 @@
   std::unique_ptr<ControlTask> control_;
   std::unique_ptr<AdminTask> admin_;
   GMainLoop* loop_;
-  ShutdownPhase phase_ = ShutdownPhase::kNone;
-  Time phase_began_{};
-  Time shutdown_began_{};
-  bool requests_ended_ = false;
+  ShutdownSequence shutdown_;
 };
 
 }  // namespace cassiausher
