End cassiausherd only once the answers of its last phases are sent

Callers that kept a connection to a stopping instance could lose a refusal or a list of models; operators, a refusal.

Cause: the last check of the answers was made in the phase kAdmin. Requests are still refused in kLeaving and kSending, for 0.3 s and longer, and the process ended without another check.

Change: kSending also waits until the tasks report every answer as sent. The latest end is the same as before.

--- a/main/shutdown_sequence.cc
+++ b/main/shutdown_sequence.cc
@@ -35,6 +35,7 @@
 ShutdownAction ShutdownSequence::NextAction(Time now,
                                             const ShutdownReport& report) {
   const bool idle = report.handed_over && report.callers_answered;
+  const bool answered = report.callers_answered && report.operators_answered;
   switch (phase_) {
     case ShutdownPhase::kNone:
       return ShutdownAction::kWait;
@@ -56,6 +57,8 @@
       return ShutdownAction::kWait;
     case ShutdownPhase::kSending:
       if (now - phase_began_ < SendPeriod()) return ShutdownAction::kWait;
+      // Requests that were refused since the leave have answers, too.
+      if (!answered && now < AnswersDeadline()) return ShutdownAction::kWait;
       Enter(ShutdownPhase::kEnded, now);
       return ShutdownAction::kEndProcess;
     case ShutdownPhase::kEnded:
@@ -79,6 +82,10 @@
   return RequestsEnd() + margin_ * 3 / 5;
 }
 
+Time ShutdownSequence::AnswersDeadline() const {
+  return LeaveEnd() + SendPeriod();
+}
+
 Duration ShutdownSequence::SendPeriod() const {
   return std::min(kSendPeriod, margin_ / 5);
 }
--- a/main/shutdown_sequence.h
+++ b/main/shutdown_sequence.h
@@ -16,7 +16,8 @@
   kAdmin,
   /// The control task records the last outcomes and leaves the membership.
   kLeaving,
-  /// The last messages are sent.
+  /// The last messages are sent, and the answers to requests that were read
+  /// since kAdmin.
   kSending,
   /// The process may end.
   kEnded,
@@ -61,6 +62,9 @@
   /// Begin() until it returns kEndProcess.
   ShutdownStep Advance(Time now, const ShutdownReport& report);
   ShutdownPhase phase() const { return phase_; }
+  /// The process no longer waits for any answer from this time on. Valid after
+  /// Begin().
+  Time AnswersDeadline() const;
 
  private:
   ShutdownAction NextAction(Time now, const ShutdownReport& report);
@@ -71,9 +75,9 @@
   Time LeaveEnd() const;
   Duration SendPeriod() const;
 
-  const Duration limit_;
+  Duration limit_;
   /// Part of the limit that is kept for the steps after kRequests.
-  const Duration margin_;
+  Duration margin_;
   ShutdownPhase phase_ = ShutdownPhase::kNone;
   Time phase_began_{};
   Time began_{};
--- a/tests/main/shutdown_sequence_test.cc
+++ b/tests/main/shutdown_sequence_test.cc
@@ -1,5 +1,5 @@
-// Guards against a shutdown that takes its steps in another order or outlasts
-// its limit.
+// Guards against a shutdown that takes its steps in another order, ends while
+// an answer is unsent, or outlasts its limit.
 #include "main/shutdown_sequence.h"
 
 #include <CppUTest/TestHarness.h>
@@ -114,6 +114,39 @@
   CHECK(now - left_at >= Milliseconds(300));
 }
 
+// Requests on kept connections are refused until the end. The process ended
+// without looking at the answers again after it had told others that it leaves.
+TEST(ShutdownSequence, AnswersDueAfterTheLeaveAreSentBeforeTheEnd) {
+  ShutdownReport caller_waits = kDone;
+  caller_waits.callers_answered = false;
+  ShutdownReport operator_waits = kDone;
+  operator_waits.operators_answered = false;
+  for (const ShutdownReport& report : {caller_waits, operator_waits}) {
+    for (const ShutdownPhase read_in :
+         {ShutdownPhase::kLeaving, ShutdownPhase::kSending}) {
+      sequence = ShutdownSequence(kLimit);
+      sequence.Begin(now);
+      while (sequence.phase() != read_in) Poll(kDone);
+      const Time read_at = now;
+      while (now < read_at + Seconds(2)) {
+        CHECK(Poll(report).action == ShutdownAction::kWait);
+      }
+      CHECK(Poll(kDone).action == ShutdownAction::kEndProcess);
+    }
+  }
+}
+
+// An instance that has left owns no pools that it could hand over.
+TEST(ShutdownSequence, OnlyAnswersHoldTheLastPhaseUp) {
+  while (sequence.phase() != ShutdownPhase::kSending) Poll(kDone);
+  const Time began = now;
+  const ShutdownStep last =
+      PollUntilAfter(ShutdownPhase::kSending,
+                     {.callers_answered = true, .operators_answered = true});
+  CHECK(last.action == ShutdownAction::kEndProcess);
+  CHECK(now - began <= Milliseconds(300) + kPollPeriod);
+}
+
 TEST(ShutdownSequence, OpenRequestsAreEndedOnceBeforeTheLimit) {
   int ended = 0;
   Time ended_at{};
