Clear the report of a drained task when it reads a request

The process of cassiausherd could end while callers of a stopping instance, or operators, waited for the answer to a request that was just read.

Cause: drained() was set by timers of the tasks, every 20 ms, and stayed true for up to that long after a further request was read.

Change: a request that is read, or refused by its size, clears the report at once; only the timer sets it again.

--- a/main/admin_task.cc
+++ b/main/admin_task.cc
@@ -75,7 +75,8 @@
           .max_body_bytes = kMaxAdminBody,
           .max_header_bytes = settings_.limits.header_bytes},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
-      [](int status, std::string_view message) {
+      [this](int status, std::string_view message) {
+        drained_.store(false);
         return FormatError({.status = status,
                             .type = "invalid_request",
                             .code = "too_large",
@@ -108,6 +109,7 @@
 }
 
 void AdminTask::HandleHttp(HttpExchangePtr exchange) {
+  drained_.store(false);
   const std::string path(exchange->path());
   exchange->SetLabel(path);
   if (path == "/healthz") {
--- a/main/admin_task.h
+++ b/main/admin_task.h
@@ -4,6 +4,7 @@
 #define MAIN_ADMIN_TASK_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,7 @@
   void Post(AdminMessage message) { mailbox_.Post(std::move(message)); }
 
   const std::string& listen_error() const { return listen_error_; }
+  std::uint16_t port() const { return server_->port(); }
   /// After StopRequested: true while every caller has its answers, or doesn't
   /// read them. Thread-safe.
   bool drained() const { return drained_.load(); }
@@ -68,6 +70,7 @@
   std::unique_ptr<HttpServer> server_;
   bool ready_ = true;
   bool stopping_ = false;
+  /// Set by a timer and cleared as soon as a request is read.
   std::atomic<bool> drained_{false};
   DrainWatch drain_watch_;
   GSourcePtr drain_timer_;
--- a/main/serving_task.cc
+++ b/main/serving_task.cc
@@ -107,6 +107,7 @@
           .max_header_bytes = settings_.limits.header_bytes},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
       [this](int status, std::string_view message) {
+        drained_.store(false);
         refused_early_.Add();
         return FormatError({.status = status,
                             .type = "invalid_request",
@@ -253,6 +254,7 @@
 }
 
 void ServingTask::HandleHttp(HttpExchangePtr exchange) {
+  drained_.store(false);
   const std::string_view path = exchange->path();
   exchange->SetLabel(path);
   if (path == "/healthz") {
--- a/main/serving_task.h
+++ b/main/serving_task.h
@@ -126,6 +126,7 @@
   std::map<EndpointId, std::unique_ptr<SessionsCall>> sessions_calls_;
   std::uint64_t next_request_;
   bool shutting_down_ = false;
+  /// Set by Tick() and cleared as soon as a request is read.
   std::atomic<bool> drained_{false};
   DrainWatch drain_watch_;
   /// When a request was last open.
--- /dev/null
+++ b/tests/main/task_drain_test.cc
@@ -0,0 +1,160 @@
+// Guards against tasks that report every answer as sent although they have read
+// a request since.
+#include <CppUTest/TestHarness.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "drivers/clock.h"
+#include "main/admin_task.h"
+#include "main/register_modules.h"
+#include "main/serving_task.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr Duration kTimeout = Seconds(8);
+constexpr std::string_view kHealth = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+// The flags are set every 20 ms; without an update each check of this many
+// would have to fall on such a time.
+constexpr int kCallers = 6;
+
+// Reads only when told to, through a small window.
+class Caller {
+ public:
+  explicit Caller(std::uint16_t port)
+      : socket_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int buffer_bytes = 4096;
+    setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+               sizeof(buffer_bytes));
+    const timeval timeout{.tv_sec = 8, .tv_usec = 0};
+    setsockopt(socket_, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+    sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connect(socket_, reinterpret_cast<const sockaddr*>(&address),
+            sizeof(address));
+  }
+  ~Caller() { close(socket_); }
+  Caller(const Caller&) = delete;
+  Caller& operator=(const Caller&) = delete;
+
+  void Send(std::string_view bytes) const {
+    LONGS_EQUAL(bytes.size(),
+                send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL));
+  }
+
+  // Reads once. Returns false at the end of the connection.
+  bool Read() {
+    std::array<char, 64 << 10> buffer;
+    const ssize_t size = recv(socket_, buffer.data(), buffer.size(), 0);
+    if (size <= 0) return false;
+    received.append(buffer.data(), static_cast<std::size_t>(size));
+    return true;
+  }
+
+  void ReadUntil(std::string_view text) {
+    while (received.find(text) == std::string::npos) CHECK(Read());
+  }
+
+  std::string received;
+
+ private:
+  int socket_;
+};
+
+bool WaitUntil(const std::function<bool()>& condition) {
+  const Time deadline = MonotonicNow() + kTimeout;
+  while (!condition()) {
+    if (MonotonicNow() >= deadline) return false;
+    std::this_thread::sleep_for(Milliseconds(1));
+  }
+  return true;
+}
+
+std::string RequestWithLargeHeaders() {
+  return "GET /healthz HTTP/1.1\r\nHost: a\r\nX-Large: " +
+         std::string(40 << 10, 'x') + "\r\n\r\n";
+}
+
+}  // namespace
+
+TEST_GROUP(TaskDrain) {
+  Settings settings;
+  Metrics metrics;
+  EndpointDriverRegistry drivers;
+  std::unique_ptr<EndpointDriver> driver;
+  std::unique_ptr<ServingTask> serving;
+  std::unique_ptr<AdminTask> admin;
+  std::vector<std::unique_ptr<Caller>> callers;
+
+  void setup() override {
+    settings.instance = InstanceId("a");
+    settings.listen.caller.ip = "127.0.0.1";
+    settings.listen.admin.ip = "127.0.0.1";
+    settings.keys.callers = {{"shop", Sha256Hex("secret"), ""}};
+    RegisterEndpointDrivers(drivers);
+    driver = drivers.Create("openai");
+    const auto ignore = [](const ControlMessage&) {};
+    serving = std::make_unique<ServingTask>(0, settings, metrics, *driver,
+                                            ignore, Incarnation(1));
+    admin = std::make_unique<AdminTask>(settings, metrics, ignore);
+    serving->Start();
+    admin->Start();
+  }
+
+  void teardown() override {
+    callers.clear();
+    admin.reset();
+    serving.reset();
+  }
+
+  // Opens connections that their callers keep.
+  void Connect(std::uint16_t port) {
+    for (int i = 0; i < kCallers; ++i) {
+      callers.push_back(std::make_unique<Caller>(port));
+      callers.back()->Send(kHealth);
+      callers.back()->ReadUntil("ok\n");
+      callers.back()->received.clear();
+    }
+  }
+
+  // The last answer on a connection isn't over until its caller has closed its
+  // side, so the report can't be true again when it is checked.
+  template <typename TaskType>
+  void CheckEachRequestIsSeen(const TaskType& task) {
+    for (std::unique_ptr<Caller>& caller : callers) {
+      CHECK(WaitUntil([&] { return task.drained(); }));
+      const bool refused_early = caller == callers.back();
+      caller->Send(refused_early ? RequestWithLargeHeaders() : kHealth);
+      caller->ReadUntil(refused_early ? "HTTP/1.1 431" : "ok\n");
+      CHECK_FALSE(task.drained());
+      caller.reset();
+    }
+    CHECK(WaitUntil([&] { return task.drained(); }));
+  }
+};
+
+TEST(TaskDrain, ServingTaskIsNotDrainedOnceItHasReadARequest) {
+  Connect(serving->port());
+  serving->Post(ShutdownRequested{});
+  CheckEachRequestIsSeen(*serving);
+}
+
+TEST(TaskDrain, AdminTaskIsNotDrainedOnceItHasReadARequest) {
+  Connect(admin->port());
+  admin->Post(DrainRequested{});
+  admin->Post(StopRequested{});
+  CheckEachRequestIsSeen(*admin);
+}
