Let each task of cassiausherd check its answers directly before it ends

Callers whose request was read between the last report of the tasks and their end could lose its answer.

Cause: the main thread read the reports of the tasks and then stopped them one by one, the control task first, which takes up to 200 ms to send its last messages. A task that was told to stop ended without looking at its answers again.

Change: a serving task and the admin task run on until they are drained, on their own threads and with nothing between that check and the end, at the latest until the time at which the sequence ends in any case. The control task is stopped last, since answers to operators need it.

--- a/main/admin_task.cc
+++ b/main/admin_task.cc
@@ -86,7 +86,15 @@
   listen_error_ = server_->Listen(context());
 }
 
+void AdminTask::SendLastAnswers() {
+  if (!end_deadline_) return;
+  RunUntilDrained(
+      context(), [this] { return drain_watch_.Done(*server_, MonotonicNow()); },
+      BootTimeNow() + (*end_deadline_ - MonotonicNow()));
+}
+
 void AdminTask::OnStop() {
+  SendLastAnswers();
   drain_timer_.reset();
   LogCutAnswers(server_->UnsentAnswers(), "admin", metrics_);
   server_.reset();
@@ -108,6 +116,8 @@
   });
 }
 
+void AdminTask::On(EndOrdered& message) { end_deadline_ = message.deadline; }
+
 void AdminTask::HandleHttp(HttpExchangePtr exchange) {
   drained_.store(false);
   const std::string path(exchange->path());
--- a/main/admin_task.h
+++ b/main/admin_task.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/metrics.h"
@@ -42,8 +43,12 @@
   void On(KeysChanged& message);
   void On(DrainRequested& message);
   void On(StopRequested& message);
+  void On(EndOrdered& message);
 
   void SetKeys(const Settings::Keys& keys);
+  /// Runs the task until every caller has its answers. Nothing may run between
+  /// this and the end of the server: it would read further requests.
+  void SendLastAnswers();
   void HandleHttp(HttpExchangePtr exchange);
   void HandleStatement(HttpExchangePtr exchange);
   void HandleState(HttpExchangePtr exchange);
@@ -73,6 +78,8 @@
   /// Set by a timer and cleared as soon as a request is read.
   std::atomic<bool> drained_{false};
   DrainWatch drain_watch_;
+  /// Set once EndOrdered was received.
+  std::optional<Time> end_deadline_;
   GSourcePtr drain_timer_;
   std::string listen_error_;
   Mailbox<Reply> replies_;
--- a/main/daemon.cc
+++ b/main/daemon.cc
@@ -31,9 +31,11 @@
 
 Daemon::~Daemon() {
   // Tasks post to each other, so all threads end before a task is destroyed.
-  if (control_) control_->Stop();
+  // Last answers to operators may need the serving tasks, and both the control
+  // task, whose end takes up to 200 ms.
   if (admin_) admin_->Stop();
   for (auto& task : serving_) task->Stop();
+  if (control_) control_->Stop();
   control_.reset();
   admin_.reset();
   serving_.clear();
@@ -146,11 +148,17 @@
       control_->Post(LeaveRequested{});
       return true;
     case ShutdownAction::kEndProcess:
+      OrderEnd(shutdown_.AnswersDeadline());
       break;
   }
   return false;
 }
 
+void Daemon::OrderEnd(Time deadline) {
+  admin_->Post(EndOrdered{deadline});
+  for (const auto& task : serving_) task->Post(EndOrdered{deadline});
+}
+
 void Daemon::WatchSignals() {
   const auto on_shutdown = [](gpointer self) -> gboolean {
     static_cast<Daemon*>(self)->BeginShutdown();
--- a/main/daemon.h
+++ b/main/daemon.h
@@ -45,6 +45,9 @@
   ShutdownReport Report() const;
   /// Ends requests that are open near the limit.
   void EndRequests();
+  /// Lets the tasks send their last answers when they are stopped, but not
+  /// beyond `deadline`.
+  void OrderEnd(Time deadline);
 
   Settings settings_;
   std::string settings_file_;
--- a/main/messages.h
+++ b/main/messages.h
@@ -165,6 +165,12 @@
 struct AdmissionChanged {
   bool admits = false;
 };
+/// The process ends. When the task is stopped, it first waits until every
+/// caller has its answers, but not beyond `deadline`. Also sent to the admin
+/// task.
+struct EndOrdered {
+  Time deadline{};
+};
 /// Answer to ClaimRequested; `answer` is empty if no quorum answered in time.
 struct ClaimAnswered {
   RequestId request;
@@ -175,7 +181,7 @@
     std::variant<PlacementGranted, PlacementRefused, PoolOwnerChanged,
                  CancelOrdered, ConfigurationUpdated, RequestRowsRequested,
                  ShutdownRequested, ClaimAnswered, SessionsRequested,
-                 KeysChanged, AdmissionChanged, EndRequestsOrdered>;
+                 KeysChanged, AdmissionChanged, EndRequestsOrdered, EndOrdered>;
 
 // ---- To the admin task ---------------------------------------------------
 
@@ -184,7 +190,8 @@
 /// Takes no further work: closes the listener and refuses what still arrives.
 struct StopRequested {};
 
-using AdminMessage = std::variant<KeysChanged, DrainRequested, StopRequested>;
+using AdminMessage =
+    std::variant<KeysChanged, DrainRequested, StopRequested, EndOrdered>;
 
 }  // namespace cassiausher
 
--- a/main/serving_task.cc
+++ b/main/serving_task.cc
@@ -119,7 +119,15 @@
   timer_ = AddTimer(kTickPeriod, [this] { Tick(); });
 }
 
+void ServingTask::SendLastAnswers() {
+  if (!end_deadline_) return;
+  RunUntilDrained(
+      context(), [this] { return Drained(MonotonicNow()); },
+      BootTimeNow() + (*end_deadline_ - MonotonicNow()));
+}
+
 void ServingTask::OnStop() {
+  SendLastAnswers();
   timer_.reset();
   LogCutAnswers(server_->UnsentAnswers(), "callers", metrics_);
   active_.clear();
@@ -221,6 +229,10 @@
   }
 }
 
+void ServingTask::On(EndOrdered& message, Time) {
+  end_deadline_ = message.deadline;
+}
+
 bool ServingTask::Drained(Time now) {
   const bool answered = drain_watch_.Done(*server_, now);
   if (!active_.empty() || !claims_.empty()) {
--- a/main/serving_task.h
+++ b/main/serving_task.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -62,6 +63,7 @@
   void On(AdmissionChanged& message, Time now);
   void On(ShutdownRequested& message, Time now);
   void On(EndRequestsOrdered& message, Time now);
+  void On(EndOrdered& message, Time now);
 
   void HandleHttp(HttpExchangePtr exchange);
   void HandleModels(HttpExchange& exchange);
@@ -103,6 +105,9 @@
   void RespondStillRunning(const ClaimWaiter& waiter);
   void Tick();
   bool Drained(Time now);
+  /// Runs the task until every caller has its answers. Nothing may run between
+  /// this and the end of the server: it would read further requests.
+  void SendLastAnswers();
   void RebuildTokens();
 
   const int index_;
@@ -129,6 +134,8 @@
   /// Set by Tick() and cleared as soon as a request is read.
   std::atomic<bool> drained_{false};
   DrainWatch drain_watch_;
+  /// Set once EndOrdered was received.
+  std::optional<Time> end_deadline_;
   /// When a request was last open.
   Time busy_at_{};
   /// The configuration held here is known to be current, or no instance that
--- a/tests/main/task_drain_test.cc
+++ b/tests/main/task_drain_test.cc
@@ -1,5 +1,5 @@
 // Guards against tasks that report every answer as sent although they have read
-// a request since.
+// a request since, and against tasks that end before its answer is sent.
 #include <CppUTest/TestHarness.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -27,9 +27,17 @@
 
 constexpr Duration kTimeout = Seconds(8);
 constexpr std::string_view kHealth = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::string_view kModels =
+    "GET /v1/models HTTP/1.1\r\nHost: a\r\n"
+    "Authorization: Bearer secret\r\n\r\n";
+constexpr std::string_view kMetrics =
+    "GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n";
 // The flags are set every 20 ms; without an update each check of this many
 // would have to fall on such a time.
 constexpr int kCallers = 6;
+// More than the buffers of a connection hold.
+constexpr std::size_t kLargeBytes = 6 << 20;
+constexpr std::size_t kNameBytes = 1000;
 
 // Reads only when told to, through a small window.
 class Caller {
@@ -144,6 +152,51 @@
     }
     CHECK(WaitUntil([&] { return task.drained(); }));
   }
+
+  // Sends `request` after the task's last report, ends the task, and reads the
+  // answer to its end. Returns the bytes received.
+  template <typename TaskType>
+  std::size_t BytesReceivedWhileEnding(TaskType & task,
+                                       std::string_view request) {
+    CHECK(WaitUntil([&] { return task.drained(); }));
+    Caller& caller = *callers.front();
+    caller.Send(request);
+    caller.ReadUntil("HTTP/1.1 200");
+    task.Post(EndOrdered{MonotonicNow() + kTimeout});
+    std::thread stopping([&] { task.Stop(); });
+    while (caller.Read()) {
+    }
+    stopping.join();
+    return caller.received.size();
+  }
+
+  // An answer whose caller reads nothing more doesn't delay the end.
+  template <typename TaskType>
+  void CheckEndsAtItsDeadline(TaskType & task, std::string_view request) {
+    Caller& caller = *callers.front();
+    caller.Send(request);
+    caller.ReadUntil("HTTP/1.1 200");
+    const Time began = MonotonicNow();
+    task.Post(EndOrdered{began + Milliseconds(100)});
+    task.Stop();
+    CHECK(MonotonicNow() - began >= Milliseconds(100));
+    CHECK(MonotonicNow() - began < kTimeout);
+  }
+
+  void MakeModelsLarge() const {
+    const auto configuration = std::make_shared<Configuration>();
+    for (std::size_t i = 0; i * kNameBytes < kLargeBytes; ++i) {
+      const std::string name = std::to_string(i) + std::string(kNameBytes, 'x');
+      configuration->services[ServiceId(name)].kind = ServiceKind::kRunner;
+    }
+    serving->Post(ConfigurationUpdated{configuration});
+  }
+
+  void MakeMetricsLarge() {
+    for (std::size_t i = 0; i * kNameBytes < kLargeBytes; ++i) {
+      metrics.counter("m" + std::to_string(i) + std::string(kNameBytes, 'x'));
+    }
+  }
 };
 
 TEST(TaskDrain, ServingTaskIsNotDrainedOnceItHasReadARequest) {
@@ -158,3 +211,34 @@
   admin->Post(StopRequested{});
   CheckEachRequestIsSeen(*admin);
 }
+
+// A process ended by its last report, whatever its tasks read until they ended.
+TEST(TaskDrain, ServingTaskSendsTheAnswerToARequestReadBeforeItsEnd) {
+  MakeModelsLarge();
+  Connect(serving->port());
+  serving->Post(ShutdownRequested{});
+  CHECK(BytesReceivedWhileEnding(*serving, kModels) > kLargeBytes);
+}
+
+TEST(TaskDrain, AdminTaskSendsTheAnswerToARequestReadBeforeItsEnd) {
+  MakeMetricsLarge();
+  Connect(admin->port());
+  admin->Post(DrainRequested{});
+  admin->Post(StopRequested{});
+  CHECK(BytesReceivedWhileEnding(*admin, kMetrics) > kLargeBytes);
+}
+
+TEST(TaskDrain, ServingTaskEndsAtItsDeadline) {
+  MakeModelsLarge();
+  Connect(serving->port());
+  serving->Post(ShutdownRequested{});
+  CheckEndsAtItsDeadline(*serving, kModels);
+}
+
+TEST(TaskDrain, AdminTaskEndsAtItsDeadline) {
+  MakeMetricsLarge();
+  Connect(admin->port());
+  admin->Post(DrainRequested{});
+  admin->Post(StopRequested{});
+  CheckEndsAtItsDeadline(*admin, kMetrics);
+}
