--- a/main/admin_task.cc
+++ b/main/admin_task.cc
@@ -75,7 +75,8 @@
           .max_body_bytes = kMaxAdminBody,
           .max_header_bytes = settings_.limits.header_bytes},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
-      [](int status, std::string_view message) {
+      [this](int status, std::string_view message) {
+        drained_.store(false);
         return FormatError({.status = status,
                             .type = "invalid_request",
                             .code = "too_large",
@@ -85,7 +86,15 @@
   listen_error_ = server_->Listen(context());
 }
 
+void AdminTask::SendLastAnswers() {
+  if (!end_deadline_) return;
+  RunUntilDrained(
+      context(), [this] { return drain_watch_.Done(*server_, MonotonicNow()); },
+      BootTimeNow() + (*end_deadline_ - MonotonicNow()));
+}
+
 void AdminTask::OnStop() {
+  SendLastAnswers();
   drain_timer_.reset();
   LogCutAnswers(server_->UnsentAnswers(), "admin", metrics_);
   server_.reset();
@@ -107,7 +116,10 @@
   });
 }
 
+void AdminTask::On(EndOrdered& message) { end_deadline_ = message.deadline; }
+
 void AdminTask::HandleHttp(HttpExchangePtr exchange) {
+  drained_.store(false);
   const std::string path(exchange->path());
   exchange->SetLabel(path);
   if (path == "/healthz") {
--- a/main/admin_task.h
+++ b/main/admin_task.h
@@ -4,8 +4,10 @@
 #define MAIN_ADMIN_TASK_H_
 
 #include <atomic>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/metrics.h"
@@ -28,6 +30,7 @@
   void Post(AdminMessage message) { mailbox_.Post(std::move(message)); }
 
   const std::string& listen_error() const { return listen_error_; }
+  std::uint16_t port() const { return server_->port(); }
   /// After StopRequested: true while every caller has its answers, or doesn't
   /// read them. Thread-safe.
   bool drained() const { return drained_.load(); }
@@ -40,8 +43,12 @@
   void On(KeysChanged& message);
   void On(DrainRequested& message);
   void On(StopRequested& message);
+  void On(EndOrdered& message);
 
   void SetKeys(const Settings::Keys& keys);
+  /// Runs the task until every caller has its answers. Nothing may run between
+  /// this and the end of the server: it would read further requests.
+  void SendLastAnswers();
   void HandleHttp(HttpExchangePtr exchange);
   void HandleStatement(HttpExchangePtr exchange);
   void HandleState(HttpExchangePtr exchange);
@@ -68,8 +75,11 @@
   std::unique_ptr<HttpServer> server_;
   bool ready_ = true;
   bool stopping_ = false;
+  /// Set by a timer and cleared as soon as a request is read.
   std::atomic<bool> drained_{false};
   DrainWatch drain_watch_;
+  /// Set once EndOrdered was received.
+  std::optional<Time> end_deadline_;
   GSourcePtr drain_timer_;
   std::string listen_error_;
   Mailbox<Reply> replies_;
--- a/main/serving_task.cc
+++ b/main/serving_task.cc
@@ -107,6 +107,7 @@
           .max_header_bytes = settings_.limits.header_bytes},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
       [this](int status, std::string_view message) {
+        drained_.store(false);
         refused_early_.Add();
         return FormatError({.status = status,
                             .type = "invalid_request",
@@ -118,7 +119,15 @@
   timer_ = AddTimer(kTickPeriod, [this] { Tick(); });
 }
 
+void ServingTask::SendLastAnswers() {
+  if (!end_deadline_) return;
+  RunUntilDrained(
+      context(), [this] { return Drained(MonotonicNow()); },
+      BootTimeNow() + (*end_deadline_ - MonotonicNow()));
+}
+
 void ServingTask::OnStop() {
+  SendLastAnswers();
   timer_.reset();
   LogCutAnswers(server_->UnsentAnswers(), "callers", metrics_);
   active_.clear();
@@ -220,6 +229,10 @@
   }
 }
 
+void ServingTask::On(EndOrdered& message, Time) {
+  end_deadline_ = message.deadline;
+}
+
 bool ServingTask::Drained(Time now) {
   const bool answered = drain_watch_.Done(*server_, now);
   if (!active_.empty() || !claims_.empty()) {
@@ -253,6 +266,7 @@
 }
 
 void ServingTask::HandleHttp(HttpExchangePtr exchange) {
+  drained_.store(false);
   const std::string_view path = exchange->path();
   exchange->SetLabel(path);
   if (path == "/healthz") {
