Move the reading of requests out of HttpServer

What reads requests shares no changing member with the rest of HttpServer but the read guard: its limits, the breaks between pieces of a body and the refusals of requests past their limits. RequestReader in request_reader.{h,cc} holds it; ends of connections stay with the server, which passes a function for them. Compared with the earlier text without white space, the moved functions differ in the names of the owner, in `tls` for the test of the certificate's file and in the call that ends the connection.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,6 +1,5 @@
 #include "drivers/http_server.h"
 
-#include <fmt/format.h>
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,30 +7,13 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstring>
 
-#include "core/log.h"
 #include "drivers/clock.h"
-#include "drivers/received_body.h"
 #include "drivers/task.h"
 
 namespace cassiausher {
 namespace {
 
-// Size of a request's headers as sent: name, colon, space, value and CRLF.
-std::int64_t HeaderBytes(SoupMessageHeaders* headers) {
-  std::int64_t bytes = 0;
-  soup_message_headers_foreach(
-      headers,
-      [](const char* name, const char* value, gpointer total) {
-        *static_cast<std::int64_t*>(total) +=
-            static_cast<std::int64_t>(std::strlen(name) + std::strlen(value)) +
-            4;
-      },
-      &bytes);
-  return bytes;
-}
-
 // g_socket_bind() clears SO_REUSEPORT on TCP sockets, so the socket is bound
 // before GLib takes it over.
 GSocket* BindSocket(GSocketAddress* address, bool share_port, GError** error) {
@@ -59,13 +41,6 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
-// Pieces of a body that are read without a break. libsoup reads up to 8 KiB at
-// a time, and each chunk of a chunked body by itself.
-constexpr int kPiecesBetweenBreaks = 64;
-
-// More pieces take too much time. A sound body has some thousands.
-constexpr int kMaxPieces = 64 << 10;
-
 constexpr guint kServerError = 500;
 // libsoup handles the end of a connection in this time.
 constexpr Duration kIdleClosePeriod = Milliseconds(50);
@@ -90,11 +65,16 @@
   context_ = context;
   state_->watcher = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
-  guard_ = std::make_unique<ReadGuard>(
-      context, options_.read_timeout,
-      [this](SoupServerMessage* message, const ReadRefusal& refusal) {
-        EndReading(message, refusal);
-      });
+  reader_ = std::make_unique<RequestReader>(
+      context,
+      RequestReaderOptions{.read_timeout = options_.read_timeout,
+                           .max_body_bytes = options_.max_body_bytes,
+                           .max_reading_bytes = options_.max_reading_bytes,
+                           .max_header_bytes = options_.max_header_bytes,
+                           .tls = !options_.tls_certificate_file.empty(),
+                           .metrics = options_.metrics},
+      limit_handler_,
+      [this](SoupServerMessage* message) { CloseLingering(message); });
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -195,7 +175,7 @@
                         .label = state_->answers.LabelOf(message)};
   state_->answers.OnFinished(message, false);
   state_->answers.Forget(socket);
-  guard_->Remove(message);
+  reader_->Remove(message);
   ended.stream.reset(soup_server_message_steal_connection(message));
   closer_->Close(std::move(ended), BootTimeNow());
 }
@@ -203,7 +183,7 @@
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
                                    gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
-  self->guard_->Remove(message);
+  self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, false);
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) self->WatchIdle(socket);
@@ -216,7 +196,7 @@
     return OnRequestFinished(server, message, data);
   }
   auto* self = static_cast<HttpServer*>(data);
-  self->guard_->Remove(message);
+  self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, true);
 }
 
@@ -244,133 +224,15 @@
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
-  g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
-  g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), self);
-  g_signal_connect(message, "got-body", G_CALLBACK(&OnGotBody), self);
   g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
   auto* server = static_cast<HttpServer*>(self);
-  server->guard_->Add(message);
+  server->reader_->Add(message);
   if (socket == nullptr) return;
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   server->state_->watcher->Remove(g_socket_get_fd(socket));
 }
 
-void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
-  auto* self = static_cast<HttpServer*>(data);
-  self->guard_->OnHeaders(message, BootTimeNow());
-  soup_message_body_set_accumulate(
-      soup_server_message_get_request_body(message), FALSE);
-  SoupMessageHeaders* headers =
-      soup_server_message_get_request_headers(message);
-  if (HeaderBytes(headers) > self->options_.max_header_bytes) {
-    self->RefuseEarly(message, 431, "the headers are too large");
-    return;
-  }
-  if (soup_message_headers_get_encoding(headers) ==
-          SOUP_ENCODING_CONTENT_LENGTH &&
-      soup_message_headers_get_content_length(headers) >
-          self->options_.max_body_bytes) {
-    self->RefuseEarly(message, 413, "the body is too large");
-  }
-}
-
-void HttpServer::OnGotChunk(SoupServerMessage* message, GBytes* chunk,
-                            gpointer data) {
-  auto* self = static_cast<HttpServer*>(data);
-  gsize size = 0;
-  const auto* piece = static_cast<const char*>(g_bytes_get_data(chunk, &size));
-  ReceivedBody& body = BodyOf(message);
-  body.received += static_cast<std::int64_t>(size);
-  self->guard_->OnBody(message, static_cast<std::int64_t>(size));
-  if (++body.pieces % kPiecesBetweenBreaks == 0) self->YieldReading(message);
-  const bool refused = soup_server_message_get_status(message) != 0;
-  if (refused) return;
-  if (body.received > self->options_.max_body_bytes) {
-    self->RefuseEarly(message, 413, "the body is too large");
-    return;
-  }
-  if (body.pieces > kMaxPieces) {
-    self->RefuseEarly(message, 400, "the body has too many chunks");
-    return;
-  }
-  body.bytes.append(piece, size);
-  self->LimitReading();
-}
-
-void HttpServer::YieldReading(SoupServerMessage* message) {
-  struct Break {
-    HttpServer* server;
-    GObjectPtr<SoupServerMessage> message;
-  };
-  soup_server_message_pause(message);
-  std::erase_if(breaks_, [](const GSourcePtr& source) {
-    return g_source_is_destroyed(source.get());
-  });
-  GSource* source = g_idle_source_new();
-  g_source_set_priority(source, G_PRIORITY_DEFAULT);
-  g_source_set_callback(
-      source,
-      [](gpointer data) -> gboolean {
-        const auto* pause = static_cast<Break*>(data);
-        if (pause->server->guard_->IsRead(pause->message.get())) {
-          soup_server_message_unpause(pause->message.get());
-        }
-        return G_SOURCE_REMOVE;
-      },
-      new Break{this, ShareGObject(message)},
-      [](gpointer data) { delete static_cast<Break*>(data); });
-  g_source_attach(source, context_);
-  breaks_.emplace_back(source);
-}
-
-void HttpServer::LimitReading() {
-  while (guard_->body_bytes() > options_.max_reading_bytes) {
-    SoupServerMessage* largest = guard_->Largest();
-    if (largest == nullptr) return;
-    RefuseEarly(largest, 503, "too many requests are being read");
-  }
-}
-
-void HttpServer::OnGotBody(SoupServerMessage* message, gpointer self) {
-  static_cast<HttpServer*>(self)->guard_->Remove(message);
-}
-
-void HttpServer::EndReading(SoupServerMessage* message,
-                            const ReadRefusal& refusal) {
-  Log(LogLevel::kInfo, "request_not_read",
-      {{"status", refusal.status}, {"reason", refusal.text}});
-  if (options_.metrics != nullptr) {
-    options_.metrics->counter("requests_not_read_total").Add();
-  }
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) return;
-  if (options_.tls_certificate_file.empty()) {
-    const std::string body = limit_handler_(refusal.status, refusal.text);
-    const std::string answer = fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-        refusal.status,
-        soup_status_get_phrase(static_cast<guint>(refusal.status)), body.size(),
-        body);
-    // The socket has room: nothing was sent for this request.
-    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
-  }
-  CloseLingering(message);
-}
-
-void HttpServer::RefuseEarly(SoupServerMessage* message, int status,
-                             std::string_view text) {
-  const std::string body = limit_handler_(status, text);
-  BodyOf(message).bytes = {};
-  soup_message_headers_replace(
-      soup_server_message_get_response_headers(message), "Connection", "close");
-  soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
-  soup_server_message_set_response(message, "application/json",
-                                   SOUP_MEMORY_COPY, body.data(), body.size());
-  guard_->OnRefused(message, {.status = status, .text = std::string(text)});
-}
-
 }  // namespace cassiausher
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -9,7 +9,6 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "core/metrics.h"
@@ -17,7 +16,7 @@
 #include "drivers/gobject_ptr.h"
 #include "drivers/http_exchange.h"
 #include "drivers/lingering_closer.h"
-#include "drivers/read_guard.h"
+#include "drivers/request_reader.h"
 
 namespace cassiausher {
 
@@ -51,8 +50,7 @@
  public:
   using Handler = std::function<void(HttpExchangePtr)>;
   /// Returns the response body for a request refused before it was read.
-  using LimitHandler =
-      std::function<std::string(int status, std::string_view message)>;
+  using LimitHandler = RequestReader::LimitHandler;
 
   HttpServer(HttpServerOptions options, Handler handler,
              LimitHandler limit_handler);
@@ -89,19 +87,6 @@
   void CloseLingering(SoupServerMessage* message);
   static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
-  static void OnGotHeaders(SoupServerMessage* message, gpointer self);
-  static void OnGotChunk(SoupServerMessage* message, GBytes* chunk,
-                         gpointer self);
-  static void OnGotBody(SoupServerMessage* message, gpointer self);
-  /// Sends the refusal past libsoup, which reads a request to its end first,
-  /// and ends the connection.
-  void EndReading(SoupServerMessage* message, const ReadRefusal& refusal);
-  /// Lets the task do other work before it reads on: libsoup reads a connection
-  /// as long as bytes arrive.
-  void YieldReading(SoupServerMessage* message);
-  void LimitReading();
-  void RefuseEarly(SoupServerMessage* message, int status,
-                   std::string_view text);
 
   HttpServerOptions options_;
   Handler handler_;
@@ -109,9 +94,7 @@
   std::shared_ptr<HttpServerState> state_ = std::make_shared<HttpServerState>();
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<LingeringCloser> closer_;
-  std::unique_ptr<ReadGuard> guard_;
-  /// Continue the reading of requests. Some have done so.
-  std::vector<GSourcePtr> breaks_;
+  std::unique_ptr<RequestReader> reader_;
   GMainContext* context_ = nullptr;
   /// Kept connections that their callers have closed.
   std::vector<GObjectPtr<GSocket>> closed_by_callers_;
--- /dev/null
+++ b/drivers/request_reader.h
@@ -0,0 +1,80 @@
+// Collects the bodies of an HTTP server's requests and refuses the requests
+// that exceed a limit before they are read in full.
+#ifndef DRIVERS_REQUEST_READER_H_
+#define DRIVERS_REQUEST_READER_H_
+
+#include <libsoup/soup.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/metrics.h"
+#include "core/time.h"
+#include "drivers/gobject_ptr.h"
+#include "drivers/read_guard.h"
+
+namespace cassiausher {
+
+/// The limits are those of HttpServerOptions.
+struct RequestReaderOptions {
+  Duration read_timeout{};
+  std::int64_t max_body_bytes = 0;
+  std::int64_t max_reading_bytes = 0;
+  std::int64_t max_header_bytes = 0;
+  /// Connections are encrypted. A refusal that is sent past libsoup would not
+  /// be, so a request that isn't read to its end gets none.
+  bool tls = false;
+  /// Counts requests that aren't read to their end; null for nowhere.
+  Metrics* metrics = nullptr;
+};
+
+/// Belongs to the task that runs `context`.
+class RequestReader {
+ public:
+  /// Returns the response body for a request refused before it was read.
+  using LimitHandler =
+      std::function<std::string(int status, std::string_view message)>;
+  /// Ends the connection of a message; must call Remove().
+  using EndFunction = std::function<void(SoupServerMessage*)>;
+
+  RequestReader(GMainContext* context, const RequestReaderOptions& options,
+                LimitHandler limit_handler, EndFunction end);
+  RequestReader(const RequestReader&) = delete;
+  RequestReader& operator=(const RequestReader&) = delete;
+
+  /// The server waits for this request; none of it may have arrived. The reader
+  /// must outlive the signals of the message.
+  void Add(SoupServerMessage* message);
+  /// The request is answered, or its connection has ended.
+  void Remove(SoupServerMessage* message);
+
+ private:
+  static void OnGotHeaders(SoupServerMessage* message, gpointer self);
+  static void OnGotChunk(SoupServerMessage* message, GBytes* chunk,
+                         gpointer self);
+  static void OnGotBody(SoupServerMessage* message, gpointer self);
+  /// Sends the refusal past libsoup, which reads a request to its end first,
+  /// and ends the connection.
+  void EndReading(SoupServerMessage* message, const ReadRefusal& refusal);
+  /// Lets the task do other work before it reads on: libsoup reads a connection
+  /// as long as bytes arrive.
+  void YieldReading(SoupServerMessage* message);
+  void LimitReading();
+  void RefuseEarly(SoupServerMessage* message, int status,
+                   std::string_view text);
+
+  GMainContext* context_;
+  RequestReaderOptions options_;
+  LimitHandler limit_handler_;
+  EndFunction end_;
+  ReadGuard guard_;
+  /// Continue the reading of requests. Some have done so.
+  std::vector<GSourcePtr> breaks_;
+};
+
+}  // namespace cassiausher
+
+#endif  // DRIVERS_REQUEST_READER_H_
