--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -1,6 +1,5 @@
 #include "drivers/http_server.h"
 
-#include <fmt/format.h>
 #include <gio/gio.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -8,29 +7,13 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <cstring>
 
-#include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
 
 namespace cassiausher {
 namespace {
 
-// Size of a request's headers as sent: name, colon, space, value and CRLF.
-std::int64_t HeaderBytes(SoupMessageHeaders* headers) {
-  std::int64_t bytes = 0;
-  soup_message_headers_foreach(
-      headers,
-      [](const char* name, const char* value, gpointer total) {
-        *static_cast<std::int64_t*>(total) +=
-            static_cast<std::int64_t>(std::strlen(name) + std::strlen(value)) +
-            4;
-      },
-      &bytes);
-  return bytes;
-}
-
 // g_socket_bind() clears SO_REUSEPORT on TCP sockets, so the socket is bound
 // before GLib takes it over.
 GSocket* BindSocket(GSocketAddress* address, bool share_port, GError** error) {
@@ -58,287 +41,12 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
-// Pieces of a body that are read without a break. libsoup reads up to 8 KiB at
-// a time, and each chunk of a chunked body by itself.
-constexpr int kPiecesBetweenBreaks = 64;
-
-// More pieces take too much time. A sound body has some thousands.
-constexpr int kMaxPieces = 64 << 10;
-
-// Body of a request. libsoup would keep each piece in a buffer of its own,
-// which takes much more memory than its bytes if chunks are short.
-struct ReceivedBody {
-  std::string bytes;
-  std::int64_t received = 0;
-  int pieces = 0;
-};
-
-constexpr const char* kReceivedBodyKey = "cassiausher-received-body";
-
-ReceivedBody& BodyOf(SoupServerMessage* message) {
-  auto* object = G_OBJECT(message);
-  gpointer data = g_object_get_data(object, kReceivedBodyKey);
-  if (data == nullptr) {
-    data = new ReceivedBody;
-    g_object_set_data_full(object, kReceivedBodyKey, data, [](gpointer body) {
-      delete static_cast<ReceivedBody*>(body);
-    });
-  }
-  return *static_cast<ReceivedBody*>(data);
-}
-
 constexpr guint kServerError = 500;
 // libsoup handles the end of a connection in this time.
 constexpr Duration kIdleClosePeriod = Milliseconds(50);
 
 }  // namespace
 
-HttpExchange::HttpExchange(SoupServerMessage* message,
-                           std::shared_ptr<HttpServerState> server)
-    : message_(ShareGObject(message)), server_(std::move(server)) {
-  server_->answers.Add(message);
-  finished_handler_ = g_signal_connect_swapped(
-      message, "finished",
-      G_CALLBACK(+[](HttpExchange* self) { self->OnTransportFinished(); }),
-      this);
-}
-
-HttpExchange::~HttpExchange() {
-  if (!finished_ && server_->stopped) Finish();
-  if (!finished_) {
-    if (streaming_) {
-      Abort();
-    } else {
-      Respond(500, "text/plain", "no answer\n");
-    }
-  }
-  if (finished_handler_ != 0) {
-    g_signal_handler_disconnect(message_.get(), finished_handler_);
-  }
-  if (wrote_handler_ != 0) {
-    g_signal_handler_disconnect(message_.get(), wrote_handler_);
-  }
-}
-
-std::string_view HttpExchange::method() const {
-  return soup_server_message_get_method(message_.get());
-}
-
-std::string_view HttpExchange::path() const {
-  return g_uri_get_path(soup_server_message_get_uri(message_.get()));
-}
-
-std::string_view HttpExchange::query() const {
-  const char* text =
-      g_uri_get_query(soup_server_message_get_uri(message_.get()));
-  return text == nullptr ? std::string_view() : std::string_view(text);
-}
-
-std::string_view HttpExchange::body() const {
-  return BodyOf(message_.get()).bytes;
-}
-
-std::string_view HttpExchange::header(const char* name) const {
-  const char* value = soup_message_headers_get_one(
-      soup_server_message_get_request_headers(message_.get()), name);
-  return value == nullptr ? std::string_view() : std::string_view(value);
-}
-
-HttpHeaders HttpExchange::headers() const {
-  HttpHeaders result;
-  soup_message_headers_foreach(
-      soup_server_message_get_request_headers(message_.get()),
-      [](const char* name, const char* value, gpointer out) {
-        static_cast<HttpHeaders*>(out)->emplace_back(name, value);
-      },
-      &result);
-  return result;
-}
-
-void HttpExchange::SetLabel(std::string_view label) {
-  server_->answers.SetLabel(message_.get(), label);
-}
-
-void HttpExchange::WatchClose(std::function<void()> on_closed) {
-  on_closed_ = std::move(on_closed);
-  if (watched_descriptor_ >= 0) return;
-  GSocket* socket = soup_server_message_get_socket(message_.get());
-  if (socket == nullptr || finished_) return;
-  watched_descriptor_ = g_socket_get_fd(socket);
-  server_->watcher->Add(watched_descriptor_, [this] {
-    watched_descriptor_ = -1;
-    OnCallerClosed();
-  });
-}
-
-void HttpExchange::OnCallerClosed() {
-  if (finished_) return;
-  Finish();
-  DropConnection();
-  const std::function<void()> on_closed = std::move(on_closed_);
-  if (on_closed) on_closed();
-}
-
-void HttpExchange::OnTransportFinished() {
-  if (finished_) return;
-  Finish();
-  const std::function<void()> on_closed = std::move(on_closed_);
-  if (on_closed) on_closed();
-}
-
-void HttpExchange::Finish() {
-  finished_ = true;
-  if (watched_descriptor_ < 0) return;
-  server_->watcher->Remove(watched_descriptor_);
-  watched_descriptor_ = -1;
-}
-
-void HttpExchange::SetHeaders(const HttpHeaders& headers) {
-  SoupMessageHeaders* target =
-      soup_server_message_get_response_headers(message_.get());
-  for (const auto& [name, value] : headers) {
-    soup_message_headers_replace(target, name.c_str(), value.c_str());
-  }
-  if (server_->draining) {
-    soup_message_headers_replace(target, "Connection", "close");
-  }
-}
-
-void HttpExchange::Respond(int status, std::string_view content_type,
-                           std::string_view body, const HttpHeaders& headers) {
-  if (finished_ || streaming_) return;
-  SetHeaders(headers);
-  soup_server_message_set_status(message_.get(), static_cast<guint>(status),
-                                 nullptr);
-  // soup_server_message_set_response() requires a type for a body. If
-  // `content_type` is empty, `headers` may contain one.
-  if (content_type.empty()) {
-    soup_message_body_append(
-        soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
-        body.data(), body.size());
-    soup_message_headers_set_content_length(
-        soup_server_message_get_response_headers(message_.get()),
-        static_cast<goffset>(body.size()));
-  } else {
-    soup_server_message_set_response(
-        message_.get(), std::string(content_type).c_str(), SOUP_MEMORY_COPY,
-        body.data(), body.size());
-  }
-  server_->answers.OnWritten(message_.get(),
-                             static_cast<std::int64_t>(body.size()));
-  server_->answers.OnHandedOver(message_.get());
-  Finish();
-  soup_server_message_unpause(message_.get());
-  LimitUnsent();
-}
-
-void HttpExchange::RespondPieces(int status, std::vector<std::string> pieces,
-                                 const HttpHeaders& headers) {
-  if (finished_ || streaming_) return;
-  SetHeaders(headers);
-  soup_server_message_set_status(message_.get(), static_cast<guint>(status),
-                                 nullptr);
-  SoupMessageBody* body = soup_server_message_get_response_body(message_.get());
-  soup_message_body_set_accumulate(body, FALSE);
-  std::int64_t size = 0;
-  for (std::string& piece : pieces) {
-    size += static_cast<std::int64_t>(piece.size());
-    auto* owned = new std::string(std::move(piece));
-    const GBytesPtr bytes(g_bytes_new_with_free_func(
-        owned->data(), owned->size(),
-        [](gpointer data) { delete static_cast<std::string*>(data); }, owned));
-    soup_message_body_append_bytes(body, bytes.get());
-  }
-  soup_message_headers_set_content_length(
-      soup_server_message_get_response_headers(message_.get()), size);
-  server_->answers.OnWritten(message_.get(), size);
-  server_->answers.OnHandedOver(message_.get());
-  Finish();
-  soup_server_message_unpause(message_.get());
-  LimitUnsent();
-}
-
-void HttpExchange::WatchSent(std::function<void()> on_sent) {
-  on_sent_ = std::move(on_sent);
-}
-
-void HttpExchange::LimitUnsent() {
-  while (server_->answers.process_bytes() > server_->max_unsent_bytes) {
-    if (!server_->answers.CutLargest()) return;
-    if (server_->metrics == nullptr) continue;
-    server_->metrics->counter("unread_answers_cut_total").Add();
-  }
-}
-
-void HttpExchange::StartStream(int status, std::string_view content_type,
-                               const HttpHeaders& headers) {
-  if (finished_ || streaming_) return;
-  streaming_ = true;
-  SetHeaders(headers);
-  SoupMessageHeaders* target =
-      soup_server_message_get_response_headers(message_.get());
-  soup_message_headers_set_encoding(target, SOUP_ENCODING_CHUNKED);
-  if (!content_type.empty()) {
-    soup_message_headers_replace(target, "Content-Type",
-                                 std::string(content_type).c_str());
-    soup_message_headers_replace(target, "Cache-Control", "no-cache");
-  }
-  soup_message_body_set_accumulate(
-      soup_server_message_get_response_body(message_.get()), FALSE);
-  soup_server_message_set_status(message_.get(), static_cast<guint>(status),
-                                 nullptr);
-  wrote_handler_ =
-      g_signal_connect_swapped(message_.get(), "wrote-body-data",
-                               G_CALLBACK(+[](HttpExchange* self, guint size) {
-                                 self->unsent_bytes_ -= size;
-                                 if (self->on_sent_) self->on_sent_();
-                               }),
-                               this);
-}
-
-void HttpExchange::Write(std::string_view bytes) {
-  if (finished_ || !streaming_ || bytes.empty()) return;
-  unsent_bytes_ += static_cast<std::int64_t>(bytes.size());
-  server_->answers.OnWritten(message_.get(),
-                             static_cast<std::int64_t>(bytes.size()));
-  soup_message_body_append(
-      soup_server_message_get_response_body(message_.get()), SOUP_MEMORY_COPY,
-      bytes.data(), bytes.size());
-  soup_server_message_unpause(message_.get());
-  LimitUnsent();
-}
-
-void HttpExchange::EndStream() {
-  if (finished_ || !streaming_) return;
-  soup_message_body_complete(
-      soup_server_message_get_response_body(message_.get()));
-  server_->answers.OnHandedOver(message_.get());
-  Finish();
-  soup_server_message_unpause(message_.get());
-}
-
-void HttpExchange::Abort() {
-  if (finished_) return;
-  Finish();
-  DropConnection();
-}
-
-void HttpExchange::DropConnection() {
-  GSocket* socket = soup_server_message_get_socket(message_.get());
-  if (socket == nullptr) return;
-  const GObjectPtr<GSocket> held = ShareGObject(socket);
-  server_->answers.OnFinished(message_.get(), true);
-  server_->answers.Forget(socket);
-  // First, since libsoup writes the last chunk when it gives the stream away,
-  // which would make the answer look complete.
-  g_socket_shutdown(held.get(), TRUE, TRUE, nullptr);
-  const GObjectPtr<GIOStream> stream(
-      soup_server_message_steal_connection(message_.get()));
-  // The stream is released after its socket is closed, so that it doesn't
-  // write to it.
-  g_socket_close(held.get(), nullptr);
-}
-
 HttpServer::HttpServer(HttpServerOptions options, Handler handler,
                        LimitHandler limit_handler)
     : options_(std::move(options)),
@@ -357,11 +65,16 @@
   context_ = context;
   state_->watcher = std::make_unique<CloseWatcher>(context);
   closer_ = std::make_unique<LingeringCloser>(context);
-  guard_ = std::make_unique<ReadGuard>(
-      context, options_.read_timeout,
-      [this](SoupServerMessage* message, const ReadRefusal& refusal) {
-        EndReading(message, refusal);
-      });
+  reader_ = std::make_unique<RequestReader>(
+      context,
+      RequestReaderOptions{.read_timeout = options_.read_timeout,
+                           .max_body_bytes = options_.max_body_bytes,
+                           .max_reading_bytes = options_.max_reading_bytes,
+                           .max_header_bytes = options_.max_header_bytes,
+                           .tls = !options_.tls_certificate_file.empty(),
+                           .metrics = options_.metrics},
+      limit_handler_,
+      [this](SoupServerMessage* message) { CloseLingering(message); });
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -462,7 +175,7 @@
                         .label = state_->answers.LabelOf(message)};
   state_->answers.OnFinished(message, false);
   state_->answers.Forget(socket);
-  guard_->Remove(message);
+  reader_->Remove(message);
   ended.stream.reset(soup_server_message_steal_connection(message));
   closer_->Close(std::move(ended), BootTimeNow());
 }
@@ -470,7 +183,7 @@
 void HttpServer::OnRequestFinished(SoupServer*, SoupServerMessage* message,
                                    gpointer data) {
   auto* self = static_cast<HttpServer*>(data);
-  self->guard_->Remove(message);
+  self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, false);
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket != nullptr) self->WatchIdle(socket);
@@ -483,7 +196,7 @@
     return OnRequestFinished(server, message, data);
   }
   auto* self = static_cast<HttpServer*>(data);
-  self->guard_->Remove(message);
+  self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, true);
 }
 
@@ -511,133 +224,15 @@
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
-  g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), self);
-  g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), self);
-  g_signal_connect(message, "got-body", G_CALLBACK(&OnGotBody), self);
   g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
   auto* server = static_cast<HttpServer*>(self);
-  server->guard_->Add(message);
+  server->reader_->Add(message);
   if (socket == nullptr) return;
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   server->state_->watcher->Remove(g_socket_get_fd(socket));
 }
 
-void HttpServer::OnGotHeaders(SoupServerMessage* message, gpointer data) {
-  auto* self = static_cast<HttpServer*>(data);
-  self->guard_->OnHeaders(message, BootTimeNow());
-  soup_message_body_set_accumulate(
-      soup_server_message_get_request_body(message), FALSE);
-  SoupMessageHeaders* headers =
-      soup_server_message_get_request_headers(message);
-  if (HeaderBytes(headers) > self->options_.max_header_bytes) {
-    self->RefuseEarly(message, 431, "the headers are too large");
-    return;
-  }
-  if (soup_message_headers_get_encoding(headers) ==
-          SOUP_ENCODING_CONTENT_LENGTH &&
-      soup_message_headers_get_content_length(headers) >
-          self->options_.max_body_bytes) {
-    self->RefuseEarly(message, 413, "the body is too large");
-  }
-}
-
-void HttpServer::OnGotChunk(SoupServerMessage* message, GBytes* chunk,
-                            gpointer data) {
-  auto* self = static_cast<HttpServer*>(data);
-  gsize size = 0;
-  const auto* piece = static_cast<const char*>(g_bytes_get_data(chunk, &size));
-  ReceivedBody& body = BodyOf(message);
-  body.received += static_cast<std::int64_t>(size);
-  self->guard_->OnBody(message, static_cast<std::int64_t>(size));
-  if (++body.pieces % kPiecesBetweenBreaks == 0) self->YieldReading(message);
-  const bool refused = soup_server_message_get_status(message) != 0;
-  if (refused) return;
-  if (body.received > self->options_.max_body_bytes) {
-    self->RefuseEarly(message, 413, "the body is too large");
-    return;
-  }
-  if (body.pieces > kMaxPieces) {
-    self->RefuseEarly(message, 400, "the body has too many chunks");
-    return;
-  }
-  body.bytes.append(piece, size);
-  self->LimitReading();
-}
-
-void HttpServer::YieldReading(SoupServerMessage* message) {
-  struct Break {
-    HttpServer* server;
-    GObjectPtr<SoupServerMessage> message;
-  };
-  soup_server_message_pause(message);
-  std::erase_if(breaks_, [](const GSourcePtr& source) {
-    return g_source_is_destroyed(source.get());
-  });
-  GSource* source = g_idle_source_new();
-  g_source_set_priority(source, G_PRIORITY_DEFAULT);
-  g_source_set_callback(
-      source,
-      [](gpointer data) -> gboolean {
-        const auto* pause = static_cast<Break*>(data);
-        if (pause->server->guard_->IsRead(pause->message.get())) {
-          soup_server_message_unpause(pause->message.get());
-        }
-        return G_SOURCE_REMOVE;
-      },
-      new Break{this, ShareGObject(message)},
-      [](gpointer data) { delete static_cast<Break*>(data); });
-  g_source_attach(source, context_);
-  breaks_.emplace_back(source);
-}
-
-void HttpServer::LimitReading() {
-  while (guard_->body_bytes() > options_.max_reading_bytes) {
-    SoupServerMessage* largest = guard_->Largest();
-    if (largest == nullptr) return;
-    RefuseEarly(largest, 503, "too many requests are being read");
-  }
-}
-
-void HttpServer::OnGotBody(SoupServerMessage* message, gpointer self) {
-  static_cast<HttpServer*>(self)->guard_->Remove(message);
-}
-
-void HttpServer::EndReading(SoupServerMessage* message,
-                            const ReadRefusal& refusal) {
-  Log(LogLevel::kInfo, "request_not_read",
-      {{"status", refusal.status}, {"reason", refusal.text}});
-  if (options_.metrics != nullptr) {
-    options_.metrics->counter("requests_not_read_total").Add();
-  }
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) return;
-  if (options_.tls_certificate_file.empty()) {
-    const std::string body = limit_handler_(refusal.status, refusal.text);
-    const std::string answer = fmt::format(
-        "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\n"
-        "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
-        refusal.status,
-        soup_status_get_phrase(static_cast<guint>(refusal.status)), body.size(),
-        body);
-    // The socket has room: nothing was sent for this request.
-    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
-  }
-  CloseLingering(message);
-}
-
-void HttpServer::RefuseEarly(SoupServerMessage* message, int status,
-                             std::string_view text) {
-  const std::string body = limit_handler_(status, text);
-  BodyOf(message).bytes = {};
-  soup_message_headers_replace(
-      soup_server_message_get_response_headers(message), "Connection", "close");
-  soup_server_message_set_status(message, static_cast<guint>(status), nullptr);
-  soup_server_message_set_response(message, "application/json",
-                                   SOUP_MEMORY_COPY, body.data(), body.size());
-  guard_->OnRefused(message, {.status = status, .text = std::string(text)});
-}
-
 }  // namespace cassiausher
