Give each run of the node tests addresses of its own

Runs of two builds met at 127.0.20.2:21930 and failed, five times in two worktrees. The addresses depend on the process id now. The fixture of an entry instance whose endpoint holds its calls moves to node_fixture.h, for a second file of tests; no check changed.

--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/entry_drain_test.cc
@@ -18,47 +18,14 @@
 // From this on a service's answers have an expected time.
 constexpr int kObservedAnswers = 5;
 
-constexpr const char* kResumableStream =
-    R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",)"
-    R"("host":"a.example","path-prefix":"/0/","kind":"stream",)"
-    R"("timeout-ms":5000,"attempts":2,"service":"s","resumable":true}]})";
-
 }  // namespace
 
-TEST_GROUP_BASE(EntryDrain, NodeFixture) {
-  // Calls that the endpoint hasn't answered.
-  std::vector<HttpExchangePtr> held;
+TEST_GROUP_BASE(EntryDrain, HeldCallsFixture) {
   std::vector<Response> responses{kObservedAnswers};
 
-  void teardown() override {
-    held.clear();
-    NodeFixture::teardown();
-  }
-
-  /// Starts an entry instance with one endpoint, which holds its calls.
   void Start(Duration shutdown_grace,
              const std::string& document = Document(1, 1, kRouteTimeoutMs)) {
-    const std::uint16_t port = StartServer(
-        [this](HttpExchangePtr call) { held.push_back(std::move(call)); });
-    StartEntry(shutdown_grace);
-    bool applied = false;
-    peer->on_message = [&, port](const proto::NodeMessage& message) {
-      if (!message.has_follow()) return;
-      applied |= message.follow().configuration_version() == 1;
-      proto::NodeMessage answer;
-      auto* update = answer.mutable_update();
-      update->set_registry_epoch(1);
-      update->mutable_configuration()->set_version(1);
-      update->mutable_configuration()->set_document(document);
-      update->set_keeps_origins(true);
-      proto::EndpointRecord* record = update->add_records();
-      *record = Endpoint("e", "dc1", port);
-      record->set_slots(kObservedAnswers);
-      record->set_software_version("v1");
-      peer->link.Send(InstanceId(kNodeIp), answer);
-    };
-    CHECK_TRUE(RunUntil([&] { return applied; }));
-    peer->on_message = nullptr;
+    HeldCallsFixture::Start(shutdown_grace, document, kObservedAnswers);
   }
 
   void ShutDown() {
@@ -101,8 +68,8 @@
 TEST(EntryDrain, BothListenersAreClosedAtTheEnd) {
   Start(kShortGrace);
   HttpCall readiness = MakeCall("GET", "/api/ready", "");
-  readiness.url = std::string("http://") + kNodeIp + ":" +
-                  std::to_string(kReadinessPort) + "/api/ready";
+  readiness.url =
+      "http://" + kNodeIp + ":" + std::to_string(kReadinessPort) + "/api/ready";
   LONGS_EQUAL(200, Call(readiness));
   ShutDown();
   LONGS_EQUAL(0, Call("GET", "/0/", ""));
@@ -131,7 +98,7 @@
 // A stream whose run was complete, and which only waited until its origin was
 // confirmed, was answered 504 at the end of the grace period.
 TEST(EntryDrain, ACompleteStreamIsReleasedAtTheCut) {
-  Start(kShortGrace, kResumableStream);
+  Start(kShortGrace, ResumableStreamDocument(kRouteTimeoutMs));
   bool stored = false;
   peer->on_message = [&](const proto::NodeMessage& message) {
     stored |= message.has_store_origins();
--- a/tests/main/node_fixture.h
+++ b/tests/main/node_fixture.h
@@ -4,6 +4,7 @@
 #define TESTS_MAIN_NODE_FIXTURE_H_
 
 #include <CppUTest/TestHarness.h>
+#include <unistd.h>
 
 #include <cstdint>
 #include <functional>
@@ -25,8 +26,11 @@
 inline constexpr std::uint16_t kPeerPort = 21930;
 inline constexpr std::uint16_t kHttpPort = 21931;
 inline constexpr std::uint16_t kReadinessPort = 21932;
-inline constexpr const char* kNodeIp = "127.0.20.1";
-inline constexpr const char* kPeerIp = "127.0.20.2";
+// Depend on the process, so that runs of several builds don't meet.
+inline const std::string kIpPrefix =
+    "127." + std::to_string(16 + getpid() % 200) + ".20.";
+inline const std::string kNodeIp = kIpPrefix + "1";
+inline const std::string kPeerIp = kIpPrefix + "2";
 
 inline NodeSettings SettingsOf(const std::string& ip) {
   NodeSettings settings;
@@ -51,7 +55,7 @@
   record.set_id(id);
   record.set_service("s");
   record.set_role(proto::ENDPOINT_ROLE_PLAIN);
-  record.set_address(std::string(kNodeIp) + ":" + std::to_string(port));
+  record.set_address(kNodeIp + ":" + std::to_string(port));
   record.set_data_centre(data_centre);
   record.set_slots(4);
   record.set_born_ms(1);
@@ -77,7 +81,8 @@
     if (value != nullptr) retry_after = value;
   }
   void OnBody(std::string_view bytes) override { body.append(bytes); }
-  void OnDone(std::string_view, bool was_sent) override {
+  void OnDone(std::string_view reason, bool was_sent) override {
+    error = reason;
     sent = was_sent;
     done = true;
   }
@@ -85,6 +90,8 @@
   int status = 0;
   std::string retry_after;
   std::string body;
+  /// Why the answer isn't whole; empty if it is.
+  std::string error;
   bool sent = false;
   bool done = false;
 };
@@ -150,8 +157,7 @@
   static HttpCall MakeCall(const std::string& method, const std::string& path,
                            const std::string& body) {
     return {.method = method,
-            .url = std::string("http://") + kNodeIp + ":" +
-                   std::to_string(kHttpPort) + path,
+            .url = "http://" + kNodeIp + ":" + std::to_string(kHttpPort) + path,
             .headers = {{"Host", "a.example"}},
             .body = body,
             .new_connection = true};
@@ -188,6 +194,55 @@
   }
 };
 
+/// An entry instance with one endpoint, which holds its calls.
+struct HeldCallsFixture : public NodeFixture {
+  std::vector<HttpExchangePtr> held;
+
+  void teardown() override {
+    held.clear();
+    NodeFixture::teardown();
+  }
+
+  /// All `endpoints` have one address.
+  /// `keeps_origins`: the peer says that it keeps origins of streams, but
+  /// confirms none.
+  void Start(Duration shutdown_grace, const std::string& document, int slots,
+             bool keeps_origins = true, int endpoints = 1) {
+    const std::uint16_t port = StartServer(
+        [this](HttpExchangePtr call) { held.push_back(std::move(call)); });
+    StartEntry(shutdown_grace);
+    bool applied = false;
+    peer->on_message = [&, port](const proto::NodeMessage& message) {
+      if (!message.has_follow()) return;
+      applied |= message.follow().configuration_version() == 1;
+      proto::NodeMessage answer;
+      auto* update = answer.mutable_update();
+      update->set_registry_epoch(1);
+      update->mutable_configuration()->set_version(1);
+      update->mutable_configuration()->set_document(document);
+      update->set_keeps_origins(keeps_origins);
+      for (int i = 0; i < endpoints; ++i) {
+        proto::EndpointRecord* record = update->add_records();
+        *record = Endpoint("e" + std::to_string(i), "dc1", port);
+        record->set_slots(slots);
+        record->set_software_version("v1");
+      }
+      peer->link.Send(InstanceId(kNodeIp), answer);
+    };
+    CHECK_TRUE(RunUntil([&] { return applied; }));
+    peer->on_message = nullptr;
+  }
+};
+
+/// One route /0/ for streams that go on elsewhere if their endpoint fails.
+inline std::string ResumableStreamDocument(int timeout_ms) {
+  return R"({"version":1,"services":[{"name":"s"}],"routes":[{"name":"r",)"
+         R"("host":"a.example","path-prefix":"/0/","kind":"stream",)"
+         R"("timeout-ms":)" +
+         std::to_string(timeout_ms) +
+         R"(,"attempts":2,"service":"s","resumable":true}]})";
+}
+
 }  // namespace cassiausher
 
 #endif  // TESTS_MAIN_NODE_FIXTURE_H_
