Don't complete a stream whose continuation is no event stream

Callers whose stream broke off and went on elsewhere got the last chunk of a complete stream, if the second endpoint answered 200 with a document or 202 without a body.

Cause: only answers that aren't 2xx were refused for a stream that has begun; others were taken as its end.

Change: a stream that has begun goes on with 200 and an event stream only; any other answer fails the call.

Result: the two new tests failed before (the caller got no error) and pass.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -304,8 +304,10 @@
     FailCall(CallFailure::kServerError, fmt::format("status {}", status));
     return;
   }
-  if (!success && begun_.has_value()) {
-    FailCall(CallFailure::kBroken, fmt::format("status {}", status));
+  // A stream that has begun goes on with events only.
+  const bool goes_on = status == kOk && answer_->event_stream;
+  if (!goes_on && begun_.has_value()) {
+    FailCall(CallFailure::kBroken, fmt::format("status {}, no events", status));
   }
 }
 
--- /dev/null
+++ b/tests/main/broken_stream_test.cc
@@ -0,0 +1,60 @@
+// Guards against streams that look complete and aren't, and against answers
+// that are dropped although they are whole.
+#include <string>
+
+#include "tests/main/node_fixture.h"
+
+using namespace cassiausher;  // NOLINT: test file
+
+namespace {
+
+constexpr const char* kEventStream = "text/event-stream";
+constexpr int kSlots = 4;
+constexpr int kTimeoutMs = 600;
+
+HttpHeaders Stamp() { return {{"X-Server-Stamp", "e.1"}}; }
+
+}  // namespace
+
+TEST_GROUP_BASE(BrokenStream, HeldCallsFixture) {
+  const std::string event = "id: 1\ndata: a\n\n";
+
+  /// With a second endpoint, a stream goes on there.
+  void StartWithTwoEndpoints() {
+    Start(Seconds(8), ResumableStreamDocument(2000), kSlots, false, 2);
+  }
+  /// The origins of streams aren't confirmed.
+  void StartWithOrigins() {
+    Start(Seconds(8), ResumableStreamDocument(kTimeoutMs), kSlots);
+  }
+
+  /// Starts a stream, which its endpoint breaks off after one event.
+  void BreakOffStream() {
+    client->Start(MakeCall("GET", "/0/", ""), &response);
+    CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+    held[0]->StartStream(200, kEventStream, Stamp());
+    held[0]->Write(event);
+    CHECK_TRUE(RunUntil([&] { return !response.body.empty(); }));
+    held[0]->Abort();
+    CHECK_TRUE(RunUntil([&] { return held.size() == 2; }));
+  }
+};
+
+// A stream went on at an endpoint that answered with a document, and its caller
+// got the last chunk of a complete stream.
+TEST(BrokenStream, AContinuationThatIsNoEventStreamDoesntCompleteTheStream) {
+  StartWithTwoEndpoints();
+  BreakOffStream();
+  held[1]->Respond(200, "application/json", "{}", Stamp());
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  CHECK_FALSE(response.error.empty());
+  STRCMP_EQUAL(event.c_str(), response.body.c_str());
+}
+
+TEST(BrokenStream, AContinuationWithoutABodyDoesntCompleteTheStream) {
+  StartWithTwoEndpoints();
+  BreakOffStream();
+  held[1]->Respond(202, kEventStream, "", Stamp());
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  CHECK_FALSE(response.error.empty());
+}
