Answer a held stream at its deadline

Cause: a stream's events are held for up to 150 ms until its origin is stored. If its deadline came meanwhile, the stream was aborted as one that its caller has a part of.

Change: a complete stream is released at its deadline, as at the end of the process; one that isn't complete, and of which the caller has nothing, is answered 504.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -219,8 +219,17 @@
     End("failed", fail->status, fail->reason);
     return;
   }
-  exchange_->Abort();
-  End("broken_off", 0, std::get<AbortStream>(step).reason);
+  AbortBegunStream(std::get<AbortStream>(step).reason);
+}
+
+void ForwardedRequest::AbortBegunStream(std::string_view reason) {
+  if (exchange_->streaming()) {
+    exchange_->Abort();
+    return End("broken_off", 0, reason);
+  }
+  // All of its events are held, so that the caller has nothing of it yet.
+  exchange_->Respond(kGatewayTimeout, kJson, FailureBody(reason));
+  End("failed", kGatewayTimeout, reason);
 }
 
 void ForwardedRequest::RespondRefused(std::string_view reason,
@@ -608,6 +617,7 @@
       // The stream's origin is still searched for.
       return RespondRefused("no time left", kUnknownRetryAfter);
     }
+    if (complete_) return ReleaseHeldEvents();
     Execute(forwarder_->OnDeadline());
     return;
   }
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -71,6 +71,8 @@
   void StartForwarding();
   void OnOrigin(const std::optional<StreamOrigin>& origin);
   void Execute(ForwardStep step);
+  /// Ends a stream that has begun and can't go on.
+  void AbortBegunStream(std::string_view reason);
   void RespondRefused(std::string_view reason, Duration retry_after);
   void BeginCall(const StartCall& call);
   void FailCall(CallFailure failure, std::string_view reason);
--- a/tests/main/broken_stream_test.cc
+++ b/tests/main/broken_stream_test.cc
@@ -58,3 +58,29 @@
   CHECK_TRUE(RunUntil([&] { return response.done; }));
   CHECK_FALSE(response.error.empty());
 }
+
+// A complete stream that waited for the confirmation of its origin when its
+// deadline came was dropped, and its connection closed without an answer.
+TEST(BrokenStream, ACompleteStreamIsReleasedAtItsDeadline) {
+  StartWithOrigins();
+  client->Start(MakeCall("GET", "/0/", ""), &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  RunFor(Milliseconds(kTimeoutMs - 60));
+  held[0]->Respond(200, kEventStream, "data: x\n\n", Stamp());
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(200, response.status);
+  STRCMP_EQUAL("", response.error.c_str());
+  STRCMP_EQUAL("data: x\n\n", response.body.c_str());
+}
+
+// The same with a stream that isn't complete: its caller gets an answer.
+TEST(BrokenStream, AHeldStreamIsAnsweredAtItsDeadline) {
+  StartWithOrigins();
+  client->Start(MakeCall("GET", "/0/", ""), &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  RunFor(Milliseconds(kTimeoutMs - 60));
+  held[0]->StartStream(200, kEventStream, Stamp());
+  held[0]->Write("data: x\n\n");
+  CHECK_TRUE(RunUntil([&] { return response.done; }));
+  LONGS_EQUAL(504, response.status);
+}
