Wait for requests that are being read before a server counts as drained

Callers that were sending a body when an instance stopped got a broken connection without an answer, and no log line named them.

Cause: a server counted as drained when no answer was due; requests that it was still reading were not asked for.

Change: requests of which a part was read and that aren't refused count until they are read, refused or the grace period ends; what is left then is counted and logged with the answers that are cut, without an id.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -142,11 +142,15 @@
 
 bool HttpServer::Drained() const {
   const bool closing = closer_ != nullptr && !closer_->empty();
-  return !closing && !state_->answers.HasUnsent();
+  const bool reading = reader_ != nullptr && reader_->Begun() > 0;
+  return !closing && !reading && !state_->answers.HasUnsent();
 }
 
 std::vector<UnsentAnswer> HttpServer::UnsentAnswers() const {
   std::vector<UnsentAnswer> unsent = state_->answers.Unsent();
+  if (reader_ != nullptr) {
+    unsent.resize(unsent.size() + reader_->Begun(), {.handed_over = true});
+  }
   if (closer_ == nullptr) return unsent;
   const std::vector<UnsentAnswer> closing = closer_->Unsent();
   unsent.insert(unsent.end(), closing.begin(), closing.end());
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -65,10 +65,12 @@
 
   /// From now on each answer ends its connection.
   void BeginDrain();
-  /// Whether every caller has its answers in full, and no connection is being
-  /// closed. Connections on which no request was read may still be open.
+  /// Whether every caller has its answers in full, no request is being read,
+  /// and no connection is being closed. Connections on which no request has
+  /// begun may still be open.
   bool Drained() const;
-  /// Answers that their callers don't have in full.
+  /// Answers that their callers don't have in full, and one without a label for
+  /// each request that is being read.
   std::vector<UnsentAnswer> UnsentAnswers() const;
   /// Bytes of answers that no socket has accepted yet.
   std::int64_t unsent_bytes() const { return state_->answers.process_bytes(); }
--- a/drivers/read_guard.cc
+++ b/drivers/read_guard.cc
@@ -2,6 +2,7 @@
 
 #include <gio/gio.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "drivers/bytes_read.h"
@@ -54,6 +55,14 @@
   return largest;
 }
 
+int ReadGuard::Begun() const {
+  const auto begun = [](const auto& item) {
+    return item.second.since.has_value() && !item.second.refusal.has_value();
+  };
+  return static_cast<int>(
+      std::count_if(reading_.begin(), reading_.end(), begun));
+}
+
 void ReadGuard::Add(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket == nullptr) return;
--- a/drivers/read_guard.h
+++ b/drivers/read_guard.h
@@ -47,6 +47,8 @@
   bool IsRead(SoupServerMessage* message) const {
     return reading_.contains(message);
   }
+  /// Requests of which a part was read and that aren't refused.
+  int Begun() const;
   /// The answer is known before the request was read in full.
   void OnRefused(SoupServerMessage* message, ReadRefusal refusal);
   /// The request was read in full, or its connection has ended.
--- a/drivers/request_reader.h
+++ b/drivers/request_reader.h
@@ -50,6 +50,8 @@
   void Add(SoupServerMessage* message);
   /// The request is answered, or its connection has ended.
   void Remove(SoupServerMessage* message);
+  /// Requests of which a part was read and that aren't refused.
+  int Begun() const { return guard_.Begun(); }
 
  private:
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -206,6 +206,24 @@
   }));
 }
 
+// A stopping instance ended while a caller sent the body of its request, whose
+// connection broke without an answer and without a line in the log.
+TEST(HttpDrain, ARequestThatIsBeingReadIsWaitedFor) {
+  SlowCaller caller(server->port());
+  caller.Send("POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab");
+  RunFor(50);
+  server->BeginDrain();
+  CHECK_FALSE(server->Drained());
+  LONGS_EQUAL(1, server->UnsentAnswers().size());
+  caller.Send("cd");
+  Receive(1);
+  held[0]->Respond(200, "text/plain", "x");
+  held.clear();
+  CheckWholeAnswer(caller, 1);
+  CHECK(RunUntil([&] { return server->Drained(); }));
+  LONGS_EQUAL(0, server->UnsentAnswers().size());
+}
+
 // The connection was reset, which discarded the end of the first answer.
 TEST(HttpDrain, UnreadRequestBehindTheLastAnswerDoesNotCutIt) {
   SlowCaller caller(server->port());
