Count the streams that the end of an instance breaks off

Operators couldn't tell from answers_cut_total how many streams an instance had broken off, and of many at once only a hundred were named.

Cause: an aborted stream's connection leaves the server, which names what is cut; request_ended with outcome cut is one line each, of which at most a hundred a second are written.

Change: the instance keeps the ids of the streams that it breaks off, and counts and logs them with the answers that are cut.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -471,7 +471,9 @@
 }
 
 void EntryNode::LogCut() const {
-  LogCutAnswers(callers_->UnsentAnswers(), "callers", metrics_);
+  std::vector<UnsentAnswer> answers = callers_->UnsentAnswers();
+  answers.insert(answers.end(), cut_streams_.begin(), cut_streams_.end());
+  LogCutAnswers(answers, "callers", metrics_);
   LogCutAnswers(readiness_->UnsentAnswers(), "readiness", metrics_);
 }
 
@@ -479,7 +481,10 @@
   cut_ = true;
   // Each one erases itself from the map.
   const auto requests = requests_;
-  for (const auto& [number, request] : requests) request->Cut();
+  for (const auto& [number, request] : requests) {
+    if (!request->Cut()) continue;
+    cut_streams_.push_back({.label = request->id().value()});
+  }
 }
 
 }  // namespace cassiausher
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "core/metrics.h"
 #include "core/random.h"
@@ -123,6 +124,9 @@
   GSourcePtr shutdown_timer_;
   bool listening_ = true;
   bool cut_ = false;
+  /// Streams that the end of the process broke off. Their connections aren't
+  /// the server's any more.
+  std::vector<UnsentAnswer> cut_streams_;
 };
 
 }  // namespace cassiausher
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -573,22 +573,30 @@
   End("caller_gone", 0, "");
 }
 
-void ForwardedRequest::Cut() {
-  if (ended_) return;
-  if (complete_) return ReleaseHeldEvents();
+bool ForwardedRequest::Cut() {
+  if (ended_) return false;
+  if (complete_) {
+    ReleaseHeldEvents();
+    return false;
+  }
   constexpr std::string_view kReason = "the instance stops";
   const bool runs = call_.has_value() && call_->kind == CallKind::kRun &&
                     context_.client->WasSent(call_id_);
   const bool may_have_run =
       runs || (forwarder_.has_value() && forwarder_->MayHaveRun());
   if (call_.has_value()) FinishCall(WorkOutcome::kAbandoned);
-  if (!may_have_run) return RespondRefused(kReason, kUnknownRetryAfter);
+  if (!may_have_run) {
+    RespondRefused(kReason, kUnknownRetryAfter);
+    return false;
+  }
   if (exchange_->streaming()) {
     exchange_->Abort();
-    return End("cut", 0, kReason);
+    End("cut", 0, kReason);
+    return true;
   }
   exchange_->Respond(kGatewayTimeout, kJson, FailureBody(kReason));
   End("cut", kGatewayTimeout, kReason);
+  return false;
 }
 
 void ForwardedRequest::ArmTimer() {
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -57,7 +57,9 @@
   void Start(std::function<void()> on_end);
   /// Ends the request at once, since the instance stops. A request that no
   /// endpoint may have run is refused.
-  void Cut();
+  /// Returns whether its caller has a part of a stream that isn't complete.
+  bool Cut();
+  const RequestId& id() const { return caller_.id; }
 
   void OnHeaders(int status, SoupMessageHeaders* headers) override;
   void OnBody(std::string_view bytes) override;
--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/entry_drain_test.cc
@@ -113,3 +113,18 @@
   LONGS_EQUAL(200, response.status);
   STRCMP_EQUAL("data: x\n\n", response.body.c_str());
 }
+
+// Streams that the end of the process broke off weren't counted, and named by
+// lines only of which at most a hundred a second are written.
+TEST(EntryDrain, AStreamThatIsBrokenOffCountsAsCut) {
+  HeldCallsFixture::Start(kShortGrace, ResumableStreamDocument(kRouteTimeoutMs),
+                          kObservedAnswers, false);
+  client->Start(MakeCall("GET", "/0/", ""), &response);
+  CHECK_TRUE(RunUntil([&] { return held.size() == 1; }));
+  held[0]->StartStream(200, "text/event-stream", {{"X-Server-Stamp", "e.1"}});
+  held[0]->Write("data: x\n\n");
+  CHECK_TRUE(RunUntil([&] { return !response.body.empty(); }));
+  ShutDown();
+  entry->LogCut();
+  LONGS_EQUAL(1, metrics.counter("answers_cut_total").value());
+}
