Tell entry instances of endpoints whose records expire

What callers saw: a runner crashed without a departure and came back under a new id. 120 s later requests were sent to its old id again, and failed there.

Cause: control instances removed the record after 120 s, so the id was no longer in their reports of silent endpoints. Entry instances take that as heartbeats that arrive. They were told of nothing else and kept the endpoint for good.

Change: a control instance marks such a record as expired and publishes it to the other control instances and to its followers. It keeps the record, and reports the endpoint as silent, for another 120 s. An entry instance drops an endpoint whose record has expired unless a control instance still hears it. A newer heartbeat revokes the expiry, also within the incarnation; the lifecycle state departed couldn't be revoked. Earlier builds ignore the mark and act as before.

Result: in the tests, the crashed endpoint is out of the pool, and one that was cut off for 150 s or 600 s gets work with its next heartbeat.

AnEndpointThatOneControlInstanceHearsStays passed and guards the change. The new registry tests weren't run against the old code.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -176,6 +176,7 @@
        {"address", record.address},
        {"version", record.version.value_or(SoftwareVersion("unknown")).value()},
        {"state", Name(record.state)},
+       {"expired", record.expired ? "true" : "false"},
        {"role", Name(record.role)},
        {"born", record.incarnation.value()},
        {"sequence", record.sequence}});
@@ -452,7 +453,9 @@
   next_sync_ = now + kSyncPeriod;
   SyncControls(now);
   BalanceStages(now);
-  registry_.Expire(now);
+  for (const EndpointRecord& record : registry_.Expire(now)) {
+    PublishRegistryChange(record);
+  }
   followers_.Expire(now);
   permits_.Expire(now);
   origins_.Expire(now);
--- a/main/permit_service.cc
+++ b/main/permit_service.cc
@@ -110,7 +110,7 @@
       [this](const EndpointId& endpoint, Incarnation incarnation) {
         const EndpointRecord* record = registry_->Find(endpoint);
         return record != nullptr && record->incarnation <= incarnation &&
-               record->state != EndpointLifecycle::kDeparted;
+               !IsGone(*record);
       },
       now);
   limited_endpoints_.Set(static_cast<std::int64_t>(limits_.All().size()));
--- a/servers/control/endpoint_record.h
+++ b/servers/control/endpoint_record.h
@@ -34,6 +34,10 @@
   Incarnation incarnation{0};
   /// Number of the heartbeat, counted within the incarnation.
   std::uint64_t sequence = 0;
+  /// No later heartbeat has arrived for so long that a control instance takes
+  /// the endpoint for gone. Not a lifecycle state, since the next heartbeat
+  /// revokes it, also within the incarnation.
+  bool expired = false;
 
   bool operator==(const EndpointRecord&) const = default;
 };
@@ -42,9 +46,13 @@
 /// Within an incarnation, the record with the higher sequence number supplies
 /// the fields, but the later state is kept, so that a delayed heartbeat never
 /// makes a departing endpoint ready again, and so is a known software version.
+/// With equal sequence numbers the result is expired if either record is.
 /// Returns whether anything but the sequence number changed.
 bool Merge(const EndpointRecord& received, EndpointRecord* known);
 
+/// Whether the endpoint has departed or expired.
+bool IsGone(const EndpointRecord& record);
+
 /// Names for log lines.
 std::string_view Name(EndpointLifecycle state);
 std::string_view Name(EndpointRole role);
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -11,7 +11,8 @@
   const bool newer = received.incarnation > before.incarnation ||
                      (received.incarnation == before.incarnation &&
                       received.sequence > before.sequence);
-  if (added || newer) entry.last_seen = now;
+  const bool expired = entry.record.expired && !before.expired;
+  if (added || newer || expired) entry.last_seen = now;
   if (changed) entry.changed_at = ++revision_;
   return changed;
 }
@@ -27,10 +28,23 @@
   return true;
 }
 
-void EndpointRegistry::Expire(Time now) {
-  std::erase_if(entries_, [&](const auto& item) {
+std::vector<EndpointRecord> EndpointRegistry::Expire(Time now) {
+  const auto is_due = [&](const auto& item) {
     return now - item.second.last_seen >= options_.expire_after;
+  };
+  std::erase_if(entries_, [&](const auto& item) {
+    return IsGone(item.second.record) && is_due(item);
   });
+  std::vector<EndpointRecord> expired;
+  for (auto& item : entries_) {
+    if (!is_due(item)) continue;
+    Entry& entry = item.second;
+    entry.record.expired = true;
+    entry.last_seen = now;
+    entry.changed_at = ++revision_;
+    expired.push_back(entry.record);
+  }
+  return expired;
 }
 
 std::vector<EndpointRecord> EndpointRegistry::ChangedSince(
@@ -47,7 +61,7 @@
   std::vector<const EndpointRecord*> ready;
   for (const auto& [id, entry] : entries_) {
     const EndpointRecord& record = entry.record;
-    if (record.service != service) continue;
+    if (record.service != service || record.expired) continue;
     if (record.state == EndpointLifecycle::kReady) ready.push_back(&record);
   }
   return ready;
@@ -65,7 +79,8 @@
   std::vector<EndpointId> silent;
   for (const auto& [id, entry] : entries_) {
     if (entry.record.state == EndpointLifecycle::kDeparted) continue;
-    if (now - entry.last_seen >= options_.silent_after) silent.push_back(id);
+    const bool late = now - entry.last_seen >= options_.silent_after;
+    if (late || entry.record.expired) silent.push_back(id);
   }
   return silent;
 }
--- a/servers/control/endpoint_registry.h
+++ b/servers/control/endpoint_registry.h
@@ -16,9 +16,9 @@
 struct EndpointRegistryOptions {
   /// An endpoint without a heartbeat for this long is reported as silent.
   Duration silent_after = Seconds(4);
-  /// An endpoint is removed this long after its last heartbeat or its
-  /// departure. Must exceed the longest delay of a heartbeat, which would
-  /// otherwise bring a departed endpoint back.
+  /// An endpoint expires this long after its last heartbeat. It is removed this
+  /// long after it expired or departed. Must exceed the longest delay of a
+  /// heartbeat, which would otherwise bring a departed endpoint back.
   Duration expire_after = Seconds(120);
 };
 
@@ -34,20 +34,24 @@
   /// Marks an endpoint that announced its departure. Returns whether its state
   /// changed; false for an unknown id.
   bool MarkDeparted(const EndpointId& id, Time now);
-  /// Removes endpoints whose last heartbeat or departure is `expire_after` ago.
-  void Expire(Time now);
+  /// Marks endpoints whose last heartbeat is `expire_after` ago as expired, and
+  /// removes those that expired or departed as long ago. Returns the records
+  /// that expired now, which followers and the other control instances must be
+  /// told of: an endpoint that is merely no longer reported as silent counts as
+  /// heard.
+  std::vector<EndpointRecord> Expire(Time now);
 
   /// Increases with each change that followers must be told of.
   std::uint64_t revision() const { return revision_; }
   /// Records that changed after `revision`.
   std::vector<EndpointRecord> ChangedSince(std::uint64_t revision) const;
-  /// Endpoints of a service in state ready. The pointers are valid until the
-  /// next change of the registry.
+  /// Endpoints of a service in state ready that haven't expired. The pointers
+  /// are valid until the next change of the registry.
   std::vector<const EndpointRecord*> Ready(const ServiceId& service) const;
   /// Records last seen at or after `since`, changed or not.
   std::vector<EndpointRecord> SeenSince(Time since) const;
   /// Endpoints that have not departed and sent no heartbeat for
-  /// `silent_after`.
+  /// `silent_after`, including expired ones.
   std::vector<EndpointId> Silent(Time now) const;
   const EndpointRecord* Find(const EndpointId& id) const;
   std::size_t size() const { return entries_.size(); }
@@ -57,7 +61,8 @@
     EndpointRecord record;
     /// Revision of the last change.
     std::uint64_t changed_at = 0;
-    /// When the last newer heartbeat or the departure arrived.
+    /// When the last newer heartbeat or the departure arrived, or when the
+    /// record expired.
     Time last_seen{};
   };
 
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -53,6 +53,7 @@
     : options_(std::move(options)), random_(options_.random_seed) {}
 
 void EndpointPool::Merge(const EndpointRecord& update, Time now) {
+  if (update.expired && !entries_.contains(update.id)) return;
   const Duration half_life = options_.observation_half_life;
   const auto [found, added] =
       entries_.try_emplace(update.id, Entry(update, half_life));
@@ -99,9 +100,18 @@
 
 void EndpointPool::Expire(Time now) {
   std::erase_if(entries_, [&](const auto& item) {
-    return item.second.record.state == EndpointLifecycle::kDeparted &&
-           item.second.in_flight == 0 && item.second.reserved == 0 &&
-           now - item.second.changed_at >= options_.tombstone_lifetime;
+    const Entry& entry = item.second;
+    const EndpointRecord& record = entry.record;
+    if (entry.in_flight > 0 || entry.reserved > 0) return false;
+    if (HasExpired(entry, now)) {
+      // It may have run streams until now.
+      if (record.version) {
+        versions_[record.service].replaced_at[*record.version] = now;
+      }
+      return true;
+    }
+    return record.state == EndpointLifecycle::kDeparted &&
+           now - entry.changed_at >= options_.tombstone_lifetime;
   });
   std::erase_if(silent_, [&](const auto& item) {
     return now - item.second.reported_at >= options_.tombstone_lifetime;
@@ -119,6 +129,10 @@
   return reported;
 }
 
+bool EndpointPool::HasExpired(const Entry& entry, Time now) const {
+  return entry.record.expired && IsSilent(entry.record.id, now);
+}
+
 Tokens EndpointPool::PrefillCost(const WorkSpec& work) {
   if (!work.prompt_is_prefilled) return work.prompt;
   return Tokens(work.prompt.value() / kDecodeCostDivisor);
@@ -186,7 +200,7 @@
     if (entry.record.service != work.service) continue;
     if (entry.record.role != work.role) continue;
     if (entry.record.state != EndpointLifecycle::kReady) continue;
-    if (work.excluded.contains(id)) continue;
+    if (work.excluded.contains(id) || HasExpired(entry, now)) continue;
     if (work.version && entry.record.version != work.version) continue;
     if (now < entry.misplaced_until || now < entry.changing_until) continue;
     const double score = Score(entry, work, now);
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -102,7 +102,8 @@
  public:
   explicit EndpointPool(EndpointPoolOptions options);
 
-  /// Adds an endpoint, or updates it if `update` is newer than its record.
+  /// Adds an endpoint, or updates it if `update` is newer than its record. An
+  /// expired record adds none.
   void Merge(const EndpointRecord& update, Time now);
   /// Replaces the set of endpoints that `control` reports as silent.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
@@ -119,7 +120,8 @@
   /// Returns and clears the load that this instance placed on model runners
   /// and that the others don't know yet.
   EndpointLoads TakePlaced() { return std::exchange(placed_, {}); }
-  /// Drops departed endpoints and reports of silent ones that are out of date.
+  /// Drops departed endpoints and reports of silent ones that are out of date,
+  /// and expired endpoints without work in progress.
   void Expire(Time now);
 
   /// Picks `work.reserved_at` if it is usable, that is, has a score below the
@@ -215,6 +217,10 @@
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  /// Whether the record has expired and no control instance reports hearing the
+  /// endpoint. The record of one that is cut off from it may expire while
+  /// another instance receives its heartbeats and has no change to publish.
+  bool HasExpired(const Entry& entry, Time now) const;
   /// Whether none of the endpoint's streams had an event lately.
   static bool IsQuiet(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -129,14 +129,70 @@
   CHECK_EQUAL(1u, registry.Silent(kStart + Seconds(10)).size());
 }
 
+// Entry instances took an expired endpoint, which was no longer reported as
+// silent, for one whose heartbeats arrive.
 TEST(EndpointRegistry, EndpointWithoutHeartbeatsExpires) {
   registry.Update(Runner(1, 1), kStart);
-  registry.Expire(kStart + Seconds(60));
+  CHECK_EQUAL(0u, registry.Expire(kStart + Seconds(60)).size());
   CHECK_EQUAL(1u, registry.size());
-  registry.Expire(kStart + Seconds(600));
+  const Time expired_at = kStart + Seconds(600);
+  CHECK_EQUAL(1u, registry.Expire(expired_at).size());
+  CHECK_EQUAL(1u, registry.ChangedSince(1).size());
+  CHECK_TRUE(registry.ChangedSince(1).front().expired);
+  CHECK_EQUAL(1u, registry.Silent(expired_at).size());
+  CHECK_EQUAL(0u, registry.Ready(ServiceId("model")).size());
+  CHECK_EQUAL(0u, registry.Expire(expired_at + Seconds(60)).size());
+  CHECK_EQUAL(1u, registry.size());
+  CHECK_EQUAL(0u, registry.Expire(expired_at + Seconds(120)).size());
+  CHECK_EQUAL(0u, registry.size());
+}
+
+// Guards against an instance that removes the record before its followers have
+// been told, since its own copy was due to expire as well.
+TEST(EndpointRegistry, AnExpiredRecordOfAnotherInstanceIsKeptAsLong) {
+  registry.Update(Runner(1, 1), kStart);
+  EndpointRecord expired = Runner(1, 1);
+  expired.expired = true;
+  const Time received_at = kStart + Seconds(120);
+  CHECK_TRUE(registry.Update(expired, received_at));
+  CHECK_FALSE(registry.Update(expired, received_at + Seconds(1)));
+  CHECK_EQUAL(0u, registry.Expire(received_at + Seconds(119)).size());
+  CHECK_EQUAL(1u, registry.size());
+  registry.Expire(received_at + Seconds(120));
   CHECK_EQUAL(0u, registry.size());
 }
 
+TEST(EndpointRegistry, ANewerHeartbeatRevokesTheExpiry) {
+  registry.Update(Runner(1, 5), kStart);
+  registry.Expire(kStart + Seconds(120));
+  const EndpointId id("r1");
+  // Delayed, or repeated by an instance of an earlier build.
+  CHECK_FALSE(registry.Update(Runner(1, 4), kStart + Seconds(121)));
+  CHECK_FALSE(registry.Update(Runner(1, 5), kStart + Seconds(121)));
+  CHECK_TRUE(registry.Find(id)->expired);
+  CHECK_TRUE(registry.Update(Runner(1, 6), kStart + Seconds(122)));
+  CHECK_FALSE(registry.Find(id)->expired);
+  CHECK_EQUAL(0u, registry.Silent(kStart + Seconds(122)).size());
+  CHECK_EQUAL(1u, registry.Ready(ServiceId("model")).size());
+  // The tombstone of another instance comes late.
+  EndpointRecord expired = Runner(1, 5);
+  expired.expired = true;
+  CHECK_FALSE(registry.Update(expired, kStart + Seconds(123)));
+  registry.Expire(kStart + Seconds(300));
+  CHECK_TRUE(registry.Update(Runner(2, 1), kStart + Seconds(301)));
+  CHECK_FALSE(registry.Find(id)->expired);
+}
+
+TEST(EndpointRegistry, TheExpiryTravelsWithTheRecord) {
+  EndpointRecord sent = Runner(1, 1);
+  sent.expired = true;
+  proto::EndpointRecord message;
+  CHECK_TRUE(message.ParseFromString(ToProto(sent).SerializeAsString()));
+  EndpointRecord received;
+  CHECK_TRUE(FromProto(message, &received));
+  CHECK_TRUE(received == sent);
+}
+
 TEST(EndpointRegistry, RegistriesAgreeInAnyOrderOfRecords) {
   for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
     Random random(seed);
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -4,7 +4,12 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdint>
+#include <map>
 #include <string>
+#include <vector>
+
+#include "servers/control/endpoint_registry.h"
 
 namespace cassiausher {
 namespace {
@@ -55,6 +60,21 @@
     pool.OnStart(EndpointId(id), Lookup(), now);
     pool.OnFinish(EndpointId(id), Lookup(), outcome, took, now);
   }
+  /// Takes what a control instance sends: its changed records and the silent
+  /// endpoints.
+  void Follow(const EndpointRegistry& registry, const char* control, Time now) {
+    for (const EndpointRecord& sent : registry.ChangedSince(known[control])) {
+      EndpointRecord received;
+      CHECK_TRUE(FromProto(ToProto(sent), &received));
+      pool.Merge(received, now);
+    }
+    known[control] = registry.revision();
+    const std::vector<EndpointId> silent = registry.Silent(now);
+    pool.SetSilent(control, {silent.begin(), silent.end()}, now);
+  }
+
+  /// Known revision of each control instance's registry.
+  std::map<std::string, std::uint64_t> known;
 };
 
 TEST(EndpointPool, PrefersItsOwnDataCentre) {
@@ -426,6 +446,64 @@
   STRCMP_EQUAL("silent", PickId(Lookup(), kStart).c_str());
 }
 
+// A runner crashed without a departure and came back under a new id. Once the
+// control instances had dropped its old record, which ended their reports of
+// its silence, the old id got work again and stayed in the pool for good.
+TEST(EndpointPool, ACrashedEndpointGetsNoWorkAfterItsRecordExpires) {
+  EndpointRegistry registry{EndpointRegistryOptions{}};
+  registry.Update(Plain("crashed", "here"), kStart);
+  for (Time now = kStart; now < kStart + Seconds(600); now += Seconds(1)) {
+    registry.Expire(now);
+    Follow(registry, "c1", now);
+    pool.Expire(now);
+  }
+  const Time later = kStart + Seconds(600);
+  STRCMP_EQUAL("none", PickId(Lookup(), later).c_str());
+  CHECK_TRUE(pool.Find(EndpointId("crashed")) == nullptr);
+}
+
+// Nothing but its heartbeats was lost, so its incarnation is the same.
+TEST(EndpointPool, AnEndpointGetsWorkAgainWithItsHeartbeatsAfterItExpired) {
+  EndpointRegistry registry{EndpointRegistryOptions{}};
+  EndpointRecord record = Plain("cut off", "here");
+  registry.Update(record, kStart);
+  // Its tombstone is still known after 150 s, and no longer after 600 s.
+  Time now = kStart;
+  for (const Duration silence : {Seconds(150), Seconds(600)}) {
+    for (const Time end = now + silence; now < end; now += Seconds(1)) {
+      registry.Expire(now);
+      Follow(registry, "c1", now);
+      pool.Expire(now);
+    }
+    STRCMP_EQUAL("none", PickId(Lookup(), now).c_str());
+    ++record.sequence;
+    CHECK_TRUE(registry.Update(record, now));
+    Follow(registry, "c1", now);
+    STRCMP_EQUAL("cut off", PickId(Lookup(), now).c_str());
+  }
+}
+
+// Control instances that are cut off from an endpoint and from each other drop
+// its record while another one receives its heartbeats. That one sends no new
+// record, since nothing but the sequence number has changed.
+TEST(EndpointPool, AnEndpointThatOneControlInstanceHearsStays) {
+  EndpointRegistry cut_off{EndpointRegistryOptions{}};
+  EndpointRegistry hearing{EndpointRegistryOptions{}};
+  EndpointRecord record = Plain("sound", "here");
+  for (Time now = kStart; now < kStart + Seconds(600); now += Seconds(1)) {
+    if (now < kStart + Seconds(20)) cut_off.Update(record, now);
+    hearing.Update(record, now);
+    ++record.sequence;
+    cut_off.Expire(now);
+    hearing.Expire(now);
+    Follow(cut_off, "c1", now);
+    Follow(hearing, "c2", now);
+    pool.Expire(now);
+    STRCMP_EQUAL("sound", PickId(Lookup(), now).c_str());
+    CHECK_FALSE(pool.Pick(Lookup(), now)->last_resort);
+  }
+}
+
 // The leader ordered a runner to change its role, which the other control
 // instances don't know of. The runner rejects all work until it has changed.
 TEST(EndpointPool, ARunnerThatChangesItsRoleGetsNoWork) {
