Leave the health of an endpoint to calls to its current incarnation

What callers saw: a runner that had restarted under the same id got no work, or too little, while calls to its earlier incarnation failed.

Cause: the pool found the endpoint of a result by its id only, so the results of earlier calls opened the circuit of the new incarnation and counted as its failures.

Change: each call carries the incarnation that it was placed at, set in RequestForwarder::Issue for all kinds of calls. Results and events of an earlier incarnation still take the load off, but leave the health and the exclusion of a full or misplaced endpoint alone. Work without an incarnation counts for the current one.

Result: in the test, four failed calls to the earlier incarnation leave the circuit closed and the load at nothing, for six outcomes; a failed call to the new one opens it.

EachCallNamesTheIncarnationThatItIsPlacedAt was not run against the old code, which lacks the field.

--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -278,7 +278,7 @@
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
   ObserveRateLimit(status);
-  context_.pool->OnResponse(call_->endpoint.id, BootTimeNow());
+  context_.pool->OnResponse(call_->endpoint.id, call_->work, BootTimeNow());
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -35,8 +35,8 @@
     merged = received;
   } else {
     if (received.sequence > known->sequence) merged = received;
-    if (received.sequence == known->sequence)
-      merged.expired |= received.expired;
+    const bool repeated = received.sequence == known->sequence;
+    if (repeated) merged.expired |= received.expired;
     merged.state = std::max(received.state, known->state);
     if (!merged.version) merged.version = known->version;
     if (!merged.version) merged.version = received.version;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -133,6 +133,10 @@
   return entry.record.expired && IsSilent(entry.record.id, now);
 }
 
+bool EndpointPool::IsOfEarlierRun(const WorkSpec& work, const Entry& entry) {
+  return work.incarnation && *work.incarnation != entry.record.incarnation;
+}
+
 Tokens EndpointPool::PrefillCost(const WorkSpec& work) {
   if (!work.prompt_is_prefilled) return work.prompt;
   return Tokens(work.prompt.value() / kDecodeCostDivisor);
@@ -321,7 +325,7 @@
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   found->second.last_event_at = now;
-  found->second.health.OnEvent(now);
+  if (!IsOfEarlierRun(*work, found->second)) found->second.health.OnEvent(now);
   if (!std::exchange(work->streaming, true)) ++found->second.streaming;
 }
 
@@ -331,10 +335,12 @@
   if (std::exchange(work->streaming, false)) --found->second.streaming;
 }
 
-void EndpointPool::OnResponse(const EndpointId& id, Time now) {
+void EndpointPool::OnResponse(const EndpointId& id, const WorkSpec& work,
+                              Time now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
   const Entry& entry = found->second;
+  if (IsOfEarlierRun(work, entry)) return;
   found->second.health.OnResponse({entry.in_flight, entry.in_flight_tokens},
                                   now);
 }
@@ -349,6 +355,7 @@
   if (work.streaming) --entry.streaming;
   entry.in_flight_tokens -= PrefillCost(work);
   entry.memory -= work.memory;
+  if (IsOfEarlierRun(work, entry)) return;
   if (outcome == WorkOutcome::kAbandoned) {
     entry.health.OnCancelled();
     return;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -70,6 +70,9 @@
   std::optional<SoftwareVersion> version;
   /// The call is a stream whose first event has arrived.
   bool streaming = false;
+  /// Incarnation of the endpoint that the call was placed at. Null for the
+  /// current one.
+  std::optional<Incarnation> incarnation;
 };
 
 struct Placement {
@@ -150,7 +153,7 @@
   /// its silence says nothing of the endpoint.
   void OnPaused(const EndpointId& id, WorkSpec* work);
   /// The endpoint began to respond to a call.
-  void OnResponse(const EndpointId& id, Time now);
+  void OnResponse(const EndpointId& id, const WorkSpec& work, Time now);
   /// `took` is the time to the response, or to the first event of a stream.
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
@@ -211,6 +214,9 @@
     EndpointHealth health;
   };
 
+  /// Whether the work was placed at an earlier incarnation, whose results say
+  /// nothing of the current one.
+  static bool IsOfEarlierRun(const WorkSpec& work, const Entry& entry);
   static Tokens PrefillCost(const WorkSpec& work);
   Duration ExpectedTime(const Entry& entry, const WorkSpec& work,
                         Time now) const;
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -471,6 +471,7 @@
   ++calls_;
   UsePermit(call.endpoint.id);
   current_ = call.kind;
+  call.work.incarnation = call.endpoint.incarnation;
   current_endpoint_ = call.endpoint.id;
   current_version_ = call.endpoint.version;
   return call;
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -262,7 +262,7 @@
   const Time goes_on = kStart + Milliseconds(1200);
   for (int i = 0; i < 3; ++i) pool.OnStart(silent.id, prompt, kStart);
   for (int i = 0; i < 3; ++i) {
-    pool.OnResponse(silent.id, goes_on);
+    pool.OnResponse(silent.id, prompt, goes_on);
     pool.OnFinish(silent.id, prompt, WorkOutcome::kDone, goes_on - kStart,
                   goes_on);
   }
@@ -654,6 +654,47 @@
   CHECK_TRUE(pool.OwnLoads().empty());
 }
 
+// Runners that restarted under the same id got no work, since calls to their
+// earlier incarnation failed after it.
+TEST(EndpointPool, ResultsOfAnEarlierIncarnationDontChangeTheHealth) {
+  for (const WorkOutcome outcome :
+       {WorkOutcome::kUnreachable, WorkOutcome::kServerError,
+        WorkOutcome::kSilent, WorkOutcome::kExcessive, WorkOutcome::kRejected,
+        WorkOutcome::kMisplaced}) {
+    EndpointPool other{
+        EndpointPoolOptions{.data_centre = DataCentreId("here")}};
+    EndpointRecord record = Decoder("restarted");
+    other.Merge(record, kStart);
+    EndpointRecord sound = Decoder("sound");
+    sound.data_centre = DataCentreId("there");
+    other.Merge(sound, kStart);
+    WorkSpec work = Stream();
+    work.incarnation = record.incarnation;
+    for (int i = 0; i < 4; ++i) other.OnStart(record.id, work, kStart);
+    WorkSpec streaming = work;
+    other.OnEvent(record.id, kStart, &streaming);
+    record.incarnation = Incarnation(2);
+    other.Merge(record, kStart);
+    other.OnResponse(record.id, work, kStart + Milliseconds(20));
+    const Time end = kStart + Milliseconds(30);
+    for (int i = 0; i < 3; ++i) {
+      other.OnFinish(record.id, work, outcome, Milliseconds(30), end);
+    }
+    other.OnFinish(record.id, streaming, outcome, Milliseconds(30), end);
+    CHECK_TRUE(other.OwnLoads().empty());
+    CHECK_TRUE(other.OpenFor(record.id, end) == Duration(0));
+    const auto placed = other.Pick(Stream(), end);
+    STRCMP_EQUAL("restarted", placed->endpoint.id.value().c_str());
+    CHECK_FALSE(placed->last_resort);
+    // Those of the new incarnation count.
+    work.incarnation = record.incarnation;
+    other.OnStart(record.id, work, end);
+    other.OnFinish(record.id, work, WorkOutcome::kUnreachable, Milliseconds(30),
+                   end);
+    CHECK_TRUE(other.OpenFor(record.id, end) > Duration(0));
+  }
+}
+
 // Guards against guessing the version that began a stream while more than one
 // may have (incident software-versions).
 TEST(EndpointPool, ASoleVersionIsOneThatAllEndpointsHadForLong) {
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -163,6 +163,23 @@
   CHECK_TRUE(retries <= 20);
 }
 
+// Without it the pool counts the results of each call as the current
+// incarnation's.
+TEST(RequestForwarder, EachCallNamesTheIncarnationThatItIsPlacedAt) {
+  AddRunners();
+  AddPlain(1);
+  SetVersion("prefill", EndpointRole::kPrefill, "v");
+  SetVersion("decode1", EndpointRole::kDecode, "v");
+  SetVersion("decode2", EndpointRole::kDecode, "v");
+  SetVersion("p0", EndpointRole::kPlain, "v");
+  RequestForwarder stream = Make(StreamFacts(false));
+  CHECK_TRUE(Call(stream.Start(kStart)).work.incarnation == Incarnation(2));
+  const ForwardStep run = stream.OnPrefillDone(Cache(), kStart);
+  CHECK_TRUE(Call(run).work.incarnation == Incarnation(2));
+  RequestForwarder plain = Make(Facts(RouteKind::kIdempotent, 2));
+  CHECK_TRUE(Call(plain.Start(kStart)).work.incarnation == Incarnation(2));
+}
+
 TEST(RequestForwarder, APromptIsPrefilledThenDecoded) {
   AddRunners();
   RequestForwarder forwarder = Make(StreamFacts(false));
