--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -70,6 +70,9 @@
   std::optional<SoftwareVersion> version;
   /// The call is a stream whose first event has arrived.
   bool streaming = false;
+  /// Incarnation of the endpoint that the call was placed at. Null for the
+  /// current one.
+  std::optional<Incarnation> incarnation;
 };
 
 struct Placement {
@@ -102,7 +105,8 @@
  public:
   explicit EndpointPool(EndpointPoolOptions options);
 
-  /// Adds an endpoint, or updates it if `update` is newer than its record.
+  /// Adds an endpoint, or updates it if `update` is newer than its record. An
+  /// expired record adds none.
   void Merge(const EndpointRecord& update, Time now);
   /// Replaces the set of endpoints that `control` reports as silent.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
@@ -119,7 +123,8 @@
   /// Returns and clears the load that this instance placed on model runners
   /// and that the others don't know yet.
   EndpointLoads TakePlaced() { return std::exchange(placed_, {}); }
-  /// Drops departed endpoints and reports of silent ones that are out of date.
+  /// Drops departed endpoints and reports of silent ones that are out of date,
+  /// and expired endpoints without work in progress.
   void Expire(Time now);
 
   /// Picks `work.reserved_at` if it is usable, that is, has a score below the
@@ -148,7 +153,7 @@
   /// its silence says nothing of the endpoint.
   void OnPaused(const EndpointId& id, WorkSpec* work);
   /// The endpoint began to respond to a call.
-  void OnResponse(const EndpointId& id, Time now);
+  void OnResponse(const EndpointId& id, const WorkSpec& work, Time now);
   /// `took` is the time to the response, or to the first event of a stream.
   void OnFinish(const EndpointId& id, const WorkSpec& work, WorkOutcome outcome,
                 Duration took, Time now);
@@ -209,12 +214,19 @@
     EndpointHealth health;
   };
 
+  /// Whether the work was placed at an earlier incarnation, whose results say
+  /// nothing of the current one.
+  static bool IsOfEarlierRun(const WorkSpec& work, const Entry& entry);
   static Tokens PrefillCost(const WorkSpec& work);
   Duration ExpectedTime(const Entry& entry, const WorkSpec& work,
                         Time now) const;
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  /// Whether the record has expired and no control instance reports hearing the
+  /// endpoint. The record of one that is cut off from it may expire while
+  /// another instance receives its heartbeats and has no change to publish.
+  bool HasExpired(const Entry& entry, Time now) const;
   /// Whether none of the endpoint's streams had an event lately.
   static bool IsQuiet(const Entry& entry, Time now);
   /// Whether the endpoint is used only if there is no other.
