--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -1,32 +1,8 @@
 #include "servers/control/endpoint_record.h"
 
-#include <google/protobuf/unknown_field_set.h>
-
 #include <algorithm>
 
 namespace cassiausher {
-namespace {
-
-// Number of the field `expired`, which the generated code doesn't know yet.
-constexpr int kExpiredField = 11;
-
-void SetExpired(proto::EndpointRecord* message) {
-  message->GetReflection()->MutableUnknownFields(message)->AddVarint(
-      kExpiredField, 1);
-}
-
-bool IsExpired(const proto::EndpointRecord& message) {
-  const auto& fields = message.GetReflection()->GetUnknownFields(message);
-  for (int i = 0; i < fields.field_count(); ++i) {
-    const auto& field = fields.field(i);
-    if (field.number() != kExpiredField) continue;
-    if (field.type() != google::protobuf::UnknownField::TYPE_VARINT) continue;
-    if (field.varint() != 0) return true;
-  }
-  return false;
-}
-
-}  // namespace
 
 bool Merge(const EndpointRecord& received, EndpointRecord* known) {
   if (received.incarnation < known->incarnation) return false;
@@ -87,7 +63,7 @@
   message.set_slots(record.slots);
   message.set_born_ms(record.incarnation.value());
   message.set_sequence(record.sequence);
-  if (record.expired) SetExpired(&message);
+  message.set_expired(record.expired);
   if (record.version) message.set_software_version(record.version->value());
   return message;
 }
@@ -107,7 +83,7 @@
              .version = std::nullopt,
              .incarnation = Incarnation(message.born_ms()),
              .sequence = message.sequence(),
-             .expired = IsExpired(message)};
+             .expired = message.expired()};
   if (message.has_software_version()) {
     record->version = SoftwareVersion(message.software_version());
   }
