Limit the size and the number of endpoints' heartbeats

Cause: strings of heartbeats had no limit of length, and the registry none of its records. Each record is also sent to all control and entry instances.

Change: a body above 64 KiB or a string above 256 bytes is refused with 400 and the name of the field. The registry holds at most 20,000 records; a heartbeat of a new id beyond them is refused with 503 and Retry-After, and a record of another control instance is dropped and logged (records_refused).

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -6,7 +6,6 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
-#include "main/error_body.h"
 #include "main/node_messages.h"
 #include "main/origin_messages.h"
 #include "platform/runner_calls.h"
@@ -32,6 +31,9 @@
 // peers and for the reader of the log, up to 200 ms each.
 constexpr Duration kExitMargin = Milliseconds(700);
 
+// Room appears only as endpoints expire.
+constexpr Duration kRegistryFullRetryAfter = Seconds(10);
+
 constexpr const char* kJson = "application/json";
 
 }  // namespace
@@ -151,17 +153,34 @@
   Findings findings;
   const auto record = ReadHeartbeat(id, exchange.body(), &findings);
   if (!record.has_value()) {
-    refused_heartbeats_.Add();
-    Log(LogLevel::kWarning, "heartbeat_refused",
-        {{"endpoint", id.value()}, {"findings", ToString(findings)}});
-    RespondControlError(exchange, 400, "heartbeat", ToString(findings));
-    return;
+    return RefuseHeartbeat(id, exchange,
+                           {.status = 400,
+                            .type = "invalid_request",
+                            .code = "heartbeat",
+                            .message = ToString(findings)});
+  }
+  if (!registry_.HasRoomFor(id)) {
+    return RefuseHeartbeat(id, exchange,
+                           {.status = 503,
+                            .type = "unavailable",
+                            .code = "endpoints",
+                            .message = "too many endpoints are known",
+                            .not_run = true,
+                            .retry_after = kRegistryFullRetryAfter});
   }
   const bool changed = registry_.Update(*record, BootTimeNow());
   if (changed) PublishRegistryChange(*registry_.Find(id));
   exchange.Respond(200, kJson, "{}");
 }
 
+void ControlNode::RefuseHeartbeat(const EndpointId& id, HttpExchange& exchange,
+                                  const ErrorAnswer& error) {
+  refused_heartbeats_.Add();
+  Log(LogLevel::kWarning, "heartbeat_refused",
+      {{"endpoint", id.value()}, {"findings", error.message}});
+  RespondError(exchange, error);
+}
+
 void ControlNode::OnDeparture(const EndpointId& id, HttpExchange& exchange) {
   if (registry_.MarkDeparted(id, BootTimeNow())) {
     PublishRegistryChange(*registry_.Find(id));
@@ -384,14 +403,20 @@
   control.learned_at = now;
   control.heard_at = now;
   bool changed = false;
+  int refused = 0;
   for (const proto::EndpointRecord& message : sync.records()) {
     EndpointRecord record;
     if (!cassiausher::FromProto(message, &record)) {
       Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
       continue;
     }
+    if (!registry_.HasRoomFor(record.id)) ++refused;
     changed |= registry_.Update(record, now);
   }
+  if (refused > 0) {
+    Log(LogLevel::kWarning, "records_refused",
+        {{"from", from.value()}, {"records", refused}});
+  }
   if (changed) followers_.OnChange(now);
   OnNotice(sync.notice(), now);
   AddControls(sync.control_instances());
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -17,6 +17,7 @@
 #include "core/time.h"
 #include "drivers/http_server.h"
 #include "main/configuration_log.h"
+#include "main/error_body.h"
 #include "main/follower_updates.h"
 #include "main/node_link.h"
 #include "main/node_settings.h"
@@ -70,6 +71,9 @@
   // HTTP calls.
   void OnCall(HttpExchangePtr exchange);
   void OnHeartbeat(const EndpointId& id, HttpExchange& exchange);
+  /// Counts, logs and answers a heartbeat that isn't used.
+  void RefuseHeartbeat(const EndpointId& id, HttpExchange& exchange,
+                       const ErrorAnswer& error);
   void OnDeparture(const EndpointId& id, HttpExchange& exchange);
   void OnPut(HttpExchangePtr exchange);
 
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -3,6 +3,7 @@
 namespace cassiausher {
 
 bool EndpointRegistry::Update(const EndpointRecord& received, Time now) {
+  if (!HasRoomFor(received.id)) return false;
   const auto [found, added] =
       entries_.try_emplace(received.id, Entry{.record = received});
   Entry& entry = found->second;
@@ -16,6 +17,10 @@
   return changed;
 }
 
+bool EndpointRegistry::HasRoomFor(const EndpointId& id) const {
+  return entries_.size() < options_.max_records || entries_.contains(id);
+}
+
 bool EndpointRegistry::MarkDeparted(const EndpointId& id, Time now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return false;
--- a/servers/control/endpoint_registry.h
+++ b/servers/control/endpoint_registry.h
@@ -3,6 +3,7 @@
 #ifndef SERVERS_CONTROL_ENDPOINT_REGISTRY_H_
 #define SERVERS_CONTROL_ENDPOINT_REGISTRY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -20,6 +21,9 @@
   /// departure. Must exceed the longest delay of a heartbeat, which would
   /// otherwise bring a departed endpoint back.
   Duration expire_after = Seconds(120);
+  /// Bounds the memory of the process and the messages to other instances. Far
+  /// above a site's endpoints, which are a few hundred.
+  std::size_t max_records = 20000;
 };
 
 /// Latest known record of each endpoint. Not thread safe.
@@ -29,8 +33,11 @@
       : options_(options) {}
 
   /// Merges a record from a heartbeat or from another control instance. Returns
-  /// whether followers must be told of a change.
+  /// whether followers must be told of a change; false for a record that
+  /// there is no room for.
   bool Update(const EndpointRecord& received, Time now);
+  /// Whether the id is known or a new one is within `max_records`.
+  bool HasRoomFor(const EndpointId& id) const;
   /// Marks an endpoint that announced its departure. Returns whether its state
   /// changed; false for an unknown id.
   bool MarkDeparted(const EndpointId& id, Time now);
@@ -64,6 +71,7 @@
   EndpointRegistryOptions options_;
   /// Invariant: no entry's `changed_at` exceeds the revision.
   std::uint64_t revision_ = 0;
+  /// Invariant: at most `max_records` entries.
   std::map<EndpointId, Entry> entries_;
 };
 
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -1,11 +1,13 @@
 // Guards against a departed or draining endpoint that becomes ready again, a
-// delayed heartbeat that overwrites newer state, and control instances that
-// disagree after they received the same records in different orders.
+// delayed heartbeat that overwrites newer state, records without a limit, and
+// control instances that disagree after they received the same records in
+// different orders.
 #include "servers/control/endpoint_registry.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
+#include <string>
 #include <vector>
 
 #include "core/random.h"
@@ -137,6 +139,23 @@
   CHECK_EQUAL(0u, registry.size());
 }
 
+// Heartbeats of ever new ids would otherwise fill the memory of the process.
+TEST(EndpointRegistry, NewEndpointsBeyondTheLimitAreNotAdded) {
+  EndpointRecord record = Runner(1, 1);
+  for (int i = 0; i < 20001; ++i) {
+    record.id = EndpointId(std::to_string(i));
+    registry.Update(record, kStart);
+  }
+  CHECK_EQUAL(20000u, registry.size());
+  CHECK_TRUE(registry.Find(record.id) == nullptr);
+  CHECK_EQUAL(20000u, registry.revision());
+  CHECK_FALSE(registry.HasRoomFor(record.id));
+  record = Runner(1, 2, EndpointLifecycle::kDraining);
+  record.id = EndpointId("7");
+  CHECK_TRUE(registry.HasRoomFor(record.id));
+  CHECK_TRUE(registry.Update(record, kStart));
+}
+
 TEST(EndpointRegistry, RegistriesAgreeInAnyOrderOfRecords) {
   for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
     Random random(seed);
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -1,7 +1,7 @@
 // Guards against control instances that send the configuration again with each
-// change of the registry, and against entry instances that answer by a version
-// which they know is not the newest. Real sockets on loopback; each instance
-// has an address of its own in 127.0.0.0/8.
+// change of the registry or take heartbeats without limit, and against entry
+// instances that answer by a version which they know is not the newest. Real
+// sockets on loopback; each instance has an address of its own in 127.0.0.0/8.
 #include <CppUTest/TestHarness.h>
 #include <stdlib.h>
 
@@ -242,6 +242,14 @@
   CHECK_TRUE(received_bytes < document.size());
 }
 
+// Guards against a control instance that keeps heartbeats of any size.
+TEST(NodeRoles, OversizedHeartbeatIsRefused) {
+  StartControl();
+  LONGS_EQUAL(200, Call("PUT", "/api/instances/e1", Heartbeat(1)));
+  const std::string long_body = Heartbeat(1) + std::string(64 * 1024, ' ');
+  LONGS_EQUAL(400, Call("PUT", "/api/instances/e1", long_body));
+}
+
 TEST(NodeRoles, DocumentIsDeliveredOnRequest) {
   StartControl();
   std::string compressed;
--- a/tests/platform/runner_calls_test.cc
+++ b/tests/platform/runner_calls_test.cc
@@ -1,10 +1,11 @@
-// Guards the registry against malformed heartbeats, and against values of valid
-// heartbeats that are lost.
+// Guards the registry against malformed and oversized heartbeats, and against
+// values of valid heartbeats that are lost.
 #include "platform/runner_calls.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <string>
+#include <tuple>
 
 namespace cassiausher {
 namespace {
@@ -78,6 +79,35 @@
   }
 }
 
+// Control instances keep these strings and send them to other instances.
+TEST(RunnerCalls, OversizedStringIsRejectedWithTheNameOfItsField) {
+  const std::string text(257, '1');
+  for (const auto& [field, from, to] :
+       {std::tuple{"service", "\"s\"", "\"" + text + "\""},
+        std::tuple{"address", "10.0.0.9:80", text + ":80"},
+        std::tuple{"zone", "\"z\"", "\"" + text + "\""},
+        std::tuple{"version", "\"v1\"", "\"" + text + "\""},
+        std::tuple{"models", "\"m\"", "\"" + text + "\""}}) {
+    findings = {};
+    CHECK_FALSE(Read(Replaced(kHeartbeatBody, from, to)).has_value());
+    STRCMP_EQUAL(field, findings.items().front().place.c_str());
+  }
+  findings = {};
+  CHECK_FALSE(
+      ReadHeartbeat(EndpointId(text), kHeartbeatBody, &findings).has_value());
+  STRCMP_EQUAL("id", findings.items().front().place.c_str());
+  CHECK_TRUE(
+      Read(Replaced(kHeartbeatBody, "v1", std::string(256, 'v'))).has_value());
+}
+
+TEST(RunnerCalls, OversizedBodyIsRejected) {
+  const std::string body = kHeartbeatBody;
+  const std::string padding(64 * 1024 - body.size(), ' ');
+  CHECK_TRUE(Read(body + padding).has_value());
+  CHECK_FALSE(Read(body + padding + " ").has_value());
+  STRCMP_EQUAL("body", findings.items().front().place.c_str());
+}
+
 TEST(RunnerCalls, TheSoftwareVersionIsOptionalButMustBeText) {
   const auto version_of = [](const std::string& field) {
     Findings findings;
