Name the variables of the node fixture as the linter wants them

The values depend on the process, so they are no constants. clang-tidy finds nothing in the three files that include the header; node_roles_tests: 20 passed.

--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/entry_drain_test.cc
@@ -69,7 +69,7 @@
   Start(kShortGrace);
   HttpCall readiness = MakeCall("GET", "/api/ready", "");
   readiness.url =
-      "http://" + kNodeIp + ":" + std::to_string(kReadinessPort) + "/api/ready";
+      "http://" + node_ip + ":" + std::to_string(kReadinessPort) + "/api/ready";
   LONGS_EQUAL(200, Call(readiness));
   ShutDown();
   LONGS_EQUAL(0, Call("GET", "/0/", ""));
--- a/tests/main/node_fixture.h
+++ b/tests/main/node_fixture.h
@@ -27,10 +27,10 @@
 inline constexpr std::uint16_t kHttpPort = 21931;
 inline constexpr std::uint16_t kReadinessPort = 21932;
 // Depend on the process, so that runs of several builds don't meet.
-inline const std::string kIpPrefix =
+inline const std::string ip_prefix =
     "127." + std::to_string(16 + getpid() % 200) + ".20.";
-inline const std::string kNodeIp = kIpPrefix + "1";
-inline const std::string kPeerIp = kIpPrefix + "2";
+inline const std::string node_ip = ip_prefix + "1";
+inline const std::string peer_ip = ip_prefix + "2";
 
 inline NodeSettings SettingsOf(const std::string& ip) {
   NodeSettings settings;
@@ -55,7 +55,7 @@
   record.set_id(id);
   record.set_service("s");
   record.set_role(proto::ENDPOINT_ROLE_PLAIN);
-  record.set_address(kNodeIp + ":" + std::to_string(port));
+  record.set_address(node_ip + ":" + std::to_string(port));
   record.set_data_centre(data_centre);
   record.set_slots(4);
   record.set_born_ms(1);
@@ -126,7 +126,7 @@
     context = g_main_context_new();
     g_main_context_push_thread_default(context);
     client = std::make_unique<HttpClient>();
-    peer = std::make_unique<Peer>(kPeerIp);
+    peer = std::make_unique<Peer>(peer_ip);
     STRCMP_EQUAL("", peer->link.Listen(context).c_str());
   }
 
@@ -157,7 +157,7 @@
   static HttpCall MakeCall(const std::string& method, const std::string& path,
                            const std::string& body) {
     return {.method = method,
-            .url = "http://" + kNodeIp + ":" + std::to_string(kHttpPort) + path,
+            .url = "http://" + node_ip + ":" + std::to_string(kHttpPort) + path,
             .headers = {{"Host", "a.example"}},
             .body = body,
             .new_connection = true};
@@ -177,17 +177,17 @@
 
   std::uint16_t StartServer(HttpServer::Handler handler) {
     servers.push_back(std::make_unique<HttpServer>(
-        HttpServerOptions{.address = kNodeIp}, std::move(handler),
+        HttpServerOptions{.address = node_ip}, std::move(handler),
         [](int, std::string_view message) { return std::string(message); }));
     STRCMP_EQUAL("", servers.back()->Listen(context).c_str());
     return servers.back()->port();
   }
 
   void StartEntry(Duration shutdown_grace = NodeSettings().shutdown_grace) {
-    NodeSettings settings = SettingsOf(kNodeIp);
-    settings.callers = SocketAddress{kNodeIp, kHttpPort};
-    settings.readiness = SocketAddress{kNodeIp, kReadinessPort};
-    settings.seeds = {SocketAddress{kPeerIp, kHttpPort}};
+    NodeSettings settings = SettingsOf(node_ip);
+    settings.callers = SocketAddress{node_ip, kHttpPort};
+    settings.readiness = SocketAddress{node_ip, kReadinessPort};
+    settings.seeds = {SocketAddress{peer_ip, kHttpPort}};
     settings.shutdown_grace = shutdown_grace;
     entry = std::make_unique<EntryNode>(settings, codec, metrics, context);
     STRCMP_EQUAL("", entry->Start().c_str());
@@ -227,7 +227,7 @@
         record->set_slots(slots);
         record->set_software_version("v1");
       }
-      peer->link.Send(InstanceId(kNodeIp), answer);
+      peer->link.Send(InstanceId(node_ip), answer);
     };
     CHECK_TRUE(RunUntil([&] { return applied; }));
     peer->on_message = nullptr;
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -48,11 +48,11 @@
   }
 
   /// `seeds` bootstrap the log; with several, the control node has no leader.
-  void StartControl(const std::vector<std::string>& seeds = {kNodeIp}) {
+  void StartControl(const std::vector<std::string>& seeds = {node_ip}) {
     static const bool registered = (RegisterFileLog(), true);
     CHECK_TRUE(registered);
-    NodeSettings settings = SettingsOf(kNodeIp);
-    settings.control = SocketAddress{kNodeIp, kHttpPort};
+    NodeSettings settings = SettingsOf(node_ip);
+    settings.control = SocketAddress{node_ip, kHttpPort};
     for (const std::string& seed : seeds) {
       settings.seeds.push_back({seed, kHttpPort});
     }
@@ -66,7 +66,7 @@
     proto::NodeMessage message;
     auto* sync = message.mutable_sync();
     if (members.commit() > 0) *sync->mutable_members() = members;
-    peer->link.Send(InstanceId(kNodeIp), message);
+    peer->link.Send(InstanceId(node_ip), message);
     RunFor(Milliseconds(100));
   }
   void LearnMembers() {
@@ -84,7 +84,7 @@
   /// Puts the peer in the place of the control node.
   void ReplaceVoter() {
     members.set_commit(members.commit() + 1);
-    members.mutable_configuration()->mutable_voters(0)->set_instance(kPeerIp);
+    members.mutable_configuration()->mutable_voters(0)->set_instance(peer_ip);
   }
 };
 
@@ -110,7 +110,7 @@
     if (answers > 0) return true;
     proto::NodeMessage follow;
     follow.mutable_follow();
-    peer->link.Send(InstanceId(kNodeIp), follow);
+    peer->link.Send(InstanceId(node_ip), follow);
     RunFor(Milliseconds(100));
     return answers > 0;
   }));
@@ -145,7 +145,7 @@
   CHECK_TRUE(RunUntil([&] {
     proto::NodeMessage fetch;
     fetch.mutable_fetch_configuration()->set_version(1);
-    peer->link.Send(InstanceId(kNodeIp), fetch);
+    peer->link.Send(InstanceId(node_ip), fetch);
     RunFor(Milliseconds(100));
     return !compressed.empty();
   }));
@@ -199,7 +199,7 @@
 // Guards against a control instance that answers no operator because it is a
 // spare: it isn't a member of the log and hears nothing from the leader's Raft.
 TEST(NodeRoles, SpareSendsOperatorsCallsToTheLeader) {
-  StartControl({kNodeIp, kPeerIp});
+  StartControl({node_ip, peer_ip});
   peer->on_message = [&](const proto::NodeMessage& message) {
     if (!message.has_read_current()) return;
     proto::NodeMessage answer;
@@ -208,7 +208,7 @@
     result->set_served(true);
     result->mutable_document()->set_version(3);
     result->mutable_document()->set_document("{}");
-    peer->link.Send(InstanceId(kNodeIp), answer);
+    peer->link.Send(InstanceId(node_ip), answer);
   };
   CHECK_TRUE(RunUntil([&] {
     proto::NodeMessage message;
@@ -216,9 +216,9 @@
     members->set_commit(5);
     members->mutable_configuration()->set_group(1);
     auto* voter = members->mutable_configuration()->add_voters();
-    voter->set_instance(kPeerIp);
+    voter->set_instance(peer_ip);
     voter->set_storage(1);
-    peer->link.Send(InstanceId(kNodeIp), message);
+    peer->link.Send(InstanceId(node_ip), message);
     RunFor(Milliseconds(100));
     return Call("GET", "/api/config", "") == 200;
   }));
@@ -229,7 +229,7 @@
 // change was acknowledged before it was committed, and a read showed an older
 // version.
 TEST(NodeRoles, AnswersToAnEarlierProcessAreIgnored) {
-  StartControl({kNodeIp, kPeerIp});
+  StartControl({node_ip, peer_ip});
   GSource* timer = g_timeout_source_new(50);
   g_source_set_callback(
       timer,
@@ -239,12 +239,12 @@
           proto::NodeMessage submitted;
           submitted.mutable_submit_result()->set_submission(id);
           submitted.mutable_submit_result()->set_committed(true);
-          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), submitted);
+          static_cast<Peer*>(data)->link.Send(InstanceId(node_ip), submitted);
           proto::NodeMessage read;
           read.mutable_read_result()->set_read(id);
           read.mutable_read_result()->set_served(true);
           read.mutable_read_result()->mutable_document()->set_version(1);
-          static_cast<Peer*>(data)->link.Send(InstanceId(kNodeIp), read);
+          static_cast<Peer*>(data)->link.Send(InstanceId(node_ip), read);
         }
         return G_SOURCE_CONTINUE;
       },
@@ -285,7 +285,7 @@
     update->mutable_configuration()->set_document(Document(1, 1));
     update->mutable_notice()->set_newest_version(2);
     update->mutable_notice()->set_confirmed_ms_ago(0);
-    peer->link.Send(InstanceId(kNodeIp), answer);
+    peer->link.Send(InstanceId(node_ip), answer);
   };
   CHECK_TRUE(RunUntil([&] { return applied; }));
   LONGS_EQUAL(503, Call("GET", "/1/", ""));
@@ -318,7 +318,7 @@
     update->mutable_configuration()->set_document(Document(1, 1));
     *update->add_records() = Endpoint("silent", "dc1", silent_port);
     *update->add_records() = Endpoint("sound", "dc2", sound_port);
-    peer->link.Send(InstanceId(kNodeIp), answer);
+    peer->link.Send(InstanceId(node_ip), answer);
   };
   CHECK_TRUE(RunUntil([&] { return applied; }));
   LONGS_EQUAL(200, Call("GET", "/0/", ""));
