Share crash evidence with two control instances, in bounded messages

Cause: each break-off of an answer was sent at once to every peer, with all calls of its crash, and entry instances passed on what they had learned: instances times changes.

--- a/main/crash_client.cc
+++ b/main/crash_client.cc
@@ -26,7 +26,8 @@
       active_(metrics.gauge("crash_verdicts")),
       evidence_({}),
       guard_({.random_seed = random_seed}, &evidence_),
-      exchange_(self, &evidence_, link) {}
+      exchange_({.self = self, .scope = EvidenceScope::kObservedHere},
+                &evidence_, link) {}
 
 bool CrashClient::Leaves(const EndpointRecord& endpoint) const {
   const EndpointRecord* record = pool_->Find(endpoint.id);
--- a/main/crash_service.h
+++ b/main/crash_service.h
@@ -19,7 +19,7 @@
 class CrashService {
  public:
   CrashService(Incarnation self, NodeLink* link)
-      : evidence_({}), exchange_(self, &evidence_, link) {}
+      : evidence_({}), exchange_({.self = self}, &evidence_, link) {}
 
   // Operators' calls.
   /// Answers with the verdicts that hold here, as JSON.
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -330,7 +330,9 @@
 void EntryNode::OnUpdate(const InstanceId& from, Incarnation process,
                          const proto::Update& update) {
   const Time now = BootTimeNow();
-  if (update.shares_crashes()) crashes_.OnPeer(from, process, now);
+  if (update.shares_crashes() && evidence_partners_.contains(from)) {
+    crashes_.OnPeer(from, process, now);
+  }
   const bool connected = controls_.OnUpdate(
       from,
       {.process = Incarnation(update.registry_epoch()),
@@ -425,13 +427,15 @@
          {"silent_ms", ToMilliseconds(now - heard_at)}});
   }
   load_source_ = controls_.LoadSource();
+  const std::vector<InstanceId> partners = controls_.EvidencePartners();
+  evidence_partners_ = {partners.begin(), partners.end()};
   UseControls(now);
   for (const auto& [instance, control] : controls_.controls()) {
     proto::NodeMessage message;
     proto::Follow* follow = message.mutable_follow();
     follow->set_configuration_version(configuration_.version().value());
     follow->set_fetches_configuration(true);
-    follow->set_shares_crashes(true);
+    follow->set_shares_crashes(evidence_partners_.contains(instance));
     follow->set_registry_epoch(control.process.value());
     follow->set_registry_revision(control.registry_revision);
     follow->set_last_received(control.last_received);
--- a/main/entry_node.h
+++ b/main/entry_node.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -122,6 +123,7 @@
   GSourcePtr timer_;
   GSourcePtr batch_timer_;
   InstanceId load_source_;
+  std::set<InstanceId> evidence_partners_;
   Time next_expiry_{};
   /// Set by Shutdown().
   std::function<void()> on_done_;
--- a/servers/crashes/crash_evidence.cc
+++ b/servers/crashes/crash_evidence.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
-#include <limits>
+#include <utility>
 
 namespace cassiausher {
 namespace {
@@ -24,25 +24,64 @@
   return supersedes;
 }
 
-template <typename Key>
-std::vector<std::pair<std::uint64_t, Key>> ChangedKeys(
-    const std::map<Key, std::uint64_t>& changed, std::uint64_t revision) {
-  std::vector<std::pair<std::uint64_t, Key>> keys;
-  for (const auto& [key, at] : changed) {
-    if (at > revision) keys.emplace_back(at, key);
+// Collects changed records, those of one run of an endpoint together.
+class ChangesBuilder {
+ public:
+  explicit ChangesBuilder(const std::map<EndpointRun, Crash>& crashes)
+      : crashes_(crashes) {}
+
+  void AddRun(const EndpointRun& run) { RecordOf(run); }
+
+  void AddCall(const EndpointRun& run, const CallTraits& call) {
+    CrashRecord& record = RecordOf(run);
+    record.crash.calls[call] = crashes_.at(run).calls.at(call);
+    traits_ += call.size();
   }
-  std::sort(keys.begin(), keys.end());
-  return keys;
-}
 
-constexpr std::uint64_t kNoRevision = std::numeric_limits<std::uint64_t>::max();
+  void AddMark(MarkRecord record) {
+    changes_.marks.push_back(std::move(record));
+    ++traits_;
+  }
 
-template <typename Key>
-std::uint64_t RevisionAt(
-    typename std::vector<std::pair<std::uint64_t, Key>>::const_iterator it,
-    const std::vector<std::pair<std::uint64_t, Key>>& keys) {
-  return it == keys.end() ? kNoRevision : it->first;
-}
+  void AddCause(const Cause& cause) {
+    changes_.causes.push_back(cause);
+    traits_ += cause.traits.size();
+  }
+
+  std::size_t traits() const { return traits_; }
+
+  EvidenceChanges Build(std::uint64_t revision) && {
+    for (CrashRecord& record : changes_.crashes) {
+      if (!record.crash.calls.empty()) continue;
+      // Earlier builds ignore a crash without calls.
+      record.crash.calls.insert(*crashes_.at(record.run).calls.begin());
+    }
+    changes_.revision = revision;
+    return std::move(changes_);
+  }
+
+ private:
+  CrashRecord& RecordOf(const EndpointRun& run) {
+    const auto [found, added] =
+        positions_.try_emplace(run, changes_.crashes.size());
+    if (added) {
+      const Crash& crash = crashes_.at(run);
+      changes_.crashes.push_back(
+          {run,
+           {.service = crash.service,
+            .refuses_connections = crash.refuses_connections,
+            .alive_at = crash.alive_at}});
+      ++traits_;
+    }
+    return changes_.crashes[found->second];
+  }
+
+  const std::map<EndpointRun, Crash>& crashes_;
+  EvidenceChanges changes_;
+  /// Of the runs' records in `changes_.crashes`.
+  std::map<EndpointRun, std::size_t> positions_;
+  std::size_t traits_ = 0;
+};
 
 }  // namespace
 
@@ -71,7 +110,7 @@
         });
     // Another copy may send a crash again that was forgotten here.
     if (at <= oldest->second.calls.begin()->second) return nullptr;
-    crash_changed_.erase(oldest->first);
+    EraseChanges(oldest->first, oldest->second);
     crashes_.erase(oldest);
   }
   Crash& crash = crashes_[run];
@@ -81,7 +120,8 @@
 
 void CrashEvidence::AddCall(const EndpointRun& run, TraitId service,
                             const CallTraits& call, Time now) {
-  MergeCrash({run, {.service = service, .calls = {{call, now}}}});
+  MergeCrash({run, {.service = service, .calls = {{call, now}}}},
+             /*observed_here=*/true);
 }
 
 void CrashEvidence::OnAlive(const EndpointRun& run, Time began) {
@@ -90,14 +130,14 @@
   const std::optional<Time> crashed_at = CrashedAt(found->second);
   if (!crashed_at.has_value() || *crashed_at >= began) return;
   found->second.alive_at = began;
-  OnChanged(run);
+  log_.Add(run, /*observed_here=*/true);
 }
 
 void CrashEvidence::OnRefusedConnection(const EndpointRun& run) {
   const auto found = crashes_.find(run);
   if (found == crashes_.end() || found->second.refuses_connections) return;
   found->second.refuses_connections = true;
-  OnChanged(run);
+  log_.Add(run, /*observed_here=*/true);
 }
 
 void CrashEvidence::OnSound(TraitId trait, Time now) {
@@ -105,18 +145,20 @@
   TraitMark& mark = marks_[trait];
   if (!IsLater(now, mark.sound_at, options_.mark_precision)) return;
   mark.sound_at = now;
-  OnChanged(trait);
+  log_.Add(trait, /*observed_here=*/true);
 }
 
 void CrashEvidence::Lift(const CallTraits& traits, Time now) {
   for (const TraitId trait : traits) {
     marks_[trait].lifted_at = now;
-    OnChanged(trait);
+    log_.Add(trait, /*observed_here=*/true);
   }
 }
 
 void CrashEvidence::Merge(const EvidenceChanges& changes) {
-  for (const CrashRecord& record : changes.crashes) MergeCrash(record);
+  for (const CrashRecord& record : changes.crashes) {
+    MergeCrash(record, /*observed_here=*/false);
+  }
   for (const MarkRecord& record : changes.marks) MergeMark(record);
   for (const Cause& cause : changes.causes) AddCause(cause);
 }
@@ -135,7 +177,7 @@
   if (later) record.last_crash_at = cause.last_crash_at;
   record.crashes = std::max(record.crashes, cause.crashes);
   record.renewals = std::max(record.renewals, cause.renewals);
-  OnChanged(cause.traits);
+  log_.Add(cause.traits, /*observed_here=*/true);
   AddSuspects(cause.traits);
 }
 
@@ -144,11 +186,11 @@
       causes_.begin(), causes_.end(), [](const auto& a, const auto& b) {
         return a.second.last_crash_at < b.second.last_crash_at;
       });
-  cause_changed_.erase(oldest->first);
+  log_.Erase(oldest->first);
   causes_.erase(oldest);
 }
 
-void CrashEvidence::MergeCrash(const CrashRecord& record) {
+void CrashEvidence::MergeCrash(const CrashRecord& record, bool observed_here) {
   const std::optional<Time> at = CrashedAt(record.crash);
   if (!at.has_value() && !crashes_.contains(record.run)) return;
   Crash* crash =
@@ -162,46 +204,52 @@
   for (const auto& [call, broken_at] : record.crash.calls) {
     const bool full = crash->calls.size() >= options_.max_calls_of_crash;
     if (full && !crash->calls.contains(call)) continue;
-    changed |= MergeCall(call, broken_at, crash);
+    if (MergeCall(call, broken_at, crash)) {
+      log_.Add(BrokenCallKey{record.run, call}, observed_here);
+    }
     AddSuspects(call);
   }
   if (record.crash.refuses_connections && !crash->refuses_connections) {
     crash->refuses_connections = true;
     changed = true;
   }
-  if (changed) OnChanged(record.run);
+  if (changed) log_.Add(record.run, observed_here);
+}
+
+void CrashEvidence::EraseChanges(const EndpointRun& run, const Crash& crash) {
+  log_.Erase(run);
+  for (const auto& [call, broken_at] : crash.calls) {
+    log_.Erase(BrokenCallKey{run, call});
+  }
 }
 
 void CrashEvidence::MergeMark(const MarkRecord& record) {
   TraitMark& mark = marks_[record.trait];
-  bool changed = false;
-  if (IsLater(record.mark.sound_at, mark.sound_at, options_.mark_precision)) {
-    mark.sound_at = record.mark.sound_at;
-    changed = true;
-  }
-  if (IsLater(record.mark.lifted_at, mark.lifted_at, kTransferSlack)) {
-    mark.lifted_at = record.mark.lifted_at;
-    changed = true;
-  }
-  if (changed) OnChanged(record.trait);
+  const bool sound =
+      IsLater(record.mark.sound_at, mark.sound_at, options_.mark_precision);
+  const bool lifted =
+      IsLater(record.mark.lifted_at, mark.lifted_at, kTransferSlack);
+  if (sound) mark.sound_at = record.mark.sound_at;
+  if (lifted) mark.lifted_at = record.mark.lifted_at;
+  if (sound || lifted) log_.Add(record.trait, /*observed_here=*/lifted);
 }
 
 void CrashEvidence::Expire(Time now) {
   std::erase_if(crashes_, [&](const auto& item) {
     const Time first = CrashedAt(item.second).value_or(Time{});
     if (now - first < options_.crash_lifetime) return false;
-    crash_changed_.erase(item.first);
+    EraseChanges(item.first, item.second);
     return true;
   });
   std::erase_if(causes_, [&](const auto& item) {
     if (now - item.second.last_crash_at < options_.cause_lifetime) return false;
-    cause_changed_.erase(item.first);
+    log_.Erase(item.first);
     return true;
   });
   CollectSuspects();
   std::erase_if(marks_, [&](const auto& item) {
     if (suspects_.contains(item.first)) return false;
-    mark_changed_.erase(item.first);
+    log_.Erase(item.first);
     return true;
   });
 }
@@ -260,40 +308,30 @@
 }
 
 EvidenceChanges CrashEvidence::ChangedSince(std::uint64_t revision,
-                                            std::size_t max_traits) const {
-  EvidenceChanges changes{.revision = revision};
-  const auto crashes = ChangedKeys(crash_changed_, revision);
-  const auto marks = ChangedKeys(mark_changed_, revision);
-  const auto causes = ChangedKeys(cause_changed_, revision);
-  auto crash = crashes.begin();
-  auto mark = marks.begin();
-  auto cause = causes.begin();
-  std::size_t traits = 0;
-  while (traits < max_traits) {
-    const std::uint64_t next =
-        std::min({RevisionAt(crash, crashes), RevisionAt(mark, marks),
-                  RevisionAt(cause, causes)});
-    if (next == kNoRevision) {
-      changes.revision = revision_;
-      return changes;
+                                            std::size_t max_traits,
+                                            EvidenceScope scope) const {
+  ChangesBuilder builder(crashes_);
+  const auto& changes = log_.changes();
+  for (auto it = changes.upper_bound(revision); it != changes.end(); ++it) {
+    const auto& [changed_at, change] = *it;
+    if (scope == EvidenceScope::kObservedHere && !change.observed_here) {
+      continue;
+    }
+    if (builder.traits() >= max_traits) {
+      return std::move(builder).Build(changed_at - 1);
     }
-    changes.revision = next;
-    if (RevisionAt(crash, crashes) == next) {
-      const Crash& record = crashes_.at(crash->second);
-      changes.crashes.push_back({crash->second, record});
-      for (const auto& [call, broken_at] : record.calls) traits += call.size();
-      ++crash;
-    } else if (RevisionAt(mark, marks) == next) {
-      changes.marks.push_back({mark->second, marks_.at(mark->second)});
-      ++traits;
-      ++mark;
+    const Key& key = change.key;
+    if (const auto* run = std::get_if<EndpointRun>(&key)) {
+      builder.AddRun(*run);
+    } else if (const auto* call = std::get_if<BrokenCallKey>(&key)) {
+      builder.AddCall(call->run, call->call);
+    } else if (const auto* trait = std::get_if<TraitId>(&key)) {
+      builder.AddMark({*trait, marks_.at(*trait)});
     } else {
-      changes.causes.push_back(causes_.at(cause->second));
-      traits += cause->second.size();
-      ++cause;
+      builder.AddCause(causes_.at(std::get<CallTraits>(key)));
     }
   }
-  return changes;
+  return std::move(builder).Build(log_.revision());
 }
 
 }  // namespace cassiausher
--- a/servers/crashes/crash_evidence.h
+++ b/servers/crashes/crash_evidence.h
@@ -13,12 +13,14 @@
 #include <optional>
 #include <set>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/crashes/call_traits.h"
+#include "servers/crashes/change_log.h"
 
 namespace cassiausher {
 
@@ -72,12 +74,25 @@
   TraitMark mark;
 };
 
+/// Which changes an instance passes on.
+enum class EvidenceScope {
+  kAll,
+  /// What it observed itself, and what copies keep although no instance can
+  /// observe it again: causes and what operators lifted.
+  kObservedHere,
+};
+
 /// Records that changed, up to a revision of the sender's copy.
 struct EvidenceChanges {
+  /// With the calls that broke off since; with one of the others if none did.
   std::vector<CrashRecord> crashes;
   std::vector<MarkRecord> marks;
   std::vector<Cause> causes;
   std::uint64_t revision = 0;
+
+  bool empty() const {
+    return crashes.empty() && marks.empty() && causes.empty();
+  }
 };
 
 struct CrashEvidenceOptions {
@@ -134,28 +149,33 @@
   const std::set<TraitId>& suspects() const { return suspects_; }
 
   /// Increases with each change.
-  std::uint64_t revision() const { return revision_; }
+  std::uint64_t revision() const { return log_.revision(); }
   /// What changed after `revision`, oldest first, up to `max_traits` traits.
-  EvidenceChanges ChangedSince(std::uint64_t revision,
-                               std::size_t max_traits) const;
+  EvidenceChanges ChangedSince(std::uint64_t revision, std::size_t max_traits,
+                               EvidenceScope scope) const;
 
  private:
-  template <typename Key>
-  using Revisions = std::map<Key, std::uint64_t>;
+  /// A call that broke off at a run.
+  struct BrokenCallKey {
+    EndpointRun run;
+    CallTraits call;
+
+    auto operator<=>(const BrokenCallKey&) const = default;
+  };
+  /// A run stands for what is known of it besides its calls; traits for a
+  /// cause.
+  using Key = std::variant<EndpointRun, BrokenCallKey, TraitId, CallTraits>;
 
   Crash* FindOrAdd(const EndpointRun& run, TraitId service, Time at);
-  void MergeCrash(const CrashRecord& record);
+  void MergeCrash(const CrashRecord& record, bool observed_here);
   void MergeMark(const MarkRecord& record);
+  /// Forgets the changes of a crash that is about to be forgotten.
+  void EraseChanges(const EndpointRun& run, const Crash& crash);
   void ForgetOldestCause();
   void AddSuspects(const CallTraits& traits) {
     suspects_.insert(traits.begin(), traits.end());
   }
   void CollectSuspects();
-  void OnChanged(const EndpointRun& run) { crash_changed_[run] = ++revision_; }
-  void OnChanged(TraitId trait) { mark_changed_[trait] = ++revision_; }
-  void OnChanged(const CallTraits& cause) {
-    cause_changed_[cause] = ++revision_;
-  }
 
   CrashEvidenceOptions options_;
   /// Invariant: at most `max_crashes`, each with at least one call.
@@ -166,11 +186,8 @@
   /// Those of `crashes_` and `causes_`, and until Expire() of what was
   /// forgotten in favour of newer ones.
   std::set<TraitId> suspects_;
-  std::uint64_t revision_ = 0;
-  /// Revisions of the last changes, of exactly the records above.
-  Revisions<EndpointRun> crash_changed_;
-  Revisions<TraitId> mark_changed_;
-  Revisions<CallTraits> cause_changed_;
+  /// Changes of exactly the records above.
+  ChangeLog<Key> log_;
 };
 
 /// Times of another instance are later here by the delay of its messages. A
--- a/servers/entry/control_directory.cc
+++ b/servers/entry/control_directory.cc
@@ -61,17 +61,29 @@
 
 // Rendezvous hashing: each entry instance ranks the control instances in its
 // own order and keeps its choice while other control instances come and go.
-InstanceId ControlDirectory::LoadSource() const {
-  InstanceId best;
-  std::uint64_t best_rank = 0;
+std::vector<InstanceId> ControlDirectory::Preferred(std::size_t count) const {
+  std::vector<std::pair<std::uint64_t, InstanceId>> ranked;
   for (const InstanceId& instance : Connected()) {
-    const std::uint64_t rank =
-        HashText(instance.value(), HashText(options_.self.value(), 0));
-    if (!best.empty() && rank <= best_rank) continue;
-    best = instance;
-    best_rank = rank;
+    ranked.emplace_back(
+        HashText(instance.value(), HashText(options_.self.value(), 0)),
+        instance);
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::vector<InstanceId> preferred;
+  for (const auto& [rank, instance] : ranked) {
+    if (preferred.size() >= count) break;
+    preferred.push_back(instance);
   }
-  return best;
+  return preferred;
+}
+
+InstanceId ControlDirectory::LoadSource() const {
+  const std::vector<InstanceId> preferred = Preferred(1);
+  return preferred.empty() ? InstanceId() : preferred.front();
+}
+
+std::vector<InstanceId> ControlDirectory::EvidencePartners() const {
+  return Preferred(options_.evidence_partners);
 }
 
 InstanceId ControlDirectory::PermitIssuer() const {
--- a/servers/entry/control_directory.h
+++ b/servers/entry/control_directory.h
@@ -3,6 +3,7 @@
 #ifndef SERVERS_ENTRY_CONTROL_DIRECTORY_H_
 #define SERVERS_ENTRY_CONTROL_DIRECTORY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
@@ -24,6 +25,8 @@
   /// The number of entry instances is taken to be at least this, since a
   /// control instance that has just started doesn't know all of them.
   std::uint32_t min_entry_instances = 8;
+  /// Two, so that evidence arrives without delay while one of them is silent.
+  std::size_t evidence_partners = 2;
 };
 
 /// What an Update of a control instance says of itself.
@@ -79,6 +82,9 @@
   /// one of the connected ones, so chosen that entry instances are spread over
   /// them. Empty if none is connected.
   InstanceId LoadSource() const;
+  /// The control instances with which crash evidence is exchanged, chosen like
+  /// LoadSource(). They pass it on to all others.
+  std::vector<InstanceId> EvidencePartners() const;
   /// The connected control instance that issues permits, by the latest term;
   /// empty if there is none.
   InstanceId PermitIssuer() const;
@@ -87,6 +93,9 @@
   const std::map<InstanceId, Control>& controls() const { return controls_; }
 
  private:
+  /// The first connected control instances in this instance's own order.
+  std::vector<InstanceId> Preferred(std::size_t count) const;
+
   ControlDirectoryOptions options_;
   std::map<InstanceId, Control> controls_;
 };
--- a/tests/crashes/crash_evidence_test.cc
+++ b/tests/crashes/crash_evidence_test.cc
@@ -31,12 +31,12 @@
   first.AddCall(Run(1), kService, {TraitId(1)}, kStart);
   first.OnSound(TraitId(1), kStart - Seconds(5));
   first.OnRefusedConnection(Run(1));
-  second.Merge(first.ChangedSince(0, kNoLimit));
+  second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
   LONGS_EQUAL(1, second.crashes().size());
   CHECK_TRUE(second.crashes().at(Run(1)).refuses_connections);
   CHECK_TRUE(second.FindMark(TraitId(1)) != nullptr);
   const std::uint64_t revision = first.revision();
-  first.Merge(second.ChangedSince(0, kNoLimit));
+  first.Merge(second.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
   LONGS_EQUAL(revision, first.revision());
 }
 
@@ -52,11 +52,11 @@
     if (what < 0.4) copy.AddCall(run, kService, {trait}, now);
     if (what >= 0.4 && what < 0.6) copy.OnAlive(run, now);
     if (what >= 0.6 && what < 0.8) copy.OnSound(trait, now);
-    if (what >= 0.8) second.Merge(first.ChangedSince(0, kNoLimit));
+    if (what >= 0.8) second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
   }
   for (int i = 0; i < 2; ++i) {
-    second.Merge(first.ChangedSince(0, kNoLimit));
-    first.Merge(second.ChangedSince(0, kNoLimit));
+    second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
+    first.Merge(second.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
   }
   for (const auto& [run, crash] : first.crashes()) {
     // What was refuted before its exchange isn't sent.
@@ -75,7 +75,7 @@
   std::uint64_t revision = 0;
   int pieces = 0;
   while (revision < first.revision()) {
-    const EvidenceChanges changes = first.ChangedSince(revision, 4);
+    const EvidenceChanges changes = first.ChangedSince(revision, 4, EvidenceScope::kAll);
     CHECK_TRUE(changes.crashes.size() <= 2);
     revision = changes.revision;
     second.Merge(changes);
--- a/tests/entry/control_directory_test.cc
+++ b/tests/entry/control_directory_test.cc
@@ -36,6 +36,22 @@
   LONGS_EQUAL(3, chosen.size());
 }
 
+// Evidence would reach nobody while the only partner is silent.
+TEST(ControlDirectory, EvidenceIsExchangedWithTwoOfTheConnectedOnes) {
+  ControlDirectory directory = Directory("10.1.0.1", 5);
+  const auto partners = directory.EvidencePartners();
+  LONGS_EQUAL(2, partners.size());
+  CHECK_TRUE(partners.front() == directory.LoadSource());
+  for (int i = 0; i < 5; ++i) {
+    if (Control(i) == partners.front()) continue;
+    directory.OnUpdate(Control(i), {}, kStart + Seconds(2));
+  }
+  directory.Disconnect(kStart + Seconds(2));
+  const auto others = directory.EvidencePartners();
+  LONGS_EQUAL(2, others.size());
+  CHECK_TRUE(others.front() == partners.back());
+}
+
 TEST(ControlDirectory, ASilentControlInstanceIsNoLongerUsed) {
   ControlDirectory directory = Directory("10.1.0.1", 2);
   directory.OnUpdate(Control(0), {}, kStart + Seconds(2));
--- a/tests/main/evidence_exchange_test.cc
+++ b/tests/main/evidence_exchange_test.cc
@@ -28,7 +28,7 @@
                exchange.OnMessage(from, Incarnation(message.incarnation()),
                                   message.crash_evidence(), BootTimeNow());
              }),
-        exchange(Incarnation(process), &evidence, &link) {}
+        exchange({.self = Incarnation(process)}, &evidence, &link) {}
 
   void Report(const std::string& endpoint) {
     evidence.AddCall({EndpointId(endpoint), Incarnation(1)}, kService, {kTrait},
