Bound the memory of messages that a node hasn't handled

Cause: a received message keeps the 18 KB buffer of libzmq in which it arrived, and 20,000 messages of each connection may wait.

Change: no zero-copy receive; at most 100 messages of a node's connection wait to be sent or handled. NodeLink serializes a message for several receivers once.

Measured: the new test fails with the buffers kept and passes without.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -20,7 +20,9 @@
 // unconnected well after the partition ends.
 constexpr int kConnectTimeoutMs = 700;
 constexpr int kHandshakeTimeoutMs = 1000;
-constexpr int kMaxQueuedMessages = 20000;
+// Option of a libzmq context that <zmq.h> declares for drafts only. If it is
+// on, each received message holds the 18 KB buffer that it arrived in.
+constexpr int kZeroCopyReceiveOption = 10;
 // Maximum messages handled before the main loop serves other sources.
 constexpr int kMaxReceiveBatch = 256;
 
@@ -110,8 +112,8 @@
   socket.set(zmq::sockopt::connect_timeout, kConnectTimeoutMs);
   socket.set(zmq::sockopt::handshake_ivl, kHandshakeTimeoutMs);
   socket.set(zmq::sockopt::tcp_maxrt, options.heartbeat_timeout_ms);
-  socket.set(zmq::sockopt::sndhwm, kMaxQueuedMessages);
-  socket.set(zmq::sockopt::rcvhwm, kMaxQueuedMessages);
+  socket.set(zmq::sockopt::sndhwm, options.max_queued_messages);
+  socket.set(zmq::sockopt::rcvhwm, options.max_queued_messages);
 }
 
 }  // namespace
@@ -123,6 +125,8 @@
     zmq::socket_t socket;
   };
 
+  Sockets() { zmq_ctx_set(context.handle(), kZeroCopyReceiveOption, 0); }
+
   zmq::context_t context{1};
   zmq::socket_t authentication;
   zmq::socket_t inbox;
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -34,6 +34,9 @@
   /// replaced: a middlebox may have lost its state while new connections work.
   int heartbeat_ms = 500;
   int heartbeat_timeout_ms = 1500;
+  /// Limit of a connection's messages that wait to be sent, and of those that
+  /// wait to be handled. Beyond it, new messages are dropped by their sender.
+  int max_queued_messages = 20000;
   /// Messages to a removed peer, or queued at the end of the transport, are
   /// still sent for this long. Only the transport's destructor waits for it,
   /// once for all peers.
--- a/main/node_link.cc
+++ b/main/node_link.cc
@@ -11,6 +11,9 @@
 // to reconnect.
 constexpr int kHeartbeatMs = 1000;
 constexpr int kHeartbeatTimeoutMs = 1500;
+// Messages are state that the next one replaces, or are sent again, so that
+// more of them only delay what is new.
+constexpr int kMaxQueuedMessages = 100;
 
 }  // namespace
 
@@ -26,7 +29,8 @@
           PeerTransportOptions{
               .listen = SocketAddress{settings.ip, settings.peer_port}.text(),
               .heartbeat_ms = kHeartbeatMs,
-              .heartbeat_timeout_ms = kHeartbeatTimeoutMs},
+              .heartbeat_timeout_ms = kHeartbeatTimeoutMs,
+              .max_queued_messages = kMaxQueuedMessages},
           metrics, [this](std::string_view bytes) { OnBytes(bytes); }) {}
 
 std::string NodeLink::Listen(GMainContext* context) {
@@ -34,14 +38,25 @@
 }
 
 void NodeLink::Send(const InstanceId& to, proto::NodeMessage message) {
+  SendToAll({to}, std::move(message));
+}
+
+void NodeLink::SendToAll(const std::vector<InstanceId>& receivers,
+                         proto::NodeMessage message) {
+  message.set_sender(settings_.ip);
+  message.set_incarnation(incarnation_);
+  const std::string bytes = message.SerializeAsString();
+  for (const InstanceId& to : receivers) {
+    sent_by_kind_.Add(message, bytes.size());
+    SendBytes(to, bytes);
+  }
+}
+
+void NodeLink::SendBytes(const InstanceId& to, std::string_view bytes) {
   if (!transport_.HasPeer(to)) {
     const SocketAddress address{to.value(), settings_.peer_port};
     transport_.SetPeer(to, address.text(), {});
   }
-  message.set_sender(settings_.ip);
-  message.set_incarnation(incarnation_);
-  const std::string bytes = message.SerializeAsString();
-  sent_by_kind_.Add(message, bytes.size());
   transport_.Send(to, bytes);
 }
 
--- a/main/node_link.h
+++ b/main/node_link.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "core/ids.h"
 #include "core/metrics.h"
@@ -33,10 +35,14 @@
   /// Never blocks; the message is dropped if there is no connection. Connects
   /// on the first use.
   void Send(const InstanceId& to, proto::NodeMessage message);
+  /// The same for several receivers.
+  void SendToAll(const std::vector<InstanceId>& receivers,
+                 proto::NodeMessage message);
   /// Drops the connection to an instance that has gone.
   void Disconnect(const InstanceId& instance);
 
  private:
+  void SendBytes(const InstanceId& to, std::string_view bytes);
   void OnBytes(std::string_view bytes);
 
   const NodeSettings& settings_;
--- a/tests/drivers/peer_transport_test.cc
+++ b/tests/drivers/peer_transport_test.cc
@@ -1,9 +1,11 @@
 // Guards against a peer that connects with an unlisted key, against an
-// unreachable peer that blocks the sender or makes it queue messages, and
-// against last messages that are lost with their sender.
+// unreachable peer that blocks the sender or makes it queue messages, against
+// last messages that are lost with their sender, and against a receiver that
+// runs out of memory while it is late.
 #include "drivers/peer_transport.h"
 
 #include <CppUTest/TestHarness.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <zmq.h>
 
@@ -55,6 +57,16 @@
   return true;
 }
 
+// Sends messages one by one, each of which arrives before the next is sent.
+void SendSlowly(Node& from, int messages) {
+  constexpr gulong kGapUs = 200;
+  const std::string message(100, 'm');
+  for (int i = 0; i < messages; ++i) {
+    from.transport.Send(InstanceId("b"), message);
+    g_usleep(kGapUs);
+  }
+}
+
 // Connects `a` to `b`, whose task doesn't run, and fills the queues between
 // them until `b` takes nothing more.
 bool FillQueues(GMainContext* context, Node& a, Node& b) {
@@ -83,6 +95,28 @@
   void teardown() override { g_main_context_unref(context); }
 };
 
+// A control instance fell behind the messages of some hundred entry instances,
+// and each unread message held a buffer of 18 KB.
+TEST(PeerTransport, UnreadMessagesTakeLittleMoreMemoryThanTheirBytes) {
+  constexpr int kMessages = 2000;
+  constexpr std::size_t kMaxBytesPerMessage = 2048;
+  Node a(kFirstPort + 13, {});
+  Node b(kFirstPort + 14, {});
+  STRCMP_EQUAL("", a.transport.Listen(context).c_str());
+  STRCMP_EQUAL("", b.transport.Listen(context).c_str());
+  a.transport.SetPeer(InstanceId("b"), b.address, {});
+  CHECK_TRUE(RunUntil(context, [&] {
+    a.transport.Send(InstanceId("b"), "first");
+    return b.received > 0;
+  }));
+  const std::size_t before = mallinfo2().uordblks;
+  SendSlowly(a, kMessages);
+  const std::size_t after = mallinfo2().uordblks;
+  CHECK_TRUE(after < before + kMessages * kMaxBytesPerMessage);
+  b.received = 0;
+  CHECK_TRUE(RunUntil(context, [&] { return b.received >= kMessages; }));
+}
+
 TEST(PeerTransport, PeersWithListedKeysExchangeMessages) {
   const CurveKeys a_keys = NewKeys();
   const CurveKeys b_keys = NewKeys();
