Let a control instance's work grow with its followers, not with their square

Cause: for each Follow of one of N entry instances the loads of all were summed up, a placement was added to a batch of each receiver, and up to 40 batches a second went to each of them; changes of the registry went out each 25 ms to all.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -89,8 +89,9 @@
   if (auto error = server_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
   batch_timer_ = AddTimer(context_, FollowerUpdates::kBatchPeriod, [this] {
-    followers_.SendBatches(BootTimeNow());
-    crashes_.Tick(BootTimeNow());
+    const Time now = BootTimeNow();
+    followers_.SendBatches(LiveControls(), now);
+    crashes_.Tick(now);
   });
   return {};
 }
@@ -293,7 +294,7 @@
       if (message.follow().shares_crashes()) {
         crashes_.OnPeer(from, process, now);
       }
-      followers_.OnFollow(from, process, message.follow(), LiveControls(), now);
+      followers_.OnFollow(from, process, message.follow(), now);
       break;
     case proto::NodeMessage::kCrashEvidence:
       crashes_.OnMessage(from, process, message.crash_evidence(), now);
@@ -477,8 +478,10 @@
     stage_orders_.OnFollowing();
   }
   if (!configuration_.has_value()) return;
-  const EndpointLoads loads = followers_.Loads();
-  if (!stage_orders_.Plan(*configuration_, registry_, loads, now)) return;
+  if (!stage_orders_.Plan(*configuration_, registry_, followers_.Loads(),
+                          now)) {
+    return;
+  }
   confirming_read_ = operator_calls_.NextId();
   log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
 }
--- a/main/follower_updates.cc
+++ b/main/follower_updates.cc
@@ -1,5 +1,6 @@
 #include "main/follower_updates.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "core/log.h"
@@ -10,13 +11,14 @@
 
 // A follower that hasn't sent Follow for this long gets no updates.
 constexpr Duration kFollowerLifetime = Seconds(6);
+// With more followers, changes are sent less often, far more often still than a
+// follower must have them.
+constexpr int kMaxChangeMessagesPerSecond = 2000;
 
 }  // namespace
 
 void FollowerUpdates::OnFollow(const InstanceId& from, Incarnation incarnation,
-                               const proto::Follow& follow,
-                               const std::vector<InstanceId>& controls,
-                               Time now) {
+                               const proto::Follow& follow, Time now) {
   const auto [found, added] = followers_.try_emplace(from);
   Follower& follower = found->second;
   if (added) Log(LogLevel::kInfo, "follower_found", {{"from", from.value()}});
@@ -26,19 +28,26 @@
   }
   follower.configuration = Revision(follow.configuration_version());
   follower.fetches_configuration = follow.fetches_configuration();
-  follower.loads = ReadLoads(follow.loads());
   follower.wants_placements = follow.wants_placements();
+  follower.awaits_update = true;
+  loads_.OnReport(from, ReadLoads(follow.loads()), follower.wants_placements);
   if (follow.registry_epoch() == state_.incarnation) {
     follower.registry_revision = follow.registry_revision();
     follower.window.OnAcknowledged(follow.last_received());
   } else {
     follower.registry_revision = 0;
   }
+}
+
+void FollowerUpdates::Answer(const InstanceId& to, Follower& follower,
+                             const std::vector<InstanceId>& controls,
+                             Time now) {
+  follower.awaits_update = false;
   if (!follower.window.IsOpen(now)) {
     withheld_.Add();
     return;
   }
-  proto::Update update = MakeUpdate(from, follower, now);
+  proto::Update update = MakeUpdate(to, follower, now);
   for (const InstanceId& control : controls) {
     update.add_control_instances(control.value());
   }
@@ -48,7 +57,7 @@
   if (needs_document) {
     *update.mutable_configuration() = cassiausher::ToProto(current);
   }
-  SendUpdate(from, follower, std::move(update), now);
+  SendUpdate(to, follower, std::move(update), now);
 }
 
 void FollowerUpdates::SendUpdate(const InstanceId& to, Follower& follower,
@@ -57,7 +66,6 @@
   *message.mutable_update() = std::move(update);
   message.mutable_update()->set_number(
       follower.window.OnSend(message.ByteSizeLong(), now));
-  follower.placed.clear();
   link_->Send(to, std::move(message));
 }
 
@@ -83,7 +91,7 @@
   // The receiver knows its own load better, and takes the load of others from
   // one control instance only.
   if (follower.wants_placements) {
-    WriteLoads(LoadsExcept(to), update.mutable_loads());
+    WriteLoads(loads_.TotalWithout(to), update.mutable_loads());
   }
   const std::uint64_t permit_term = state_.permits->IssuerTerm(now);
   update.set_permit_term(permit_term);
@@ -104,9 +112,6 @@
 
 void FollowerUpdates::OnPlacements(const InstanceId& from,
                                    const proto::Placements& placements) {
-  const auto sender = followers_.find(from);
-  // Its next Follow carries its whole load.
-  if (sender == followers_.end()) return;
   const EndpointLoads placed = ReadLoads(placements.added());
   EndpointLoads lasting = placed;
   // Prefill load isn't kept: prompts are processed before the sender's next
@@ -115,16 +120,19 @@
     const EndpointRecord* record = state_.registry->Find(item.first);
     return record != nullptr && record->role == EndpointRole::kPrefill;
   });
-  AddLoads(lasting, &sender->second.loads);
-  for (auto& [instance, follower] : followers_) {
-    if (instance == from || !follower.wants_placements) continue;
-    AddLoads(placed, &follower.placed);
-  }
+  loads_.OnPlacements(from, placed, lasting);
 }
 
 void FollowerUpdates::OnChange(Time now) {
   changed_ = true;
-  if (now - changes_sent_at_ >= kBatchPeriod) SendChanges(now);
+  SendChangesIfDue(now);
+}
+
+void FollowerUpdates::SendChangesIfDue(Time now) {
+  const Duration for_all = Seconds(1) * static_cast<int>(followers_.size()) /
+                           kMaxChangeMessagesPerSecond;
+  const Duration period = std::max(kBatchPeriod, for_all);
+  if (changed_ && now - changes_sent_at_ >= period) SendChanges(now);
 }
 
 void FollowerUpdates::OnRateLimitAppeared(Time now) {
@@ -132,19 +140,31 @@
   OnChange(now);
 }
 
-void FollowerUpdates::SendBatches(Time now) {
-  if (changed_) SendChanges(now);
+void FollowerUpdates::SendBatches(const std::vector<InstanceId>& controls,
+                                  Time now) {
+  SendChangesIfDue(now);
+  if (!loads_.IsDue(now)) return;
+  // Updates include the placements so far, so these are sent first.
+  SendPlacements(now);
   for (auto& [instance, follower] : followers_) {
-    if (follower.placed.empty()) continue;
-    proto::NodeMessage message;
-    WriteLoads(follower.placed, message.mutable_placements()->mutable_added());
-    follower.placed.clear();
-    // The next Update has the whole loads.
-    if (!follower.window.IsOpen(now)) {
+    if (follower.awaits_update) Answer(instance, follower, controls, now);
+  }
+}
+
+void FollowerUpdates::SendPlacements(Time now) {
+  for (PlacementBatch& batch : loads_.TakeBatches(now)) {
+    std::erase_if(batch.receivers, [&](const InstanceId& receiver) {
+      const auto found = followers_.find(receiver);
+      if (found != followers_.end() && found->second.window.IsOpen(now)) {
+        return false;
+      }
+      // The next Update has the whole loads.
       withheld_.Add();
-      continue;
-    }
-    link_->Send(instance, std::move(message));
+      return true;
+    });
+    proto::NodeMessage message;
+    WriteLoads(batch.placed, message.mutable_placements()->mutable_added());
+    link_->SendToAll(batch.receivers, std::move(message));
   }
 }
 
@@ -189,16 +209,9 @@
     if (now - item.second.heard_at < kFollowerLifetime) return false;
     Log(LogLevel::kWarning, "follower_lost", {{"from", item.first.value()}});
     link_->Disconnect(item.first);
+    loads_.Remove(item.first);
     return true;
   });
 }
 
-EndpointLoads FollowerUpdates::LoadsExcept(const InstanceId& excluded) const {
-  EndpointLoads loads;
-  for (const auto& [instance, follower] : followers_) {
-    if (instance != excluded) AddLoads(follower.loads, &loads);
-  }
-  return loads;
-}
-
 }  // namespace cassiausher
--- a/main/follower_updates.h
+++ b/main/follower_updates.h
@@ -5,7 +5,8 @@
 // The traffic doesn't grow with the rate of changes or the size of the
 // configuration: changes of one batch period are sent together, a document is
 // fetched by its receiver, and the data on its way to one entry instance is
-// bounded.
+// bounded. One Update answers all that a follower has sent since the last one,
+// so that a control instance which falls behind has less to send.
 #ifndef MAIN_FOLLOWER_UPDATES_H_
 #define MAIN_FOLLOWER_UPDATES_H_
 
@@ -25,6 +26,7 @@
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/newest_version.h"
 #include "servers/control/send_window.h"
+#include "servers/loads/shared_loads.h"
 
 namespace cassiausher {
 
@@ -48,11 +50,10 @@
         link_(link),
         withheld_(metrics.counter("follower_messages_withheld_total")) {}
 
-  /// Answers with an Update; `controls` are the control instances to name.
-  /// `incarnation` is that of the sending process.
+  /// An Update answers it with the next batch. `incarnation` is that of the
+  /// sending process.
   void OnFollow(const InstanceId& from, Incarnation incarnation,
-                const proto::Follow& follow,
-                const std::vector<InstanceId>& controls, Time now);
+                const proto::Follow& follow, Time now);
   void OnPlacements(const InstanceId& from,
                     const proto::Placements& placements);
 
@@ -61,16 +62,16 @@
   void OnChange(Time now);
   /// An endpoint has named a rate limit that it hadn't named before.
   void OnRateLimitAppeared(Time now);
-  /// Sends what has gathered. Call every kBatchPeriod.
-  void SendBatches(Time now);
+  /// Sends what has gathered. `controls` are the control instances to name.
+  /// Call every kBatchPeriod.
+  void SendBatches(const std::vector<InstanceId>& controls, Time now);
   /// Drops followers that haven't sent Follow for a while.
   void Expire(Time now);
 
   /// Work of all followers.
-  EndpointLoads Loads() const { return LoadsExcept(InstanceId()); }
+  const EndpointLoads& Loads() const { return loads_.Total(); }
 
-  /// Placements and changes are sent in batches; a runner's memory hardly
-  /// changes within this period.
+  /// Shortest time between two batches of changes, and of placements.
   static constexpr Duration kBatchPeriod = Milliseconds(25);
 
  private:
@@ -81,16 +82,15 @@
     Revision configuration{0};
     bool fetches_configuration = false;
     std::uint64_t registry_revision = 0;
-    /// Load of its requests in progress.
-    EndpointLoads loads;
     bool wants_placements = false;
-    /// Placements of the other entry instances that it hasn't been sent yet.
-    EndpointLoads placed;
+    /// Its last Follow isn't answered.
+    bool awaits_update = false;
     SendWindow window{SendWindowOptions{}};
   };
 
-  /// Sum of the followers' loads, except that of `excluded`.
-  EndpointLoads LoadsExcept(const InstanceId& excluded) const;
+  void SendPlacements(Time now);
+  void Answer(const InstanceId& to, Follower& follower,
+              const std::vector<InstanceId>& controls, Time now);
   proto::Update MakeUpdate(const InstanceId& to, const Follower& follower,
                            Time now) const;
   void SendUpdate(const InstanceId& to, Follower& follower,
@@ -99,6 +99,7 @@
   /// A follower of an earlier build, which doesn't know Changes, gets an Update
   /// without the document.
   void SendChanges(Time now);
+  void SendChangesIfDue(Time now);
 
   ControlState state_;
   NodeLink* link_;
@@ -106,6 +107,7 @@
   /// earlier ones.
   Counter& withheld_;
   std::map<InstanceId, Follower> followers_;
+  SharedLoads loads_{SharedLoadsOptions{.min_batch_period = kBatchPeriod}};
   /// Something has changed since the last Changes.
   bool changed_ = false;
   /// A rate limit has appeared since the last Changes.
--- a/main/load_messages.h
+++ b/main/load_messages.h
@@ -3,7 +3,7 @@
 #define MAIN_LOAD_MESSAGES_H_
 
 #include "proto/gen/node.pb.h"
-#include "servers/entry/endpoint_pool.h"
+#include "servers/loads/endpoint_loads.h"
 
 namespace cassiausher {
 
--- a/main/stage_orders.h
+++ b/main/stage_orders.h
@@ -16,7 +16,7 @@
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/control/stage_balancer.h"
-#include "servers/entry/endpoint_pool.h"
+#include "servers/loads/endpoint_loads.h"
 
 namespace cassiausher {
 
--- a/servers/crashes/evidence_sharing.cc
+++ b/servers/crashes/evidence_sharing.cc
@@ -32,10 +32,9 @@
 
 EvidenceChanges EvidenceSharing::TakeChanges(Peer& peer, Time now) const {
   const bool waits = peer.acknowledged < peer.sent;
-  const Duration period =
-      waits ? options_.resend_period : options_.min_period;
-  const bool is_due = now - peer.sent_at >= period &&
-                      peer.acknowledged < evidence_->revision();
+  const Duration period = waits ? options_.resend_period : options_.min_period;
+  const bool is_due =
+      now - peer.sent_at >= period && peer.acknowledged < evidence_->revision();
   // Not up to `sent`: that message may have been lost.
   if (!is_due) return {.revision = peer.acknowledged};
   EvidenceChanges changes = evidence_->ChangedSince(
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -36,14 +36,6 @@
 
 }  // namespace
 
-void AddLoads(const EndpointLoads& more, EndpointLoads* sum) {
-  for (const auto& [endpoint, load] : more) {
-    EndpointLoad& total = (*sum)[endpoint];
-    total.requests += load.requests;
-    total.memory += load.memory;
-  }
-}
-
 EndpointPool::Entry::Entry(const EndpointRecord& update, Duration half_life)
     : record(update),
       health(update.role, half_life,
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -18,7 +18,8 @@
 #include "core/units.h"
 #include "servers/control/endpoint_record.h"
 #include "servers/entry/endpoint_health.h"
-#include "servers/entry/memory_forecast.h"
+#include "servers/loads/endpoint_loads.h"
+#include "servers/loads/memory_forecast.h"
 
 namespace cassiausher {
 
@@ -95,16 +96,6 @@
   bool trial = false;
 };
 
-/// Requests in progress or reserved at an endpoint.
-struct EndpointLoad {
-  int requests = 0;
-  MemoryForecast memory;
-};
-
-using EndpointLoads = std::map<EndpointId, EndpointLoad>;
-
-void AddLoads(const EndpointLoads& more, EndpointLoads* sum);
-
 /// Not thread safe. An entry instance doesn't see the whole load of an
 /// endpoint, so expected times are corrected by observed ones.
 class EndpointPool {
--- a/servers/loads/memory_forecast.cc
+++ b/servers/loads/memory_forecast.cc
@@ -1,4 +1,4 @@
-#include "servers/entry/memory_forecast.h"
+#include "servers/loads/memory_forecast.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/servers/loads/memory_forecast.h
+++ b/servers/loads/memory_forecast.h
@@ -1,8 +1,8 @@
 // Forecast of the KV memory that streams hold over time. Streams of a runner
 // are at different stages of their outputs, so their combined peak is below the
 // sum of their individual peaks.
-#ifndef SERVERS_ENTRY_MEMORY_FORECAST_H_
-#define SERVERS_ENTRY_MEMORY_FORECAST_H_
+#ifndef SERVERS_LOADS_MEMORY_FORECAST_H_
+#define SERVERS_LOADS_MEMORY_FORECAST_H_
 
 #include <array>
 #include <cstddef>
@@ -42,4 +42,4 @@
 
 }  // namespace cassiausher
 
-#endif  // SERVERS_ENTRY_MEMORY_FORECAST_H_
+#endif  // SERVERS_LOADS_MEMORY_FORECAST_H_
--- /dev/null
+++ b/servers/loads/shared_loads.cc
@@ -0,0 +1,72 @@
+#include "servers/loads/shared_loads.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cassiausher {
+
+void SharedLoads::OnReport(const InstanceId& instance,
+                           const EndpointLoads& loads, bool wants_placements) {
+  Instance& known = instances_[instance];
+  SubtractLoads(known.loads, &total_);
+  AddLoads(loads, &total_);
+  receivers_ += static_cast<int>(wants_placements) -
+                static_cast<int>(known.wants_placements);
+  known = {.loads = loads, .wants_placements = wants_placements};
+}
+
+void SharedLoads::OnPlacements(const InstanceId& instance,
+                               const EndpointLoads& placed,
+                               const EndpointLoads& lasting) {
+  const auto found = instances_.find(instance);
+  if (found == instances_.end()) return;
+  AddLoads(lasting, &found->second.loads);
+  AddLoads(lasting, &total_);
+  AddLoads(placed, &placed_);
+  AddLoads(placed, &placed_by_[instance]);
+}
+
+void SharedLoads::Remove(const InstanceId& instance) {
+  const auto found = instances_.find(instance);
+  if (found == instances_.end()) return;
+  SubtractLoads(found->second.loads, &total_);
+  if (found->second.wants_placements) --receivers_;
+  instances_.erase(found);
+}
+
+EndpointLoads SharedLoads::TotalWithout(const InstanceId& instance) const {
+  EndpointLoads loads = total_;
+  const auto found = instances_.find(instance);
+  if (found != instances_.end()) SubtractLoads(found->second.loads, &loads);
+  return loads;
+}
+
+Duration SharedLoads::BatchPeriod() const {
+  const Duration for_all =
+      Seconds(1) * receivers_ / options_.max_messages_per_second;
+  return std::max(options_.min_batch_period, for_all);
+}
+
+std::vector<PlacementBatch> SharedLoads::TakeBatches(Time now) {
+  next_batch_ = now + BatchPeriod();
+  const EndpointLoads placed = std::exchange(placed_, {});
+  const auto placed_by = std::exchange(placed_by_, {});
+  std::vector<PlacementBatch> batches;
+  if (placed.empty()) return batches;
+  PlacementBatch common{.placed = placed};
+  for (const auto& [id, instance] : instances_) {
+    if (!instance.wants_placements) continue;
+    const auto own = placed_by.find(id);
+    if (own == placed_by.end()) {
+      common.receivers.push_back(id);
+      continue;
+    }
+    EndpointLoads others = placed;
+    SubtractLoads(own->second, &others);
+    if (!others.empty()) batches.push_back({{id}, std::move(others)});
+  }
+  if (!common.receivers.empty()) batches.push_back(std::move(common));
+  return batches;
+}
+
+}  // namespace cassiausher
--- a/tests/loads/memory_forecast_test.cc
+++ b/tests/loads/memory_forecast_test.cc
@@ -1,6 +1,6 @@
 // Guards against wrong memory forecasts: if they are too high, callers are
 // rejected although there is capacity; if too low, runners preempt streams.
-#include "servers/entry/memory_forecast.h"
+#include "servers/loads/memory_forecast.h"
 
 #include <CppUTest/TestHarness.h>
 
