--- a/tests/crashes/crash_evidence_test.cc
+++ b/tests/crashes/crash_evidence_test.cc
@@ -52,7 +52,8 @@
     if (what < 0.4) copy.AddCall(run, kService, {trait}, now);
     if (what >= 0.4 && what < 0.6) copy.OnAlive(run, now);
     if (what >= 0.6 && what < 0.8) copy.OnSound(trait, now);
-    if (what >= 0.8) second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
+    if (what >= 0.8)
+      second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
   }
   for (int i = 0; i < 2; ++i) {
     second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
@@ -75,7 +76,8 @@
   std::uint64_t revision = 0;
   int pieces = 0;
   while (revision < first.revision()) {
-    const EvidenceChanges changes = first.ChangedSince(revision, 4, EvidenceScope::kAll);
+    const EvidenceChanges changes =
+        first.ChangedSince(revision, 4, EvidenceScope::kAll);
     CHECK_TRUE(changes.crashes.size() <= 2);
     revision = changes.revision;
     second.Merge(changes);
--- a/tests/crashes/crash_simulation_test.cc
+++ b/tests/crashes/crash_simulation_test.cc
@@ -183,8 +183,8 @@
 
   void Exchange() {
     for (const auto& instance : instances_) {
-      const EvidenceChanges changes =
-          instance->evidence.ChangedSince(instance->sent, kNoLimit, EvidenceScope::kAll);
+      const EvidenceChanges changes = instance->evidence.ChangedSince(
+          instance->sent, kNoLimit, EvidenceScope::kAll);
       instance->sent = changes.revision;
       for (const auto& other : instances_) {
         if (other != instance) other->evidence.Merge(changes);
--- a/tests/crashes/evidence_sharing_test.cc
+++ b/tests/crashes/evidence_sharing_test.cc
@@ -162,9 +162,8 @@
   static constexpr double kSoundPerSecond = 360;
 
   void Step(Fleet* fleet) {
-    Node& entry = fleet->Entry(
-        static_cast<int>(random_.Below(static_cast<std::uint64_t>(
-            fleet->entries()))));
+    Node& entry = fleet->Entry(static_cast<int>(
+        random_.Below(static_cast<std::uint64_t>(fleet->entries()))));
     const EndpointRun run = Run(static_cast<int>(random_.Below(kEndpoints)));
     const TraitId part(2 + random_.Below(200));
     if (random_.Unit() < kBrokenPerSecond * ToSeconds(kStep)) {
