Let a decode runner relieve prefill while streams wait for it

Cause: streams reserve decode memory before their prompts are read.

Change: the decode load after a switch leaves out the memory of the prompts that would no longer wait.

--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -16,6 +16,11 @@
   return requests / (requests + runners);
 }
 
+// The inverse of Utilisation().
+double RequestsAt(double utilisation, int runners) {
+  return utilisation / (1 - utilisation) * runners;
+}
+
 }  // namespace
 
 void StageBalancer::Smooth(const Work& sample, Time now) {
@@ -30,6 +35,9 @@
   work_.prompts =
       (kept_weight * work_.prompts + added_weight * sample.prompts) /
       total_weight_;
+  work_.streams =
+      (kept_weight * work_.streams + added_weight * sample.streams) /
+      total_weight_;
   work_.kv_tokens =
       (kept_weight * work_.kv_tokens + added_weight * sample.kv_tokens) /
       total_weight_;
@@ -48,13 +56,25 @@
   const double donor_limit = to_decode ? options_.max_prefill_load_after
                                        : options_.max_decode_load_after;
   if (receiver_load < receiver_limit) return false;
-  const double donor_after = donor_load * donors / (donors - 1);
-  if (donor_after >= donor_limit) return false;
   const double receiver_after = receiver_load * receivers / (receivers + 1);
+  const double donor_after = to_decode
+                                 ? donor_load * donors / (donors - 1)
+                                 : KvTokensAt(receiver_after, receivers + 1) /
+                                       (usable_tokens_ * (donors - 1));
+  if (donor_after >= donor_limit) return false;
   const double after = std::fmax(donor_after, receiver_after);
   return after <= options_.max_load_ratio * receiver_load;
 }
 
+double StageBalancer::KvTokensAt(double prefill_load,
+                                 int prefill_runners) const {
+  if (work_.streams <= 0) return work_.kv_tokens;
+  const double waiting = RequestsAt(prefill_load, prefill_runners);
+  const double relieved = std::fmax(0, work_.prompts - waiting);
+  const double remaining = std::fmax(0, work_.streams - relieved);
+  return work_.kv_tokens * remaining / work_.streams;
+}
+
 bool StageBalancer::HasSparePrefillRunner(const Counts& counts) const {
   const int all = counts.prefill + counts.decode;
   const double min_remaining =
@@ -95,16 +115,17 @@
       work.prompts += runner.requests;
     } else if (runner.role == EndpointRole::kDecode) {
       ++counts.decode;
+      work.streams += runner.requests;
       work.kv_tokens += static_cast<double>(runner.kv_tokens.value());
     }
   }
   if (counts.prefill == 0 || counts.decode == 0) return std::nullopt;
   if (kv_capacity.value() <= 0) return std::nullopt;
-  const double usable = static_cast<double>(kv_capacity.value()) *
-                        options_.usable_memory_share * counts.decode;
+  usable_tokens_ =
+      static_cast<double>(kv_capacity.value()) * options_.usable_memory_share;
   Smooth(work, now);
   loads_ = {Utilisation(work_.prompts, counts.prefill),
-            work_.kv_tokens / usable};
+            work_.kv_tokens / (usable_tokens_ * counts.decode)};
 
   if (total_weight_ < kMinTotalWeight) return std::nullopt;
 
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -102,9 +102,11 @@
     int decode = 0;
   };
 
-  /// Requests on prefill runners, and KV cache use of decode runners.
+  /// Requests on prefill runners; requests of decode runners, including those
+  /// whose prompt is still in prefill, and their KV cache use.
   struct Work {
     double prompts = 0;
+    double streams = 0;
     double kv_tokens = 0;
   };
 
@@ -115,6 +117,9 @@
   /// Whether stage `to` is overloaded and one more runner would relieve it
   /// without overloading the other stage.
   bool RelievesOverload(const Counts& counts, EndpointRole to) const;
+  /// KV cache use of the decode runners once prefill has this utilisation:
+  /// streams reserve their memory before their prompts wait for prefill.
+  double KvTokensAt(double prefill_load, int prefill_runners) const;
   /// Whether a prefill runner can switch to decode ahead of an overload.
   bool HasSparePrefillRunner(const Counts& counts) const;
   /// Role that should get a runner once the need has lasted for Hold().
@@ -128,6 +133,8 @@
   /// Share of the time that prefill runners are busy, and share of the decode
   /// runners' usable memory that is in use.
   Loads loads_;
+  /// Usable memory of one decode runner, in tokens.
+  double usable_tokens_ = 0;
   /// Smoothed work of each stage. The loads are derived from it, so that they
   /// reflect a changed number of runners at once.
   Work work_;
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -121,6 +121,20 @@
   CHECK_TRUE(order->role == EndpointRole::kPrefill);
 }
 
+// Streams that wait for the only prefill runner that is left have reserved
+// their memory already, so that decode looks too busy to give up a runner.
+// Their callers waited for the rest of the day.
+TEST(StageBalancer, MemoryOfStreamsThatWaitForPrefillDoesNotKeepRunners) {
+  const auto order = Run(Runners(1, 7, 15, 60000), kStart, Seconds(6));
+  CHECK_TRUE(order.has_value());
+  CHECK_TRUE(order->role == EndpointRole::kPrefill);
+}
+
+// The streams in decode alone need all decode runners.
+TEST(StageBalancer, DecodeRunnersThatAreFullOfRunningStreamsStay) {
+  CHECK_FALSE(Run(Runners(1, 7, 3, 75000), kStart, Seconds(60)).has_value());
+}
+
 // A zone is partitioned off while its runner is ordered to switch.
 TEST(StageBalancer, UndeliveredOrderIsSentToAnotherRunner) {
   const auto runners = Runners(1, 8, 12, 30000);
