Leave the room that other instances may have taken meanwhile

Cause: on a nearly full pool all entry instances see the same few runners with room.

Change: the placements of other instances that aren't known yet, by their rate and the number of runners with room, count as occupancy. Batches of placements may take 1,600 messages a second of a control instance.

Also: a version that left counts as one that may have begun a stream for three times the route's timeout, where that is over 60 s, and also once its endpoint is forgotten.

--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -301,7 +301,7 @@
     // Another control instance's placements may already be counted in the loads
     // of the load source.
     if (from != load_source_) return;
-    pool_.AddOtherLoads(ReadLoads(message.placements().added()));
+    pool_.AddOtherLoads(ReadLoads(message.placements().added()), BootTimeNow());
     return;
   }
   if (message.has_changes()) {
--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -24,9 +24,6 @@
 // A stream may be taken up until its caller's deadline, which the caller counts
 // from a moment before this instance does.
 constexpr Duration kOriginMargin = Seconds(2);
-// No stream is older. If a service has had a single software version for so
-// long, that version began the stream.
-constexpr Duration kMaxStreamAge = Seconds(60);
 // Another instance may be in touch with one that knows the stream.
 constexpr Duration kUnknownRetryAfter = Milliseconds(300);
 // Limit of an answer that isn't streamed: it is held in memory until complete.
@@ -71,6 +68,7 @@
       facts_(std::move(facts)),
       route_name_(route.name),
       is_stream_(route.kind == RouteKind::kStream),
+      max_stream_age_(MaxStreamAge(route.timeout)),
       configuration_(configuration),
       events_(caller_.last_event_id) {}
 
@@ -120,8 +118,8 @@
   if (origin.has_value()) {
     facts_.begun_by = origin->version;
   } else {
-    facts_.begun_by = context_.pool->SoleVersion(facts_.service, kMaxStreamAge,
-                                                 BootTimeNow());
+    facts_.begun_by = context_.pool->SoleVersion(facts_.service,
+                                                 max_stream_age_, BootTimeNow());
   }
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", caller_.id.value()},
--- a/main/forwarded_request.h
+++ b/main/forwarded_request.h
@@ -24,6 +24,7 @@
 #include "servers/entry/completion_time.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/event_splitter.h"
+#include "servers/entry/origin_keeper.h"
 #include "servers/entry/request_forwarder.h"
 
 namespace cassiausher {
@@ -125,6 +126,7 @@
   RequestFacts facts_;
   std::string route_name_;
   bool is_stream_ = false;
+  Duration max_stream_age_;
   Revision configuration_;
   /// Set once the software version of a stream that is taken up is known.
   std::optional<RequestForwarder> forwarder_;
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -28,6 +28,8 @@
 // Penalty for a runner that counts as full. An endpoint whose score reaches it
 // for any reason is picked only if its score is the lowest.
 constexpr double kFullPenaltyUs = 2e6;
+// Until a placement is known to all instances: two batch periods and the way.
+constexpr Duration kPlacementDelay = Milliseconds(60);
 // Minimum occupancy reported for a runner that just rejected a request.
 constexpr double kOverFull = 1.01;
 // Penalty for endpoints that are used only if there is no other; above any
@@ -146,7 +148,12 @@
       }
       return true;
     }
-    return record.state == EndpointLifecycle::kDeparted && is_forgotten;
+    const bool is_departed = record.state == EndpointLifecycle::kDeparted;
+    if (!is_departed || !is_forgotten) return false;
+    if (record.version) {
+      versions_[record.service].replaced_at[*record.version] = entry.changed_at;
+    }
+    return true;
   });
   std::erase_if(silent_, [&](const auto& item) {
     return now - item.second.reported_at >= options_.tombstone_lifetime;
@@ -258,6 +265,18 @@
   for (const Entry* entry : usable) {
     if (entry->record.id == work.reserved_at) return Place(*entry, work, now);
   }
+  // All instances see the same few runners with room, so that another one may
+  // have taken it meanwhile.
+  const double unseen = UnseenOccupancy(work, usable.size(), now);
+  const bool had_usable = !usable.empty();
+  std::erase_if(usable, [&](const Entry* entry) {
+    return Occupancy(*entry, work, now) + unseen > work.full_occupancy;
+  });
+  if (had_usable && usable.empty()) {
+    Placement contested = Place(*best, work, now);
+    contested.occupancy += unseen;
+    return contested;
+  }
   const bool is_model = work.role != EndpointRole::kPlain;
   if (is_model && usable.size() > 2) best = BetterOfTwo(usable, work, now);
   return Place(*best, work, now);
@@ -316,8 +335,28 @@
   other_instances_ = others;
 }
 
-void EndpointPool::AddOtherLoads(const EndpointLoads& placed) {
+void EndpointPool::AddOtherLoads(const EndpointLoads& placed, Time now) {
   AddLoads(placed, &other_loads_);
+  for (const auto& [id, load] : placed) {
+    const EndpointRecord* record = Find(id);
+    const bool decodes =
+        record != nullptr && record->role == EndpointRole::kDecode;
+    if (!decodes) continue;
+    placement_rates_[record->service].OnPlacements(load.requests, now);
+  }
+}
+
+double EndpointPool::UnseenOccupancy(const WorkSpec& work, std::size_t usable,
+                                     Time now) const {
+  const auto rate = placement_rates_.find(work.service);
+  const bool limited = work.role == EndpointRole::kDecode &&
+                       work.kv_capacity.value() > 0 && usable > 0;
+  if (!limited || rate == placement_rates_.end()) return 0;
+  const double unseen =
+      rate->second.PerSecond(now) * ToSeconds(kPlacementDelay);
+  const double stream = static_cast<double>(work.memory.Peak().value()) /
+                        static_cast<double>(work.kv_capacity.value());
+  return unseen / static_cast<double>(usable) * stream;
 }
 
 EndpointLoads EndpointPool::OwnLoads() const {
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -20,6 +20,7 @@
 #include "servers/entry/endpoint_health.h"
 #include "servers/loads/endpoint_loads.h"
 #include "servers/loads/memory_forecast.h"
+#include "servers/loads/placement_rate.h"
 
 namespace cassiausher {
 
@@ -125,7 +126,7 @@
   /// `now`.
   void SetOtherLoads(EndpointLoads loads, int others, Time now);
   /// Adds what other entry instances placed since SetOtherLoads().
-  void AddOtherLoads(const EndpointLoads& placed);
+  void AddOtherLoads(const EndpointLoads& placed, Time now);
   /// Load that this instance has in progress or reserved.
   EndpointLoads OwnLoads() const;
   /// Returns and clears the load that this instance placed on model runners
@@ -247,6 +248,10 @@
   double RequestsPerSlot(const Entry& entry, Time now) const;
   EndpointLoad OtherLoad(const Entry& entry, Time now) const;
   Placement Place(const Entry& entry, const WorkSpec& work, Time now) const;
+  /// Share of a runner's memory that placements take on average which this
+  /// instance doesn't know yet, if it can choose among so many runners.
+  double UnseenOccupancy(const WorkSpec& work, std::size_t usable,
+                         Time now) const;
   const Entry* BetterOfTwo(const std::vector<const Entry*>& candidates,
                            const WorkSpec& work, Time now);
 
@@ -265,6 +270,8 @@
   EndpointLoads placed_;
   Time other_loads_at_{};
   int other_instances_ = 0;
+  /// Placements of other instances at decode runners, by service.
+  std::map<ServiceId, PlacementRate> placement_rates_;
   int waiting_ = 0;
   Random random_;
 };
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -7,6 +7,17 @@
 #include "core/hash.h"
 
 namespace cassiausher {
+namespace {
+
+constexpr Duration kMinMaxStreamAge = Seconds(60);
+// A caller that takes a stream up is given the route's timeout again.
+constexpr int kStreamAgeInTimeouts = 3;
+
+}  // namespace
+
+Duration MaxStreamAge(Duration route_timeout) {
+  return std::max(kMinMaxStreamAge, kStreamAgeInTimeouts * route_timeout);
+}
 
 void OriginKeeper::SetStores(const std::set<OriginStore>& stores, bool complete,
                              Time now) {
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -19,6 +19,11 @@
 
 namespace cassiausher {
 
+/// No stream of a route with this timeout is older when its caller takes it up.
+/// A service that has had one software version only for so long had it when the
+/// stream began.
+Duration MaxStreamAge(Duration route_timeout);
+
 struct OriginKeeperOptions {
   DataCentreId data_centre;
   /// Control instances that keep an origin, in two data centres if there are.
--- a/servers/loads/shared_loads.h
+++ b/servers/loads/shared_loads.h
@@ -20,7 +20,7 @@
   /// Between batches of placements. A runner's memory hardly changes in it.
   Duration min_batch_period = Milliseconds(25);
   /// With more receivers, batches are less frequent.
-  int max_messages_per_second = 800;
+  int max_messages_per_second = 1600;
 };
 
 /// Placements that these instances haven't been sent yet.
