--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import random
+import time
 
 MIN_PAUSE_S = 0.3
 MAX_PAUSE_S = 2.5
 MIN_FREEZE_S = 0.5
 MAX_FREEZE_S = 3.0
 MAX_DOWNTIME_S = 2.0
+# Between two kills of all entry instances.
+MIN_HERD_PAUSE_S = 5.0
+MAX_HERD_PAUSE_S = 8.0
+MAX_HERD_DOWNTIME_S = 1.0
 
 
 class Faults:
@@ -29,6 +34,18 @@
         if self.running:
             await asyncio.wait(self.running)
 
+    async def run_herds(self, until, before_kill):
+        """Kills all entry instances at once, in series, each time after `before_kill()`."""
+        while time.monotonic() < until:
+            await asyncio.sleep(self.random.uniform(MIN_HERD_PAUSE_S, MAX_HERD_PAUSE_S))
+            await before_kill()
+            idle = [entry for entry in self.deployment.entries if entry not in self.busy]
+            down = self.random.uniform(MIN_PAUSE_S, MAX_HERD_DOWNTIME_S)
+            self.log.append(f"{asyncio.get_running_loop().time():.2f} kill of {len(idle)} entry instances")
+            self.busy.update(idle)
+            await asyncio.gather(*(self.deployment.kill(entry, down) for entry in idle))
+            self.busy.difference_update(idle)
+
     def _begin(self):
         role = self.random.choice(("entry", "entry", "control"))
         pool = self.deployment.entries if role == "entry" else self.deployment.controls
--- a/tests/soak/run_support.py
+++ b/tests/soak/run_support.py
@@ -40,6 +40,7 @@
     parser.add_argument("--controls", type=int, default=3)
     parser.add_argument("--rate", type=float, default=50, help="requests a second of all callers")
     parser.add_argument("--faults", action="store_true", help="kill, restart and freeze instances")
+    parser.add_argument("--herds", action="store_true", help="kill all entry instances at once, again and again")
     parser.add_argument("--limits", action="store_true", help="some model runners name a rate limit")
     parser.add_argument("--bursts", action="store_true", help="all endpoints fail in one way, with many calls at once")
     parser.add_argument("--keep", action="store_true", help="keep logs and disks after a run without a breach")
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -14,6 +14,8 @@
 MAX_RETRIES = 3
 # A caller gives a stream up after a gap of this length.
 MAX_GAP_S = 3.6
+# A caller that can't connect comes back after this time.
+RECONNECT_DELAY_S = 0.8
 
 
 @dataclasses.dataclass
@@ -103,6 +105,8 @@
                     await self._read(answer, attempt)
                 else:
                     attempt.answer = await answer.text()
+        except aiohttp.ClientConnectorError:
+            retry_after = RECONNECT_DELAY_S
         except (aiohttp.ClientError, asyncio.TimeoutError):
             pass
         attempt.ended_at = time.monotonic()
--- a/tests/soak/versions_soak.py
+++ b/tests/soak/versions_soak.py
@@ -1,4 +1,5 @@
-"""Runners of several software versions crash and start again while entry and control instances are killed.
+"""Runners of several software versions crash and start again while entry and control instances are killed, with --herds
+all entry instances at once while one version replaces another.
 
 Checks that no stream holds events of two versions, that none lacks an event or has one twice, and that callers who take
 streams up can go on.
@@ -84,6 +85,15 @@
                 await asyncio.sleep(RUNNER_RESTART_S)
                 await self.start(runner.stage, self.run.random.choice(VERSIONS))
 
+    async def replace_version(self):
+        """All runners of one version end, and as many of another one start."""
+        old = self.run.random.choice(sorted({runner.version for runner in self.run.endpoints}))
+        new = self.run.random.choice([version for version in VERSIONS if version != old])
+        for runner in [runner for runner in self.run.endpoints if runner.version == old]:
+            self.run.endpoints.remove(runner)
+            await runner.crash()
+            await self.start(runner.stage, new)
+
     def _note(self):
         counts = collections.Counter(runner.version for runner in self.run.endpoints if runner.stage == "decode")
         self.history.append((time.monotonic(), counts))
@@ -139,6 +149,8 @@
         work = [callers.run(lambda now: options.rate, until), runners.crash_and_replace(until - 2)]
         if options.faults:
             work.append(faults.run(options.seconds - 4))
+        if options.herds:
+            work.append(faults.run_herds(until - 6, runners.replace_version))
         await asyncio.gather(*work)
         await callers.finish()
         print_summary(callers)
