Let a read prompt wait for room while its handle lasts

Change: while all are full it waits, up to the last moment at which its KV cache can be taken, and holds neither a connection nor a repeat.

--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -73,6 +73,12 @@
          now - prefilled_at_ + kHandleMargin < facts_.handle_lifetime;
 }
 
+bool RequestForwarder::ShouldKeepHandle(const Placement& runner,
+                                        Time now) const {
+  constexpr double kFull = 1;
+  return runner.occupancy > kFull && HandleIsFresh(now + kCapacityPollPeriod);
+}
+
 MemoryForecast RequestForwarder::Memory() const {
   // An output that exceeds its expected length still grows for a while.
   const Tokens remaining =
@@ -431,6 +437,10 @@
     const bool has_room = runner.has_value() && runner->occupancy <= limit;
     if (!has_room) return GiveUp("no runner has room", now);
   }
+  if (runner.has_value() && ShouldKeepHandle(*runner, now)) {
+    ReturnPermits();
+    return WaitForCapacity{now + kCapacityPollPeriod, runner->occupancy};
+  }
   StopWaiting();
   if (!kv_source_.has_value() && runner.has_value()) {
     const auto prefill = ChoosePrefill(runner->endpoint.version, now);
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -205,6 +205,9 @@
   /// Takes a reserved retry, or else one from the budget.
   bool TakeRetry(Time now);
   bool HandleIsFresh(Time now) const;
+  /// Whether a runner that is as full as this one gets the KV cache only later,
+  /// since it would reject it and other runners may get room in time.
+  bool ShouldKeepHandle(const Placement& runner, Time now) const;
   ForwardStep Next(Time now);
   /// The end of the request if its next call would make the endpoint crash;
   /// null if it may be made.
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -480,6 +480,43 @@
   CHECK_TRUE(std::get<Refuse>(end).retry_after >= Seconds(1));
 }
 
+// The runners fill up while a prompt is read. Three of them rejected it within
+// some ten milliseconds, and its request was refused.
+TEST(RequestForwarder, AReadPromptWaitsForRoomWhileItsHandleLasts) {
+  AddRunners();
+  RequestFacts facts = StreamFacts(false);
+  facts.handle_lifetime = Milliseconds(500);
+  RequestForwarder forwarder = Make(facts);
+  forwarder.Start(kStart);
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
+                     5, kStart);
+  CHECK_TRUE(Is<WaitForCapacity>(forwarder.OnPrefillDone(Cache(), kStart)));
+  const Time later = kStart + Milliseconds(100);
+  CHECK_TRUE(Is<WaitForCapacity>(forwarder.OnWaitElapsed(later)));
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}}}, 5, later);
+  const ForwardStep run = forwarder.OnWaitElapsed(later);
+  CHECK_TRUE(Call(run).kind == CallKind::kRun);
+  STRCMP_EQUAL("decode2", Call(run).endpoint.id.value().c_str());
+}
+
+TEST(RequestForwarder, AReadPromptIsOfferedBeforeItsHandleExpires) {
+  AddRunners();
+  RequestFacts facts = StreamFacts(false);
+  facts.handle_lifetime = Milliseconds(500);
+  RequestForwarder forwarder = Make(facts);
+  forwarder.Start(kStart);
+  pool.SetOtherLoads({{EndpointId("decode1"), {9, Hold(99000)}},
+                      {EndpointId("decode2"), {9, Hold(99000)}}},
+                     5, kStart);
+  ForwardStep step = forwarder.OnPrefillDone(Cache(), kStart);
+  while (const auto* wait = std::get_if<WaitForCapacity>(&step)) {
+    CHECK_TRUE(wait->until < kStart + facts.handle_lifetime);
+    step = forwarder.OnWaitElapsed(wait->until);
+  }
+  CHECK_TRUE(Call(step).kv_source.has_value());
+}
+
 // In a burst of a large route, the few requests of a small route use the memory
 // that is kept free.
 TEST(RequestForwarder, ASmallRouteIsNotStarvedByALargeOne) {
