--- a/main/forwarded_request.cc
+++ b/main/forwarded_request.cc
@@ -118,8 +118,8 @@
   if (origin.has_value()) {
     facts_.begun_by = origin->version;
   } else {
-    facts_.begun_by = context_.pool->SoleVersion(facts_.service,
-                                                 max_stream_age_, BootTimeNow());
+    facts_.begun_by = context_.pool->SoleVersion(
+        facts_.service, max_stream_age_, BootTimeNow());
   }
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", caller_.id.value()},
