Relieve prefill also while its waiting streams make decode the busier stage

Cause: only the busier stage could get a runner.

Change: prefill is looked at too if the busier stage can't be relieved; below its minimum of two runners decode may be full to its usable memory after the switch.

--- a/servers/control/stage_balancer.cc
+++ b/servers/control/stage_balancer.cc
@@ -61,6 +61,11 @@
                                  ? donor_load * donors / (donors - 1)
                                  : KvTokensAt(receiver_after, receivers + 1) /
                                        (usable_tokens_ * (donors - 1));
+  const bool restores_minimum =
+      !to_decode && receivers < options_.min_runners_per_stage;
+  if (restores_minimum) {
+    return donor_after < options_.max_decode_load_for_minimum;
+  }
   if (donor_after >= donor_limit) return false;
   const double after = std::fmax(donor_after, receiver_after);
   return after <= options_.max_load_ratio * receiver_load;
@@ -95,6 +100,10 @@
                                   ? EndpointRole::kDecode
                                   : EndpointRole::kPrefill;
   if (RelievesOverload(counts, busier)) return busier;
+  // Streams that wait for prefill add to the load of decode.
+  if (RelievesOverload(counts, EndpointRole::kPrefill)) {
+    return EndpointRole::kPrefill;
+  }
   return std::nullopt;
 }
 
--- a/servers/control/stage_balancer.h
+++ b/servers/control/stage_balancer.h
@@ -39,6 +39,9 @@
   Duration runner_cooldown = Seconds(30);
   /// Each stage keeps at least this number of runners, if it has them.
   int min_runners_per_stage = 2;
+  /// Load that decode may have after it gives up a runner to an overloaded
+  /// prefill stage with fewer than that, through which all streams have to go.
+  double max_decode_load_for_minimum = 1;
   /// Share of a decode runner's memory that request placement uses.
   double usable_memory_share = 0.8;
   /// Spare prefill runners switch to decode before there is an overload, since
--- a/tests/control/stage_balancer_test.cc
+++ b/tests/control/stage_balancer_test.cc
@@ -130,6 +130,13 @@
   CHECK_TRUE(order->role == EndpointRole::kPrefill);
 }
 
+// The more streams wait, the busier decode looks, up to being the busier stage.
+TEST(StageBalancer, PrefillIsRelievedThoughItsWaitingStreamsFillDecode) {
+  const auto order = Run(Runners(1, 7, 15, 85000), kStart, Seconds(6));
+  CHECK_TRUE(order.has_value());
+  CHECK_TRUE(order->role == EndpointRole::kPrefill);
+}
+
 // The streams in decode alone need all decode runners.
 TEST(StageBalancer, DecodeRunnersThatAreFullOfRunningStreamsStay) {
   CHECK_FALSE(Run(Runners(1, 7, 3, 75000), kStart, Seconds(60)).has_value());
