Ignore evidence of a process that its successor has replaced

Cause: the last acknowledgement of a process that ended may arrive after its successor is known. It put the earlier process back in its place, so that the successor, which has nothing, was taken to have all until it was heard of again.

Change: messages of an earlier process are ignored.

--- a/servers/crashes/evidence_sharing.cc
+++ b/servers/crashes/evidence_sharing.cc
@@ -5,17 +5,27 @@
 
 namespace cassiausher {
 
+EvidenceSharing::Peer* EvidenceSharing::FindOrAdd(const InstanceId& instance,
+                                                  Incarnation process,
+                                                  Time now) {
+  Peer& known = peers_[instance];
+  if (process < known.process) return nullptr;
+  if (process > known.process) known = {.process = process};
+  known.heard_at = now;
+  return &known;
+}
+
 void EvidenceSharing::OnPeer(const InstanceId& peer, Incarnation process,
                              Time now) {
-  Peer& known = peers_[peer];
-  if (known.process != process) known = {.process = process};
-  known.heard_at = now;
+  FindOrAdd(peer, process, now);
 }
 
 void EvidenceSharing::OnMessage(const InstanceId& from, Incarnation process,
                                 const EvidenceMessage& message, Time now) {
-  OnPeer(from, process, now);
-  Peer& peer = peers_[from];
+  Peer* sender = FindOrAdd(from, process, now);
+  // What an earlier process had is lost with it.
+  if (sender == nullptr) return;
+  Peer& peer = *sender;
   const bool has_all = peer.acknowledged == evidence_->revision();
   evidence_->Merge(message.changes);
   // A peer that has all changes also has those that it sends.
--- a/servers/crashes/evidence_sharing.h
+++ b/servers/crashes/evidence_sharing.h
@@ -58,7 +58,7 @@
       : options_(options), evidence_(evidence) {}
 
   /// A message has arrived from an instance that takes part. `process` is its
-  /// incarnation.
+  /// incarnation. Messages of a process before the known one are ignored.
   void OnPeer(const InstanceId& peer, Incarnation process, Time now);
   void OnMessage(const InstanceId& from, Incarnation process,
                  const EvidenceMessage& message, Time now);
@@ -79,6 +79,8 @@
     bool owes_acknowledgement = false;
   };
 
+  /// Null if the process isn't the latest one of the instance.
+  Peer* FindOrAdd(const InstanceId& instance, Incarnation process, Time now);
   /// Takes the changes that the peer is sent now.
   EvidenceChanges TakeChanges(Peer& peer, Time now) const;
 
--- a/tests/crashes/evidence_sharing_test.cc
+++ b/tests/crashes/evidence_sharing_test.cc
@@ -256,6 +256,26 @@
   CHECK_TRUE(messages <= 11);
 }
 
+// The last acknowledgement of a process arrives after its successor is known,
+// which has nothing.
+TEST(EvidenceSharing, AnAcknowledgementOfAnEarlierProcessIsIgnored) {
+  CrashEvidence evidence{CrashEvidenceOptions{}};
+  EvidenceSharing sharing({.self = Incarnation(1)}, &evidence);
+  const InstanceId peer("peer");
+  const Time now{Seconds(1000)};
+  evidence.AddCall(Run(1), kService, {TraitId(2)}, now);
+  sharing.OnPeer(peer, Incarnation(20), now);
+  LONGS_EQUAL(1, sharing.Tick(now).size());
+  sharing.OnPeer(peer, Incarnation(21), now);
+  sharing.OnMessage(peer, Incarnation(20),
+                    {.acknowledged_process = Incarnation(1),
+                     .acknowledged_revision = evidence.revision()},
+                    now);
+  const auto outgoing = sharing.Tick(now);
+  LONGS_EQUAL(1, outgoing.size());
+  LONGS_EQUAL(1, outgoing.front().message.changes.crashes.size());
+}
+
 // An acknowledgement that is sent after a lost message must not stand for it.
 TEST(EvidenceSharing, ALostMessageIsNotCoveredByALaterOne) {
   CrashEvidence first{CrashEvidenceOptions{}};
