Acknowledge crash evidence only if it was sent to this process

A restarted entry instance received a message that a control instance had addressed to its predecessor, with only what that one lacked, and acknowledged it.

Change: a message whose receiver process isn't this one is merged but not acknowledged. No change of the wire: the field was there.

--- a/servers/crashes/evidence_sharing.cc
+++ b/servers/crashes/evidence_sharing.cc
@@ -30,9 +30,12 @@
   evidence_->Merge(message.changes);
   // A peer that has all changes also has those that it sends.
   if (has_all) peer.acknowledged = evidence_->revision();
-  peer.received = std::max(peer.received, message.changes.revision);
-  peer.owes_acknowledgement |= !message.changes.empty();
-  if (message.acknowledged_process == options_.self) {
+  // Else the sender took this process for its predecessor, and left out what
+  // that one had.
+  const bool is_addressed = message.acknowledged_process == options_.self;
+  if (is_addressed) {
+    peer.received = std::max(peer.received, message.changes.revision);
+    peer.owes_acknowledgement |= !message.changes.empty();
     const std::uint64_t acknowledged =
         std::min(message.acknowledged_revision, evidence_->revision());
     peer.acknowledged = std::max(peer.acknowledged, acknowledged);
--- a/servers/crashes/evidence_sharing.h
+++ b/servers/crashes/evidence_sharing.h
@@ -39,9 +39,10 @@
 };
 
 struct EvidenceMessage {
+  /// Those that the process below lacks, as far as the sender knows.
   EvidenceChanges changes;
-  /// Process of the receiver, and its revision up to which the sender has its
-  /// changes.
+  /// Process that the message is for, and its revision up to which the sender
+  /// has its changes. A successor that receives it acknowledges nothing.
   Incarnation acknowledged_process{0};
   std::uint64_t acknowledged_revision = 0;
 };
--- a/tests/crashes/evidence_sharing_test.cc
+++ b/tests/crashes/evidence_sharing_test.cc
@@ -276,6 +276,39 @@
   LONGS_EQUAL(1, outgoing.front().message.changes.crashes.size());
 }
 
+// A message that follows what the receiver's predecessor had arrives at its
+// successor. Acknowledging it would stand for all that the successor lacks.
+TEST(EvidenceSharing, AMessageToAnEarlierProcessIsNotAcknowledged) {
+  CrashEvidence first{CrashEvidenceOptions{}};
+  CrashEvidence second{CrashEvidenceOptions{}};
+  EvidenceSharing from_first({.self = Incarnation(1)}, &first);
+  EvidenceSharing from_second({.self = Incarnation(21)}, &second);
+  const InstanceId first_id("first");
+  const InstanceId second_id("second");
+  Time now{Seconds(1000)};
+  first.AddCause({.traits = {TraitId(3)}, .crashes = 4, .last_crash_at = now});
+  from_first.OnPeer(second_id, Incarnation(20), now);
+  from_first.Tick(now);
+  from_first.OnMessage(second_id, Incarnation(20),
+                       {.acknowledged_process = Incarnation(1),
+                        .acknowledged_revision = first.revision()},
+                       now);
+  now += Seconds(1);
+  first.AddCall(Run(1), kService, {TraitId(2)}, now);
+  for (int i = 0; i < 10; ++i, now += Milliseconds(100)) {
+    for (const OutgoingEvidence& out : from_first.Tick(now)) {
+      from_second.OnMessage(first_id, Incarnation(1), out.message, now);
+    }
+    from_second.OnPeer(first_id, Incarnation(1), now);
+    for (const OutgoingEvidence& out : from_second.Tick(now)) {
+      from_first.OnMessage(second_id, Incarnation(21), out.message, now);
+    }
+    from_first.OnPeer(second_id, Incarnation(21), now);
+  }
+  LONGS_EQUAL(1, second.crashes().size());
+  LONGS_EQUAL(1, second.ActiveCauses().size());
+}
+
 // An acknowledgement that is sent after a lost message must not stand for it.
 TEST(EvidenceSharing, ALostMessageIsNotCoveredByALaterOne) {
   CrashEvidence first{CrashEvidenceOptions{}};
