Don't call endpoints that have gone again after their address is taken or a control instance restarts

The old ids stay ready in all registries: they got 268 calls from 8 to 11 s, until they counted as silent, and 584 more from 19 to 24 s. Those followed the restart of one control instance at 17.9 s, which took the records that others sent it for heartbeats of that moment and reported nobody as silent for 4 s.

Change: a heartbeat from an address marks as expired what was known there before; a heartbeat of the earlier endpoint itself revokes that. Records between control instances carry the age of their last heartbeat. A control instance that has just started tells followers that it can't name the silent ones yet.

Result: tests of the registry and of the node; with the two lines of the node taken back the node's tests fail.

--- a/main/control_node.cc
+++ b/main/control_node.cc
@@ -6,6 +6,7 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
+#include "main/message_age.h"
 #include "main/node_messages.h"
 #include "main/origin_messages.h"
 #include "platform/runner_calls.h"
@@ -36,6 +37,10 @@
 
 constexpr const char* kJson = "application/json";
 
+// An instance that has received no other's registry by then knows the endpoints
+// by their heartbeats.
+constexpr Duration kRegistrySyncTime = Seconds(4);
+
 }  // namespace
 
 ControlNode::ControlNode(NodeSettings settings, const ConfigurationCodec& codec,
@@ -72,6 +77,7 @@
 ControlNode::~ControlNode() = default;
 
 std::string ControlNode::Start() {
+  started_at_ = BootTimeNow();
   Reload(settings_);
   if (auto error = link_.Listen(context_); !error.empty()) return error;
   if (auto error = log_.Start(); !error.empty()) return error;
@@ -176,8 +182,12 @@
                             .not_run = true,
                             .retry_after = kRegistryFullRetryAfter});
   }
-  const bool changed = registry_.Update(*record, BootTimeNow());
+  const Time now = BootTimeNow();
+  const bool changed = registry_.Update(*record, now);
   if (changed) PublishRegistryChange(*registry_.Find(id));
+  for (const EndpointRecord& replaced : registry_.ExpireReplaced(id, now)) {
+    PublishRegistryChange(replaced);
+  }
   exchange.Respond(200, kJson, "{}");
 }
 
@@ -208,7 +218,7 @@
        {"born", record.incarnation.value()},
        {"sequence", record.sequence}});
   proto::Sync sync;
-  *sync.add_records() = cassiausher::ToProto(record);
+  AddRecord(record, BootTimeNow(), &sync);
   for (const InstanceId& control : KnownControls()) SendSync(control, sync);
   followers_.OnChange(BootTimeNow());
 }
@@ -407,6 +417,13 @@
   }
 }
 
+void ControlNode::AddRecord(const EndpointRecord& record, Time now,
+                            proto::Sync* sync) const {
+  proto::EndpointRecord* message = sync->add_records();
+  *message = cassiausher::ToProto(record);
+  message->set_seen_age_ms(AgeInMs(registry_.LastSeen(record.id), now));
+}
+
 void ControlNode::SendSync(const InstanceId& to, const proto::Sync& sync) {
   proto::NodeMessage message;
   *message.mutable_sync() = sync;
@@ -427,7 +444,7 @@
       continue;
     }
     if (!registry_.HasRoomFor(record.id)) ++refused;
-    changed |= registry_.Update(record, now);
+    changed |= registry_.Update(record, TimeOfAge(message.seen_age_ms(), now));
   }
   if (refused > 0) {
     Log(LogLevel::kWarning, "records_refused",
@@ -437,12 +454,15 @@
   OnNotice(sync.notice(), now);
   AddControls(sync.control_instances());
   if (sync.has_members()) log_.OnMembers(from, sync.members(), BootTimeNow());
-  if (sync.whole_registry()) synced_with_.insert(from);
+  if (sync.whole_registry()) {
+    synced_with_.insert(from);
+    followers_.OnRegistryComplete();
+  }
   if (!sync.wants_registry()) return;
   proto::Sync whole;
   whole.set_whole_registry(true);
   for (const EndpointRecord& record : registry_.ChangedSince(0)) {
-    *whole.add_records() = cassiausher::ToProto(record);
+    AddRecord(record, now, &whole);
   }
   SendSync(from, whole);
 }
@@ -451,7 +471,7 @@
   proto::Sync sync;
   for (const EndpointRecord& record :
        registry_.SeenSince(last_sync_ - kSyncOverlap)) {
-    *sync.add_records() = cassiausher::ToProto(record);
+    AddRecord(record, now, &sync);
   }
   sync.add_control_instances(settings_.ip);
   for (const InstanceId& control : LiveControls()) {
@@ -494,6 +514,7 @@
   if (permits_.Tick(now)) followers_.OnChange(now);
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
+  if (now - started_at_ >= kRegistrySyncTime) followers_.OnRegistryComplete();
   SyncControls(now);
   BalanceStages(now);
   for (const EndpointRecord& record : registry_.Expire(now)) {
--- a/main/control_node.h
+++ b/main/control_node.h
@@ -90,6 +90,9 @@
   std::vector<InstanceId> LiveControls() const;
 
   void AdvanceShutdown(Time now);
+  /// Adds the record with the age of what it says.
+  void AddRecord(const EndpointRecord& record, Time now,
+                 proto::Sync* sync) const;
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
   void Tick();
@@ -137,6 +140,7 @@
   /// Set by Shutdown().
   std::function<void()> on_done_;
   GSourcePtr shutdown_timer_;
+  Time started_at_{};
   Time shutdown_started_{};
 };
 
--- a/main/entry_node.cc
+++ b/main/entry_node.cc
@@ -354,11 +354,13 @@
   permits_.OnRateLimits(update.rate_limits(), now);
   UseControls(now);
   MergeRecords(from, update.records(), now);
-  std::set<EndpointId> silent;
-  for (const std::string& id : update.silent_endpoints()) {
-    silent.insert(EndpointId(id));
+  if (!update.registry_incomplete()) {
+    std::set<EndpointId> silent;
+    for (const std::string& id : update.silent_endpoints()) {
+      silent.insert(EndpointId(id));
+    }
+    pool_.SetSilent(from.value(), std::move(silent), now);
   }
-  pool_.SetSilent(from.value(), std::move(silent), now);
   SetChangingEndpoints(update.changing_endpoints(), now);
   const int others = static_cast<int>(update.entry_instances()) - 1;
   if (from == load_source_) {
--- a/main/follower_updates.cc
+++ b/main/follower_updates.cc
@@ -79,6 +79,7 @@
        state_.registry->ChangedSince(follower.registry_revision)) {
     *update.add_records() = cassiausher::ToProto(record);
   }
+  update.set_registry_incomplete(!registry_complete_);
   for (const EndpointId& id : state_.registry->Silent(now)) {
     update.add_silent_endpoints(id.value());
   }
--- a/main/follower_updates.h
+++ b/main/follower_updates.h
@@ -65,6 +65,9 @@
   /// Sends what has gathered. `controls` are the control instances to name.
   /// Call every kBatchPeriod.
   void SendBatches(const std::vector<InstanceId>& controls, Time now);
+  /// The registry has the records of another control instance, or there is no
+  /// other to get them from.
+  void OnRegistryComplete() { registry_complete_ = true; }
   /// Drops followers that haven't sent Follow for a while.
   void Expire(Time now);
 
@@ -115,6 +118,7 @@
   /// Revision of the registry that the last Changes covered.
   std::uint64_t sent_revision_ = 0;
   Time changes_sent_at_{};
+  bool registry_complete_ = false;
 };
 
 }  // namespace cassiausher
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -1,8 +1,20 @@
 #include "servers/control/endpoint_registry.h"
 
+#include <algorithm>
+
 namespace cassiausher {
+namespace {
+
+// Whether `a` started after `b` at the same address. Endpoints send heartbeats
+// at the same rate, so that the later one has sent fewer.
+bool StartedLater(const EndpointRecord& a, const EndpointRecord& b) {
+  if (a.incarnation != b.incarnation) return a.incarnation > b.incarnation;
+  return a.sequence < b.sequence;
+}
 
-bool EndpointRegistry::Update(const EndpointRecord& received, Time now) {
+}  // namespace
+
+bool EndpointRegistry::Update(const EndpointRecord& received, Time seen_at) {
   if (!HasRoomFor(received.id)) return false;
   const auto [found, added] =
       entries_.try_emplace(received.id, Entry{.record = received});
@@ -13,11 +25,47 @@
                      (received.incarnation == before.incarnation &&
                       received.sequence > before.sequence);
   const bool expired = entry.record.expired && !before.expired;
-  if (added || newer || expired) entry.last_seen = now;
+  if (added || newer || expired) {
+    entry.last_seen = std::max(entry.last_seen, seen_at);
+  }
+  const bool moved = entry.record.address != before.address ||
+                     entry.record.incarnation != before.incarnation;
+  if (added || moved) entry.order_at_address = OrderAtAddress(entry.record);
   if (changed) entry.changed_at = ++revision_;
   return changed;
 }
 
+int EndpointRegistry::OrderAtAddress(const EndpointRecord& record) const {
+  int order = 0;
+  for (const auto& [id, other] : entries_) {
+    if (id == record.id || other.record.address != record.address) continue;
+    order = StartedLater(record, other.record)
+                ? std::max(order, other.order_at_address + 1)
+                : std::min(order, other.order_at_address - 1);
+  }
+  return order;
+}
+
+std::vector<EndpointRecord> EndpointRegistry::ExpireReplaced(
+    const EndpointId& by, Time now) {
+  const auto found = entries_.find(by);
+  if (found == entries_.end() || IsGone(found->second.record)) return {};
+  const Entry& successor = found->second;
+  std::vector<EndpointRecord> expired;
+  for (auto& [id, entry] : entries_) {
+    if (id == by || entry.record.address != successor.record.address) continue;
+    const bool is_replaced =
+        !IsGone(entry.record) && entry.last_seen <= successor.last_seen &&
+        entry.order_at_address < successor.order_at_address;
+    if (!is_replaced) continue;
+    entry.record.expired = true;
+    entry.last_seen = now;
+    entry.changed_at = ++revision_;
+    expired.push_back(entry.record);
+  }
+  return expired;
+}
+
 bool EndpointRegistry::HasRoomFor(const EndpointId& id) const {
   return entries_.size() < options_.max_records || entries_.contains(id);
 }
@@ -72,6 +120,10 @@
   return ready;
 }
 
+Time EndpointRegistry::LastSeen(const EndpointId& id) const {
+  return entries_.at(id).last_seen;
+}
+
 std::vector<EndpointRecord> EndpointRegistry::SeenSince(Time since) const {
   std::vector<EndpointRecord> seen;
   for (const auto& [id, entry] : entries_) {
--- a/servers/control/endpoint_registry.h
+++ b/servers/control/endpoint_registry.h
@@ -32,10 +32,15 @@
   explicit EndpointRegistry(EndpointRegistryOptions options)
       : options_(options) {}
 
-  /// Merges a record from a heartbeat or from another control instance. Returns
-  /// whether followers must be told of a change; false for a record that
-  /// there is no room for.
-  bool Update(const EndpointRecord& received, Time now);
+  /// Merges a record from a heartbeat or from another control instance.
+  /// `seen_at`: when the heartbeat arrived there, or when the endpoint departed
+  /// or expired. Returns whether followers must be told of a change; false for
+  /// a record that there is no room for.
+  bool Update(const EndpointRecord& received, Time seen_at);
+  /// A heartbeat of the endpoint has arrived. Marks those as expired that had
+  /// its address before, although they announced no departure: an address has
+  /// one endpoint at a time. Returns the records that expired now.
+  std::vector<EndpointRecord> ExpireReplaced(const EndpointId& by, Time now);
   /// Whether the id is known or a new one is within `max_records`.
   bool HasRoomFor(const EndpointId& id) const;
   /// Marks an endpoint that announced its departure. Returns whether its state
@@ -55,6 +60,9 @@
   /// Endpoints of a service in state ready that haven't expired. The pointers
   /// are valid until the next change of the registry.
   std::vector<const EndpointRecord*> Ready(const ServiceId& service) const;
+  /// When the endpoint's last heartbeat or its departure arrived at any control
+  /// instance, as far as known, or when its record expired. `id` is known.
+  Time LastSeen(const EndpointId& id) const;
   /// Records last seen at or after `since`, changed or not.
   std::vector<EndpointRecord> SeenSince(Time since) const;
   /// Endpoints that have not departed and sent no heartbeat for
@@ -71,8 +79,13 @@
     /// When the last newer heartbeat or the departure arrived, or when the
     /// record expired.
     Time last_seen{};
+    /// Of two endpoints that had the address one after the other, the later one
+    /// has the higher number.
+    int order_at_address = 0;
   };
 
+  int OrderAtAddress(const EndpointRecord& record) const;
+
   EndpointRegistryOptions options_;
   /// Invariant: no entry's `changed_at` exceeds the revision.
   std::uint64_t revision_ = 0;
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -1,7 +1,9 @@
 // Guards against a departed or draining endpoint that becomes ready again, a
 // delayed heartbeat that overwrites newer state, records without a limit, and
 // control instances that disagree after they received the same records in
-// different orders.
+// different orders. Guards also against endpoints that crashed and get calls
+// for seconds after another one has registered at their address, or again after
+// a control instance restarted.
 #include "servers/control/endpoint_registry.h"
 
 #include <CppUTest/TestHarness.h>
@@ -28,6 +30,13 @@
           .sequence = sequence};
 }
 
+/// Another endpoint at the same address.
+EndpointRecord Successor(std::uint64_t sequence) {
+  EndpointRecord record = Runner(1, sequence);
+  record.id = EndpointId("r2");
+  return record;
+}
+
 }  // namespace
 
 TEST_GROUP(EndpointRegistry) {
@@ -196,6 +205,66 @@
 }
 
 // Heartbeats of ever new ids would otherwise fill the memory of the process.
+TEST(EndpointRegistry, AnEndpointExpiresWhenAnotherOneHasItsAddress) {
+  const EndpointId first("r1");
+  const EndpointId second("r2");
+  registry.Update(Runner(1, 30), kStart);
+  CHECK_TRUE(registry.ExpireReplaced(first, kStart).empty());
+  const Time later = kStart + Seconds(2);
+  registry.Update(Successor(1), later);
+  const auto expired = registry.ExpireReplaced(second, later);
+  CHECK_EQUAL(1u, expired.size());
+  CHECK_TRUE(expired.front().id == first);
+  CHECK_EQUAL(1u, registry.Ready(ServiceId("model")).size());
+  CHECK_TRUE(registry.ExpireReplaced(second, later).empty());
+}
+
+// A heartbeat that a partition delayed arrives after the next endpoint has
+// registered at the address.
+TEST(EndpointRegistry, ADelayedHeartbeatDoesNotExpireTheSuccessor) {
+  const EndpointId first("r1");
+  const EndpointId second("r2");
+  registry.Update(Runner(1, 30), kStart);
+  registry.Update(Successor(1), kStart + Seconds(2));
+  registry.ExpireReplaced(second, kStart + Seconds(2));
+  registry.Update(Successor(40), kStart + Seconds(41));
+  registry.Update(Runner(1, 31), kStart + Seconds(41));
+  CHECK_TRUE(registry.ExpireReplaced(first, kStart + Seconds(41)).empty());
+  registry.Update(Successor(41), kStart + Seconds(42));
+  LONGS_EQUAL(1, registry.ExpireReplaced(second, kStart + Seconds(42)).size());
+  CHECK_FALSE(registry.Find(second)->expired);
+}
+
+TEST(EndpointRegistry, AnUnknownEndpointWithMoreHeartbeatsIsTheEarlierOne) {
+  const EndpointId first("r1");
+  const EndpointId second("r2");
+  registry.Update(Successor(3), kStart);
+  registry.Update(Runner(1, 31), kStart + Milliseconds(10));
+  CHECK_TRUE(registry.ExpireReplaced(first, kStart + Seconds(1)).empty());
+  registry.Update(Successor(4), kStart + Seconds(1));
+  LONGS_EQUAL(1, registry.ExpireReplaced(second, kStart + Seconds(1)).size());
+}
+
+// Another endpoint named its address by mistake, and says nothing any more.
+TEST(EndpointRegistry, AnEndpointThatStillSendsHeartbeatsComesBack) {
+  registry.Update(Runner(1, 30), kStart);
+  registry.Update(Successor(1), kStart);
+  registry.ExpireReplaced(EndpointId("r2"), kStart);
+  registry.Update(Runner(1, 31), kStart + Seconds(1));
+  CHECK_FALSE(registry.Find(EndpointId("r1"))->expired);
+}
+
+// The control instance has restarted, and another one sends it its records.
+TEST(EndpointRegistry, ARecordFromElsewhereIsAsOldAsItsLastHeartbeat) {
+  const Duration silent_after = EndpointRegistryOptions{}.silent_after;
+  registry.Update(Runner(1, 30), kStart - silent_after);
+  LONGS_EQUAL(1, registry.Silent(kStart).size());
+  // A heartbeat that arrived there later.
+  registry.Update(Runner(1, 31), kStart - Seconds(1));
+  CHECK_TRUE(registry.Silent(kStart).empty());
+  CHECK_TRUE(registry.LastSeen(EndpointId("r1")) == kStart - Seconds(1));
+}
+
 TEST(EndpointRegistry, NewEndpointsBeyondTheLimitAreNotAdded) {
   EndpointRecord record = Runner(1, 1);
   for (int i = 0; i < 20001; ++i) {
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node_roles_test.cc
@@ -10,6 +10,7 @@
 #include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,9 +23,10 @@
 
 namespace {
 
-std::string Heartbeat(int endpoint) {
-  return R"({"service":"s","address":"10.9.0.)" + std::to_string(endpoint) +
-         R"(:80","zone":"dc1","slots":4,"state":"ready","seq":1})";
+std::string Heartbeat(int host, int sequence = 1) {
+  return R"({"service":"s","address":"10.9.0.)" + std::to_string(host) +
+         R"(:80","zone":"dc1","slots":4,"state":"ready","seq":)" +
+         std::to_string(sequence) + "}";
 }
 
 }  // namespace
@@ -81,6 +83,22 @@
     }));
     peer->on_message = nullptr;
   }
+  /// The control node's next Update, for the peer as a follower.
+  proto::Update AwaitUpdate() {
+    std::optional<proto::Update> update;
+    peer->on_message = [&](const proto::NodeMessage& message) {
+      if (message.has_update()) update = message.update();
+    };
+    CHECK_TRUE(RunUntil([&] {
+      proto::NodeMessage follow;
+      follow.mutable_follow();
+      peer->link.Send(InstanceId(node_ip), follow);
+      RunFor(Milliseconds(50));
+      return update.has_value();
+    }));
+    peer->on_message = nullptr;
+    return update.value_or(proto::Update());
+  }
   /// Puts the peer in the place of the control node.
   void ReplaceVoter() {
     members.set_commit(members.commit() + 1);
@@ -124,6 +142,36 @@
   CHECK_TRUE(received_bytes < document.size());
 }
 
+// Guards against endpoints that crashed and get calls for 4 s again, since a
+// control instance that restarted took the records of others for heartbeats,
+// or had none yet and named nobody as silent.
+TEST(NodeRoles, ARestartedControlInstanceKnowsSilentEndpoints) {
+  StartControl();
+  CHECK_TRUE(AwaitUpdate().registry_incomplete());
+  proto::NodeMessage message;
+  auto* sync = message.mutable_sync();
+  sync->set_whole_registry(true);
+  auto* record = sync->add_records();
+  *record = Endpoint("e1", "dc1", 80);
+  record->set_seen_age_ms(10'000);
+  peer->link.Send(InstanceId(node_ip), message);
+  RunFor(Milliseconds(100));
+  const proto::Update update = AwaitUpdate();
+  CHECK_FALSE(update.registry_incomplete());
+  LONGS_EQUAL(1, update.silent_endpoints_size());
+}
+
+// Guards against calls to an endpoint that crashed, while another one already
+// sends heartbeats from its address.
+TEST(NodeRoles, AnEndpointExpiresWhenAnotherOneHasItsAddress) {
+  StartControl();
+  LONGS_EQUAL(200, Call("PUT", "/api/instances/e1", Heartbeat(7, 30)));
+  LONGS_EQUAL(200, Call("PUT", "/api/instances/e2", Heartbeat(7, 1)));
+  const proto::Update update = AwaitUpdate();
+  LONGS_EQUAL(1, update.silent_endpoints_size());
+  STRCMP_EQUAL("e1", update.silent_endpoints(0).c_str());
+}
+
 // Guards against a control instance that keeps heartbeats of any size.
 TEST(NodeRoles, OversizedHeartbeatIsRefused) {
   StartControl();
