--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -191,7 +191,7 @@
     Tokens tokens = entry.in_flight_tokens + PrefillCost(work);
     // Prompts that other instances sent to a prefill runner are queued ahead.
     if (entry.record.role == EndpointRole::kPrefill) {
-      tokens += OtherLoad(entry, now).memory.First();
+      tokens += OtherLoad(entry, now).memory.Now();
     }
     return Duration(
         static_cast<std::int64_t>(unit * static_cast<double>(tokens.value())));
--- a/servers/loads/memory_forecast.cc
+++ b/servers/loads/memory_forecast.cc
@@ -7,11 +7,9 @@
 
 MemoryForecast::MemoryForecast(Tokens held, Tokens remaining, Tokens step) {
   for (std::size_t i = 0; i < kPoints; ++i) {
-    const std::int64_t middle =
-        step.value() * (2 * static_cast<std::int64_t>(i) + 1) / 2;
-    const bool ended = i > 0 && middle > remaining.value();
-    // A stream that ends within the first interval holds its memory until then.
-    if (!ended) points_[i] = held + Tokens(std::min(middle, remaining.value()));
+    const std::int64_t generated = step.value() * static_cast<std::int64_t>(i);
+    const bool ended = i > 0 && generated > remaining.value();
+    if (!ended) points_[i] = held + Tokens(generated);
   }
 }
 
--- a/servers/loads/memory_forecast.h
+++ b/servers/loads/memory_forecast.h
@@ -11,11 +11,9 @@
 
 namespace cassiausher {
 
-/// KV memory in the middle of equal intervals of time, the first of which
-/// begins now. At their starts, the sum over a runner's streams would lack what
-/// they grow by until one of them ends. All streams of a runner decode at the
-/// same rate, so time is measured in tokens generated per stream. Only
-/// forecasts with the same step can be added.
+/// KV memory at equidistant points in time, the first of which is now. All
+/// streams of a runner decode at the same rate, so time is measured in tokens
+/// generated per stream. Only forecasts with the same step can be added.
 class MemoryForecast {
  public:
   static constexpr std::size_t kPoints = 6;
@@ -25,7 +23,7 @@
   MemoryForecast() = default;
   explicit MemoryForecast(const Points& points) : points_(points) {}
   /// A stream that holds `held` tokens now and ends after `remaining` more.
-  /// `step` tokens are generated in an interval; with 0, the memory is
+  /// `step` tokens are generated between two points; with 0, the memory is
   /// constant.
   MemoryForecast(Tokens held, Tokens remaining, Tokens step);
 
@@ -34,8 +32,7 @@
   /// Every point multiplied by `numerator / denominator`.
   MemoryForecast Scaled(int numerator, int denominator) const;
 
-  /// In the first interval. That of a constant forecast at any time.
-  Tokens First() const { return points_.front(); }
+  Tokens Now() const { return points_.front(); }
   Tokens Peak() const;
   const Points& points() const { return points_; }
 
