--- a/main/active_request.cc
+++ b/main/daemon/active_request.cc
@@ -1,12 +1,12 @@
-#include "main/active_request.h"
+#include "main/daemon/active_request.h"
 
 #include <fmt/format.h>
 
 #include <utility>
 
 #include "drivers/clock.h"
-#include "main/call_sink.h"
-#include "main/cancel_queue.h"
+#include "main/daemon/call_sink.h"
+#include "main/daemon/cancel_queue.h"
 #include "main/error_body.h"
 
 namespace cassiausher {
--- a/main/active_request.h
+++ b/main/daemon/active_request.h
@@ -1,7 +1,7 @@
 // One caller's request at its entry instance: carries out the outputs of its
 // RequestFlow with HTTP calls and answers the caller.
-#ifndef MAIN_ACTIVE_REQUEST_H_
-#define MAIN_ACTIVE_REQUEST_H_
+#ifndef MAIN_DAEMON_ACTIVE_REQUEST_H_
+#define MAIN_DAEMON_ACTIVE_REQUEST_H_
 
 #include <memory>
 #include <string>
@@ -10,7 +10,7 @@
 
 #include "core/time.h"
 #include "drivers/http_server.h"
-#include "main/serving_context.h"
+#include "main/daemon/serving_context.h"
 #include "servers/serving/request_flow.h"
 
 namespace cassiausher {
@@ -97,4 +97,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ACTIVE_REQUEST_H_
+#endif  // MAIN_DAEMON_ACTIVE_REQUEST_H_
--- a/main/admin_task.cc
+++ b/main/daemon/admin_task.cc
@@ -1,4 +1,4 @@
-#include "main/admin_task.h"
+#include "main/daemon/admin_task.h"
 
 #include <fmt/format.h>
 
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "drivers/clock.h"
-#include "main/announcement.h"
+#include "main/daemon/announcement.h"
 
 namespace cassiausher {
 namespace {
--- a/main/admin_task.h
+++ b/main/daemon/admin_task.h
@@ -1,7 +1,7 @@
 // The admin listener: operators' queries and changes, state dump, metrics,
 // health, and announcements of endpoints.
-#ifndef MAIN_ADMIN_TASK_H_
-#define MAIN_ADMIN_TASK_H_
+#ifndef MAIN_DAEMON_ADMIN_TASK_H_
+#define MAIN_DAEMON_ADMIN_TASK_H_
 
 #include <atomic>
 #include <cstdint>
@@ -15,9 +15,9 @@
 #include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
+#include "main/daemon/messages.h"
+#include "main/daemon/token_table.h"
 #include "main/error_body.h"
-#include "main/messages.h"
-#include "main/token_table.h"
 
 namespace cassiausher {
 
@@ -88,4 +88,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ADMIN_TASK_H_
+#endif  // MAIN_DAEMON_ADMIN_TASK_H_
--- a/main/announcement.cc
+++ b/main/daemon/announcement.cc
@@ -1,4 +1,4 @@
-#include "main/announcement.h"
+#include "main/daemon/announcement.h"
 
 #include <cstdint>
 #include <string>
--- a/main/announcement.h
+++ b/main/daemon/announcement.h
@@ -1,6 +1,6 @@
 // Parses an endpoint's announcement; see docs/endpoint-protocol.md.
-#ifndef MAIN_ANNOUNCEMENT_H_
-#define MAIN_ANNOUNCEMENT_H_
+#ifndef MAIN_DAEMON_ANNOUNCEMENT_H_
+#define MAIN_DAEMON_ANNOUNCEMENT_H_
 
 #include <string_view>
 
@@ -16,4 +16,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ANNOUNCEMENT_H_
+#endif  // MAIN_DAEMON_ANNOUNCEMENT_H_
--- a/main/call_sink.cc
+++ b/main/daemon/call_sink.cc
@@ -1,9 +1,9 @@
-#include "main/call_sink.h"
+#include "main/daemon/call_sink.h"
 
 #include <utility>
 #include <vector>
 
-#include "main/active_request.h"
+#include "main/daemon/active_request.h"
 
 namespace cassiausher {
 namespace {
--- a/main/call_sink.h
+++ b/main/daemon/call_sink.h
@@ -1,7 +1,7 @@
 // HTTP sinks for the answers to one request's calls: prefill, decode stream and
 // plain call.
-#ifndef MAIN_CALL_SINK_H_
-#define MAIN_CALL_SINK_H_
+#ifndef MAIN_DAEMON_CALL_SINK_H_
+#define MAIN_DAEMON_CALL_SINK_H_
 
 #include <memory>
 #include <string>
@@ -67,4 +67,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CALL_SINK_H_
+#endif  // MAIN_DAEMON_CALL_SINK_H_
--- a/main/cancel_queue.cc
+++ b/main/daemon/cancel_queue.cc
@@ -1,4 +1,4 @@
-#include "main/cancel_queue.h"
+#include "main/daemon/cancel_queue.h"
 
 #include <algorithm>
 
--- a/main/cancel_queue.h
+++ b/main/daemon/cancel_queue.h
@@ -1,7 +1,7 @@
 // Cancels requests at endpoints. Each cancel is retried, with a growing delay,
 // until the endpoint confirms it or the attempts run out.
-#ifndef MAIN_CANCEL_QUEUE_H_
-#define MAIN_CANCEL_QUEUE_H_
+#ifndef MAIN_DAEMON_CANCEL_QUEUE_H_
+#define MAIN_DAEMON_CANCEL_QUEUE_H_
 
 #include <list>
 #include <memory>
@@ -9,7 +9,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "main/serving_context.h"
+#include "main/daemon/serving_context.h"
 
 namespace cassiausher {
 
@@ -33,4 +33,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CANCEL_QUEUE_H_
+#endif  // MAIN_DAEMON_CANCEL_QUEUE_H_
--- a/main/configuration_service.cc
+++ b/main/daemon/configuration_service.cc
@@ -1,4 +1,4 @@
-#include "main/configuration_service.h"
+#include "main/daemon/configuration_service.h"
 
 #include <fmt/format.h>
 
--- a/main/configuration_service.h
+++ b/main/daemon/configuration_service.h
@@ -1,8 +1,8 @@
 // The replicated state on one instance: the active configuration, the replica
 // of the log if the instance votes, and the forwarding of changes and ledger
 // commands to the leader.
-#ifndef MAIN_CONFIGURATION_SERVICE_H_
-#define MAIN_CONFIGURATION_SERVICE_H_
+#ifndef MAIN_DAEMON_CONFIGURATION_SERVICE_H_
+#define MAIN_DAEMON_CONFIGURATION_SERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -15,8 +15,8 @@
 #include <vector>
 
 #include "core/time.h"
-#include "main/control_context.h"
-#include "main/replica_host.h"
+#include "main/daemon/control_context.h"
+#include "main/daemon/replica_host.h"
 #include "servers/configuration/admission_gate.h"
 #include "servers/configuration/change_coordinator.h"
 #include "servers/configuration/configuration_follower.h"
@@ -163,4 +163,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONFIGURATION_SERVICE_H_
+#endif  // MAIN_DAEMON_CONFIGURATION_SERVICE_H_
--- a/main/control_context.h
+++ b/main/daemon/control_context.h
@@ -1,6 +1,6 @@
 // State shared by the services of the control task, and used only on that task.
-#ifndef MAIN_CONTROL_CONTEXT_H_
-#define MAIN_CONTROL_CONTEXT_H_
+#ifndef MAIN_DAEMON_CONTROL_CONTEXT_H_
+#define MAIN_DAEMON_CONTROL_CONTEXT_H_
 
 #include <glib.h>
 
@@ -10,7 +10,7 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "core/units.h"
-#include "main/messages.h"
+#include "main/daemon/messages.h"
 #include "proto/gen/control.pb.h"
 
 namespace cassiausher {
@@ -31,4 +31,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONTROL_CONTEXT_H_
+#endif  // MAIN_DAEMON_CONTROL_CONTEXT_H_
--- a/main/control_task.cc
+++ b/main/daemon/control_task.cc
@@ -1,4 +1,4 @@
-#include "main/control_task.h"
+#include "main/daemon/control_task.h"
 
 #include <fmt/format.h>
 
@@ -9,8 +9,8 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "main/daemon/request_id.h"
 #include "main/error_body.h"
-#include "main/request_id.h"
 #include "servers/language/statement.h"
 
 namespace cassiausher {
--- a/main/control_task.h
+++ b/main/daemon/control_task.h
@@ -1,7 +1,7 @@
 // The control task: messages between instances, membership, and the pool,
 // configuration and query services.
-#ifndef MAIN_CONTROL_TASK_H_
-#define MAIN_CONTROL_TASK_H_
+#ifndef MAIN_DAEMON_CONTROL_TASK_H_
+#define MAIN_DAEMON_CONTROL_TASK_H_
 
 #include <atomic>
 #include <cstdint>
@@ -16,11 +16,11 @@
 #include "core/settings.h"
 #include "drivers/peer_transport.h"
 #include "drivers/task.h"
-#include "main/configuration_service.h"
-#include "main/control_context.h"
-#include "main/messages.h"
-#include "main/pool_service.h"
-#include "main/query_service.h"
+#include "main/daemon/configuration_service.h"
+#include "main/daemon/control_context.h"
+#include "main/daemon/messages.h"
+#include "main/daemon/pool_service.h"
+#include "main/daemon/query_service.h"
 #include "main/sent_bytes_by_kind.h"
 #include "proto/gen/control.pb.h"
 #include "servers/membership/membership.h"
@@ -152,4 +152,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONTROL_TASK_H_
+#endif  // MAIN_DAEMON_CONTROL_TASK_H_
--- a/main/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -1,4 +1,4 @@
-#include "main/daemon.h"
+#include "main/daemon/daemon.h"
 
 #include <glib-unix.h>
 
@@ -8,7 +8,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
-#include "main/register_modules.h"
+#include "main/daemon/register_modules.h"
 
 namespace cassiausher {
 namespace {
--- a/main/daemon.h
+++ b/main/daemon/daemon.h
@@ -1,7 +1,7 @@
 // The daemon: creates the tasks from the settings, connects them, and shuts
 // them down in order on a signal.
-#ifndef MAIN_DAEMON_H_
-#define MAIN_DAEMON_H_
+#ifndef MAIN_DAEMON_DAEMON_H_
+#define MAIN_DAEMON_DAEMON_H_
 
 #include <glib.h>
 
@@ -12,10 +12,10 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "core/time.h"
-#include "main/admin_task.h"
-#include "main/control_task.h"
-#include "main/serving_task.h"
-#include "main/shutdown_sequence.h"
+#include "main/daemon/admin_task.h"
+#include "main/daemon/control_task.h"
+#include "main/daemon/serving_task.h"
+#include "main/daemon/shutdown_sequence.h"
 #include "servers/routing/routing_policy.h"
 #include "servers/serving/endpoint_driver.h"
 
@@ -64,4 +64,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_DAEMON_H_
+#endif  // MAIN_DAEMON_DAEMON_H_
--- a/main/main.cc
+++ b/main/daemon/main.cc
@@ -12,7 +12,7 @@
 
 #include "core/log.h"
 #include "core/settings.h"
-#include "main/daemon.h"
+#include "main/daemon/daemon.h"
 
 namespace {
 
--- a/main/messages.h
+++ b/main/daemon/messages.h
@@ -1,6 +1,6 @@
 // Messages between the daemon's tasks.
-#ifndef MAIN_MESSAGES_H_
-#define MAIN_MESSAGES_H_
+#ifndef MAIN_DAEMON_MESSAGES_H_
+#define MAIN_DAEMON_MESSAGES_H_
 
 #include <functional>
 #include <memory>
@@ -12,7 +12,7 @@
 #include "core/ids.h"
 #include "core/settings.h"
 #include "core/units.h"
-#include "main/token_table.h"
+#include "main/daemon/token_table.h"
 #include "proto/gen/control.pb.h"
 #include "servers/configuration/configuration.h"
 #include "servers/ledger/ledger.h"
@@ -195,4 +195,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_MESSAGES_H_
+#endif  // MAIN_DAEMON_MESSAGES_H_
--- a/main/pool_rows.cc
+++ b/main/daemon/pool_rows.cc
@@ -1,4 +1,4 @@
-#include "main/pool_rows.h"
+#include "main/daemon/pool_rows.h"
 
 #include <algorithm>
 #include <cstdint>
--- a/main/pool_rows.h
+++ b/main/daemon/pool_rows.h
@@ -1,12 +1,12 @@
 // What operators see of an owned pool: rows for queries, and the state dump.
-#ifndef MAIN_POOL_ROWS_H_
-#define MAIN_POOL_ROWS_H_
+#ifndef MAIN_DAEMON_POOL_ROWS_H_
+#define MAIN_DAEMON_POOL_ROWS_H_
 
 #include <nlohmann/json.hpp>
 #include <vector>
 
 #include "core/time.h"
-#include "main/messages.h"
+#include "main/daemon/messages.h"
 #include "servers/language/row.h"
 #include "servers/serving/pool_host.h"
 
@@ -22,4 +22,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_POOL_ROWS_H_
+#endif  // MAIN_DAEMON_POOL_ROWS_H_
--- a/main/pool_service.cc
+++ b/main/daemon/pool_service.cc
@@ -1,4 +1,4 @@
-#include "main/pool_service.h"
+#include "main/daemon/pool_service.h"
 
 #include <glib.h>
 #include <xxhash.h>
@@ -9,9 +9,9 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
-#include "main/pool_rows.h"
-#include "main/request_id.h"
-#include "main/wire.h"
+#include "main/daemon/pool_rows.h"
+#include "main/daemon/request_id.h"
+#include "main/daemon/wire.h"
 
 namespace cassiausher {
 namespace {
--- a/main/pool_service.h
+++ b/main/daemon/pool_service.h
@@ -1,7 +1,7 @@
 // Hosts the pools of this data centre that this instance owns and routes
 // placement requests to the owner of the right pool.
-#ifndef MAIN_POOL_SERVICE_H_
-#define MAIN_POOL_SERVICE_H_
+#ifndef MAIN_DAEMON_POOL_SERVICE_H_
+#define MAIN_DAEMON_POOL_SERVICE_H_
 
 #include <map>
 #include <memory>
@@ -13,8 +13,8 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "main/control_context.h"
-#include "main/remote_pools.h"
+#include "main/daemon/control_context.h"
+#include "main/daemon/remote_pools.h"
 #include "servers/language/row.h"
 #include "servers/membership/membership.h"
 #include "servers/ownership/ownership.h"
@@ -129,4 +129,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_POOL_SERVICE_H_
+#endif  // MAIN_DAEMON_POOL_SERVICE_H_
--- a/main/query_service.cc
+++ b/main/daemon/query_service.cc
@@ -1,4 +1,4 @@
-#include "main/query_service.h"
+#include "main/daemon/query_service.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/main/query_service.h
+++ b/main/daemon/query_service.h
@@ -1,7 +1,7 @@
 // Queries over the whole deployment: requests rows from every instance, merges
 // them and names the instances that did not answer.
-#ifndef MAIN_QUERY_SERVICE_H_
-#define MAIN_QUERY_SERVICE_H_
+#ifndef MAIN_DAEMON_QUERY_SERVICE_H_
+#define MAIN_DAEMON_QUERY_SERVICE_H_
 
 #include <cstdint>
 #include <functional>
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "core/time.h"
-#include "main/control_context.h"
+#include "main/daemon/control_context.h"
 #include "servers/language/query.h"
 #include "servers/language/row.h"
 
@@ -67,4 +67,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_QUERY_SERVICE_H_
+#endif  // MAIN_DAEMON_QUERY_SERVICE_H_
--- a/main/register_modules.cc
+++ b/main/daemon/register_modules.cc
@@ -1,4 +1,4 @@
-#include "main/register_modules.h"
+#include "main/daemon/register_modules.h"
 
 #include "modules/file_log/register_types.h"
 #include "modules/openai_endpoint/register_types.h"
--- a/main/register_modules.h
+++ b/main/daemon/register_modules.h
@@ -1,6 +1,6 @@
 // Registers the plug-ins of cassiausherd.
-#ifndef MAIN_REGISTER_MODULES_H_
-#define MAIN_REGISTER_MODULES_H_
+#ifndef MAIN_DAEMON_REGISTER_MODULES_H_
+#define MAIN_DAEMON_REGISTER_MODULES_H_
 
 #include "servers/routing/routing_policy.h"
 #include "servers/serving/endpoint_driver.h"
@@ -13,4 +13,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_REGISTER_MODULES_H_
+#endif  // MAIN_DAEMON_REGISTER_MODULES_H_
--- a/main/remote_pools.cc
+++ b/main/daemon/remote_pools.cc
@@ -1,4 +1,4 @@
-#include "main/remote_pools.h"
+#include "main/daemon/remote_pools.h"
 
 namespace cassiausher {
 namespace {
--- a/main/remote_pools.h
+++ b/main/daemon/remote_pools.h
@@ -1,6 +1,6 @@
 // The pools of other data centres, by the last summary of their owners.
-#ifndef MAIN_REMOTE_POOLS_H_
-#define MAIN_REMOTE_POOLS_H_
+#ifndef MAIN_DAEMON_REMOTE_POOLS_H_
+#define MAIN_DAEMON_REMOTE_POOLS_H_
 
 #include <map>
 #include <set>
@@ -8,7 +8,7 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "main/messages.h"
+#include "main/daemon/messages.h"
 #include "proto/gen/control.pb.h"
 
 namespace cassiausher {
@@ -46,4 +46,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_REMOTE_POOLS_H_
+#endif  // MAIN_DAEMON_REMOTE_POOLS_H_
--- a/main/replica_host.cc
+++ b/main/daemon/replica_host.cc
@@ -1,4 +1,4 @@
-#include "main/replica_host.h"
+#include "main/daemon/replica_host.h"
 
 #include <utility>
 
--- a/main/replica_host.h
+++ b/main/daemon/replica_host.h
@@ -1,7 +1,7 @@
 // One voter's replica of the log, on the control task: Raft, the state machine
 // it drives, and the change coordinator while this instance leads.
-#ifndef MAIN_REPLICA_HOST_H_
-#define MAIN_REPLICA_HOST_H_
+#ifndef MAIN_DAEMON_REPLICA_HOST_H_
+#define MAIN_DAEMON_REPLICA_HOST_H_
 
 #include <cstdint>
 #include <functional>
@@ -117,4 +117,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_REPLICA_HOST_H_
+#endif  // MAIN_DAEMON_REPLICA_HOST_H_
--- a/main/request_id.cc
+++ b/main/daemon/request_id.cc
@@ -1,4 +1,4 @@
-#include "main/request_id.h"
+#include "main/daemon/request_id.h"
 
 #include <fmt/format.h>
 
--- a/main/request_id.h
+++ b/main/daemon/request_id.h
@@ -1,7 +1,7 @@
 // Request ids. The suffix names the entry instance and its serving task, so
 // that a grant is routed to that task without a lookup table.
-#ifndef MAIN_REQUEST_ID_H_
-#define MAIN_REQUEST_ID_H_
+#ifndef MAIN_DAEMON_REQUEST_ID_H_
+#define MAIN_DAEMON_REQUEST_ID_H_
 
 #include <cstdint>
 #include <string>
@@ -28,4 +28,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_REQUEST_ID_H_
+#endif  // MAIN_DAEMON_REQUEST_ID_H_
--- a/main/serving_context.h
+++ b/main/daemon/serving_context.h
@@ -1,13 +1,13 @@
 // Objects shared by the parts of one serving task; used only on that task.
-#ifndef MAIN_SERVING_CONTEXT_H_
-#define MAIN_SERVING_CONTEXT_H_
+#ifndef MAIN_DAEMON_SERVING_CONTEXT_H_
+#define MAIN_DAEMON_SERVING_CONTEXT_H_
 
 #include <functional>
 
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "drivers/http_client.h"
-#include "main/messages.h"
+#include "main/daemon/messages.h"
 #include "servers/serving/endpoint_driver.h"
 
 namespace cassiausher {
@@ -51,4 +51,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_SERVING_CONTEXT_H_
+#endif  // MAIN_DAEMON_SERVING_CONTEXT_H_
--- a/main/serving_task.cc
+++ b/main/daemon/serving_task.cc
@@ -1,4 +1,4 @@
-#include "main/serving_task.h"
+#include "main/daemon/serving_task.h"
 
 #include <fmt/format.h>
 #include <xxhash.h>
@@ -9,7 +9,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
-#include "main/request_id.h"
+#include "main/daemon/request_id.h"
 
 namespace cassiausher {
 namespace {
--- a/main/serving_task.h
+++ b/main/daemon/serving_task.h
@@ -1,7 +1,7 @@
 // A task that serves callers: HTTP on the shared caller port, the requests
 // accepted there, and their calls to endpoints.
-#ifndef MAIN_SERVING_TASK_H_
-#define MAIN_SERVING_TASK_H_
+#ifndef MAIN_DAEMON_SERVING_TASK_H_
+#define MAIN_DAEMON_SERVING_TASK_H_
 
 #include <atomic>
 #include <cstdint>
@@ -17,13 +17,13 @@
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
-#include "main/active_request.h"
-#include "main/cancel_queue.h"
+#include "main/daemon/active_request.h"
+#include "main/daemon/cancel_queue.h"
+#include "main/daemon/messages.h"
+#include "main/daemon/serving_context.h"
+#include "main/daemon/sessions_call.h"
+#include "main/daemon/token_table.h"
 #include "main/error_body.h"
-#include "main/messages.h"
-#include "main/serving_context.h"
-#include "main/sessions_call.h"
-#include "main/token_table.h"
 #include "servers/serving/endpoint_driver.h"
 
 namespace cassiausher {
@@ -148,4 +148,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_SERVING_TASK_H_
+#endif  // MAIN_DAEMON_SERVING_TASK_H_
--- a/main/sessions_call.cc
+++ b/main/daemon/sessions_call.cc
@@ -1,4 +1,4 @@
-#include "main/sessions_call.h"
+#include "main/daemon/sessions_call.h"
 
 #include <utility>
 
--- a/main/sessions_call.h
+++ b/main/daemon/sessions_call.h
@@ -1,12 +1,12 @@
 // A call that asks an endpoint for the requests it holds memory for.
-#ifndef MAIN_SESSIONS_CALL_H_
-#define MAIN_SESSIONS_CALL_H_
+#ifndef MAIN_DAEMON_SESSIONS_CALL_H_
+#define MAIN_DAEMON_SESSIONS_CALL_H_
 
 #include <string>
 #include <string_view>
 
 #include "drivers/http_client.h"
-#include "main/serving_context.h"
+#include "main/daemon/serving_context.h"
 
 namespace cassiausher {
 
@@ -34,4 +34,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_SESSIONS_CALL_H_
+#endif  // MAIN_DAEMON_SESSIONS_CALL_H_
--- a/main/shutdown_sequence.cc
+++ b/main/daemon/shutdown_sequence.cc
@@ -1,4 +1,4 @@
-#include "main/shutdown_sequence.h"
+#include "main/daemon/shutdown_sequence.h"
 
 #include <algorithm>
 
--- a/main/shutdown_sequence.h
+++ b/main/daemon/shutdown_sequence.h
@@ -1,7 +1,7 @@
 // Decides when each step of a shutdown is due. Has no thread and no clock: the
 // present time and what the tasks report are arguments.
-#ifndef MAIN_SHUTDOWN_SEQUENCE_H_
-#define MAIN_SHUTDOWN_SEQUENCE_H_
+#ifndef MAIN_DAEMON_SHUTDOWN_SEQUENCE_H_
+#define MAIN_DAEMON_SHUTDOWN_SEQUENCE_H_
 
 #include "core/time.h"
 
@@ -86,4 +86,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_SHUTDOWN_SEQUENCE_H_
+#endif  // MAIN_DAEMON_SHUTDOWN_SEQUENCE_H_
--- a/main/token_table.cc
+++ b/main/daemon/token_table.cc
@@ -1,4 +1,4 @@
-#include "main/token_table.h"
+#include "main/daemon/token_table.h"
 
 #include <glib.h>
 
--- a/main/token_table.h
+++ b/main/daemon/token_table.h
@@ -1,6 +1,6 @@
 // Maps bearer tokens to their owners. Only SHA-256 hashes are stored.
-#ifndef MAIN_TOKEN_TABLE_H_
-#define MAIN_TOKEN_TABLE_H_
+#ifndef MAIN_DAEMON_TOKEN_TABLE_H_
+#define MAIN_DAEMON_TOKEN_TABLE_H_
 
 #include <optional>
 #include <string>
@@ -39,4 +39,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_TOKEN_TABLE_H_
+#endif  // MAIN_DAEMON_TOKEN_TABLE_H_
--- a/main/wire.cc
+++ b/main/daemon/wire.cc
@@ -1,4 +1,4 @@
-#include "main/wire.h"
+#include "main/daemon/wire.h"
 
 #include <algorithm>
 
--- a/main/wire.h
+++ b/main/daemon/wire.h
@@ -1,9 +1,9 @@
 // Conversions between routing values and their protobuf messages.
-#ifndef MAIN_WIRE_H_
-#define MAIN_WIRE_H_
+#ifndef MAIN_DAEMON_WIRE_H_
+#define MAIN_DAEMON_WIRE_H_
 
 #include "core/time.h"
-#include "main/messages.h"
+#include "main/daemon/messages.h"
 #include "proto/gen/control.pb.h"
 #include "servers/routing/router_types.h"
 
@@ -28,4 +28,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_WIRE_H_
+#endif  // MAIN_DAEMON_WIRE_H_
--- a/main/answer_body.cc
+++ b/main/node/answer_body.cc
@@ -1,4 +1,4 @@
-#include "main/answer_body.h"
+#include "main/node/answer_body.h"
 
 #include <utility>
 
--- a/main/answer_body.h
+++ b/main/node/answer_body.h
@@ -1,6 +1,6 @@
 // Body of an answer that is held until it is complete.
-#ifndef MAIN_ANSWER_BODY_H_
-#define MAIN_ANSWER_BODY_H_
+#ifndef MAIN_NODE_ANSWER_BODY_H_
+#define MAIN_NODE_ANSWER_BODY_H_
 
 #include <cstdint>
 #include <string>
@@ -27,4 +27,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ANSWER_BODY_H_
+#endif  // MAIN_NODE_ANSWER_BODY_H_
--- a/main/call_observer.cc
+++ b/main/node/call_observer.cc
@@ -1,4 +1,4 @@
-#include "main/call_observer.h"
+#include "main/node/call_observer.h"
 
 #include "core/log.h"
 
--- a/main/call_observer.h
+++ b/main/node/call_observer.h
@@ -1,13 +1,13 @@
 // Passes on what the course of a request's call shows of its endpoint: to the
 // pool, to the permits of limited endpoints, and as evidence of crashes.
-#ifndef MAIN_CALL_OBSERVER_H_
-#define MAIN_CALL_OBSERVER_H_
+#ifndef MAIN_NODE_CALL_OBSERVER_H_
+#define MAIN_NODE_CALL_OBSERVER_H_
 
 #include "core/ids.h"
 #include "core/metrics.h"
 #include "core/time.h"
-#include "main/crash_client.h"
-#include "main/permit_client.h"
+#include "main/node/crash_client.h"
+#include "main/node/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/endpoint_pool.h"
 
@@ -52,4 +52,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CALL_OBSERVER_H_
+#endif  // MAIN_NODE_CALL_OBSERVER_H_
--- a/main/configuration_client.cc
+++ b/main/node/configuration_client.cc
@@ -1,10 +1,10 @@
-#include "main/configuration_client.h"
+#include "main/node/configuration_client.h"
 
 #include <utility>
 
 #include "core/compression.h"
 #include "core/log.h"
-#include "main/node_messages.h"
+#include "main/node/node_messages.h"
 
 namespace cassiausher {
 namespace {
--- a/main/configuration_client.h
+++ b/main/node/configuration_client.h
@@ -1,14 +1,14 @@
 // The configuration of an entry instance: fetched from the control instances,
 // decoded, and known to be current or not.
-#ifndef MAIN_CONFIGURATION_CLIENT_H_
-#define MAIN_CONFIGURATION_CLIENT_H_
+#ifndef MAIN_NODE_CONFIGURATION_CLIENT_H_
+#define MAIN_NODE_CONFIGURATION_CLIENT_H_
 
 #include <memory>
 #include <string_view>
 
 #include "core/time.h"
-#include "main/node_link.h"
-#include "main/node_settings.h"
+#include "main/node/node_link.h"
+#include "main/node/node_settings.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/configuration_fetcher.h"
@@ -50,4 +50,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONFIGURATION_CLIENT_H_
+#endif  // MAIN_NODE_CONFIGURATION_CLIENT_H_
--- a/main/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -1,4 +1,4 @@
-#include "main/configuration_log.h"
+#include "main/node/configuration_log.h"
 
 #include <filesystem>
 #include <set>
--- a/main/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -1,7 +1,7 @@
 // The replicated configuration of the control instances: Raft, the register
 // that it drives, and the automatic replacement of lost voters.
-#ifndef MAIN_CONFIGURATION_LOG_H_
-#define MAIN_CONFIGURATION_LOG_H_
+#ifndef MAIN_NODE_CONFIGURATION_LOG_H_
+#define MAIN_NODE_CONFIGURATION_LOG_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -13,7 +13,7 @@
 
 #include "core/metrics.h"
 #include "core/time.h"
-#include "main/node_settings.h"
+#include "main/node/node_settings.h"
 #include "main/raft_host.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/configuration_register.h"
@@ -125,4 +125,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONFIGURATION_LOG_H_
+#endif  // MAIN_NODE_CONFIGURATION_LOG_H_
--- a/main/control_node.cc
+++ b/main/node/control_node.cc
@@ -1,4 +1,4 @@
-#include "main/control_node.h"
+#include "main/node/control_node.h"
 
 #include <algorithm>
 #include <utility>
@@ -6,9 +6,9 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
-#include "main/message_age.h"
-#include "main/node_messages.h"
-#include "main/origin_messages.h"
+#include "main/node/message_age.h"
+#include "main/node/node_messages.h"
+#include "main/node/origin_messages.h"
 #include "platform/runner_calls.h"
 
 namespace cassiausher {
--- a/main/control_node.h
+++ b/main/node/control_node.h
@@ -1,8 +1,8 @@
 // A control instance: accepts configurations from operators and heartbeats from
 // endpoints, replicates both among the control instances and sends updates to
 // the entry instances.
-#ifndef MAIN_CONTROL_NODE_H_
-#define MAIN_CONTROL_NODE_H_
+#ifndef MAIN_NODE_CONTROL_NODE_H_
+#define MAIN_NODE_CONTROL_NODE_H_
 
 #include <cstdint>
 #include <functional>
@@ -16,15 +16,15 @@
 #include "core/metrics.h"
 #include "core/time.h"
 #include "drivers/http_server.h"
-#include "main/configuration_log.h"
-#include "main/crash_service.h"
 #include "main/error_body.h"
-#include "main/follower_updates.h"
-#include "main/node_link.h"
-#include "main/node_settings.h"
-#include "main/operator_calls.h"
-#include "main/permit_service.h"
-#include "main/stage_orders.h"
+#include "main/node/configuration_log.h"
+#include "main/node/crash_service.h"
+#include "main/node/follower_updates.h"
+#include "main/node/node_link.h"
+#include "main/node/node_settings.h"
+#include "main/node/operator_calls.h"
+#include "main/node/permit_service.h"
+#include "main/node/stage_orders.h"
 #include "servers/control/document_store.h"
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/newest_version.h"
@@ -146,4 +146,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CONTROL_NODE_H_
+#endif  // MAIN_NODE_CONTROL_NODE_H_
--- a/main/crash_client.cc
+++ b/main/node/crash_client.cc
@@ -1,4 +1,4 @@
-#include "main/crash_client.h"
+#include "main/node/crash_client.h"
 
 #include "core/log.h"
 
--- a/main/crash_client.h
+++ b/main/node/crash_client.h
@@ -1,7 +1,7 @@
 // Calls that make endpoints crash, at an entry instance: reports what its own
 // calls show, exchanges the evidence with control instances, and logs verdicts.
-#ifndef MAIN_CRASH_CLIENT_H_
-#define MAIN_CRASH_CLIENT_H_
+#ifndef MAIN_NODE_CRASH_CLIENT_H_
+#define MAIN_NODE_CRASH_CLIENT_H_
 
 #include <cstdint>
 #include <optional>
@@ -9,8 +9,8 @@
 #include "core/metrics.h"
 #include "core/time.h"
 #include "core/units.h"
-#include "main/evidence_exchange.h"
-#include "main/node_link.h"
+#include "main/node/evidence_exchange.h"
+#include "main/node/node_link.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/endpoint_record.h"
 #include "servers/crashes/crash_guard.h"
@@ -81,4 +81,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CRASH_CLIENT_H_
+#endif  // MAIN_NODE_CRASH_CLIENT_H_
--- a/main/crash_messages.cc
+++ b/main/node/crash_messages.cc
@@ -1,9 +1,9 @@
-#include "main/crash_messages.h"
+#include "main/node/crash_messages.h"
 
 #include <algorithm>
 #include <utility>
 
-#include "main/message_age.h"
+#include "main/node/message_age.h"
 
 namespace cassiausher {
 namespace {
--- a/main/crash_messages.h
+++ b/main/node/crash_messages.h
@@ -1,7 +1,7 @@
 // Conversion of crash evidence to and from messages. Times become ages, since
 // the clocks of two instances differ.
-#ifndef MAIN_CRASH_MESSAGES_H_
-#define MAIN_CRASH_MESSAGES_H_
+#ifndef MAIN_NODE_CRASH_MESSAGES_H_
+#define MAIN_NODE_CRASH_MESSAGES_H_
 
 #include "core/time.h"
 #include "proto/gen/node.pb.h"
@@ -17,4 +17,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CRASH_MESSAGES_H_
+#endif  // MAIN_NODE_CRASH_MESSAGES_H_
--- a/main/crash_service.cc
+++ b/main/node/crash_service.cc
@@ -1,9 +1,9 @@
-#include "main/crash_service.h"
+#include "main/node/crash_service.h"
 
 #include <nlohmann/json.hpp>
 
 #include "core/log.h"
-#include "main/operator_calls.h"
+#include "main/node/operator_calls.h"
 #include "servers/crashes/verdict.h"
 
 namespace cassiausher {
--- a/main/crash_service.h
+++ b/main/node/crash_service.h
@@ -1,15 +1,15 @@
 // Calls that make endpoints crash, at a control instance: passes the evidence
 // on between entry instances, and lets operators list verdicts and lift them.
-#ifndef MAIN_CRASH_SERVICE_H_
-#define MAIN_CRASH_SERVICE_H_
+#ifndef MAIN_NODE_CRASH_SERVICE_H_
+#define MAIN_NODE_CRASH_SERVICE_H_
 
 #include <string_view>
 
 #include "core/time.h"
 #include "core/units.h"
 #include "drivers/http_server.h"
-#include "main/evidence_exchange.h"
-#include "main/node_link.h"
+#include "main/node/evidence_exchange.h"
+#include "main/node/node_link.h"
 #include "proto/gen/node.pb.h"
 #include "servers/crashes/crash_evidence.h"
 
@@ -47,4 +47,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_CRASH_SERVICE_H_
+#endif  // MAIN_NODE_CRASH_SERVICE_H_
--- a/main/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -1,4 +1,4 @@
-#include "main/entry_node.h"
+#include "main/node/entry_node.h"
 
 #include <algorithm>
 #include <set>
@@ -7,7 +7,7 @@
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/error_body.h"
-#include "main/load_messages.h"
+#include "main/node/load_messages.h"
 #include "platform/request_headers.h"
 #include "platform/runner_calls.h"
 #include "servers/crashes/call_traits.h"
--- a/main/entry_node.h
+++ b/main/node/entry_node.h
@@ -1,8 +1,8 @@
 // An entry instance: accepts callers' requests, forwards them to endpoints and
 // relays the answers, using the configuration, endpoint records and loads that
 // the control instances send.
-#ifndef MAIN_ENTRY_NODE_H_
-#define MAIN_ENTRY_NODE_H_
+#ifndef MAIN_NODE_ENTRY_NODE_H_
+#define MAIN_NODE_ENTRY_NODE_H_
 
 #include <cstdint>
 #include <functional>
@@ -18,13 +18,13 @@
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
 #include "drivers/task.h"
-#include "main/configuration_client.h"
-#include "main/crash_client.h"
-#include "main/forwarded_request.h"
-#include "main/node_link.h"
-#include "main/node_settings.h"
-#include "main/origin_client.h"
-#include "main/permit_client.h"
+#include "main/node/configuration_client.h"
+#include "main/node/crash_client.h"
+#include "main/node/forwarded_request.h"
+#include "main/node/node_link.h"
+#include "main/node/node_settings.h"
+#include "main/node/origin_client.h"
+#include "main/node/permit_client.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/completion_time.h"
@@ -138,4 +138,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ENTRY_NODE_H_
+#endif  // MAIN_NODE_ENTRY_NODE_H_
--- a/main/evidence_exchange.cc
+++ b/main/node/evidence_exchange.cc
@@ -1,8 +1,8 @@
-#include "main/evidence_exchange.h"
+#include "main/node/evidence_exchange.h"
 
 #include <utility>
 
-#include "main/crash_messages.h"
+#include "main/node/crash_messages.h"
 
 namespace cassiausher {
 
--- a/main/evidence_exchange.h
+++ b/main/node/evidence_exchange.h
@@ -1,12 +1,12 @@
 // Carries an instance's crash evidence between its EvidenceSharing and its
 // peers.
-#ifndef MAIN_EVIDENCE_EXCHANGE_H_
-#define MAIN_EVIDENCE_EXCHANGE_H_
+#ifndef MAIN_NODE_EVIDENCE_EXCHANGE_H_
+#define MAIN_NODE_EVIDENCE_EXCHANGE_H_
 
 #include "core/ids.h"
 #include "core/time.h"
 #include "core/units.h"
-#include "main/node_link.h"
+#include "main/node/node_link.h"
 #include "proto/gen/node.pb.h"
 #include "servers/crashes/evidence_sharing.h"
 
@@ -35,4 +35,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_EVIDENCE_EXCHANGE_H_
+#endif  // MAIN_NODE_EVIDENCE_EXCHANGE_H_
--- a/main/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -1,10 +1,10 @@
-#include "main/follower_updates.h"
+#include "main/node/follower_updates.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "core/log.h"
-#include "main/node_messages.h"
+#include "main/node/node_messages.h"
 
 namespace cassiausher {
 namespace {
--- a/main/follower_updates.h
+++ b/main/node/follower_updates.h
@@ -7,8 +7,8 @@
 // fetched by its receiver, and the data on its way to one entry instance is
 // bounded. One Update answers all that a follower has sent since the last one,
 // so that a control instance which falls behind has less to send.
-#ifndef MAIN_FOLLOWER_UPDATES_H_
-#define MAIN_FOLLOWER_UPDATES_H_
+#ifndef MAIN_NODE_FOLLOWER_UPDATES_H_
+#define MAIN_NODE_FOLLOWER_UPDATES_H_
 
 #include <cstdint>
 #include <map>
@@ -16,12 +16,12 @@
 
 #include "core/ids.h"
 #include "core/time.h"
-#include "main/configuration_log.h"
-#include "main/load_messages.h"
-#include "main/node_link.h"
-#include "main/node_settings.h"
-#include "main/permit_service.h"
-#include "main/stage_orders.h"
+#include "main/node/configuration_log.h"
+#include "main/node/load_messages.h"
+#include "main/node/node_link.h"
+#include "main/node/node_settings.h"
+#include "main/node/permit_service.h"
+#include "main/node/stage_orders.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/newest_version.h"
@@ -123,4 +123,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_FOLLOWER_UPDATES_H_
+#endif  // MAIN_NODE_FOLLOWER_UPDATES_H_
--- a/main/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -1,4 +1,4 @@
-#include "main/forwarded_request.h"
+#include "main/node/forwarded_request.h"
 
 #include <fmt/format.h>
 
@@ -9,7 +9,7 @@
 #include "drivers/clock.h"
 #include "drivers/task.h"
 #include "main/error_body.h"
-#include "main/handle_release.h"
+#include "main/node/handle_release.h"
 
 namespace cassiausher {
 namespace {
--- a/main/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -1,7 +1,7 @@
 // One caller's request at its entry instance: makes the calls that the
 // forwarder decides on and relays the answer.
-#ifndef MAIN_FORWARDED_REQUEST_H_
-#define MAIN_FORWARDED_REQUEST_H_
+#ifndef MAIN_NODE_FORWARDED_REQUEST_H_
+#define MAIN_NODE_FORWARDED_REQUEST_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,10 +14,10 @@
 #include "core/time.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
-#include "main/answer_body.h"
-#include "main/call_observer.h"
-#include "main/origin_client.h"
-#include "main/permit_client.h"
+#include "main/node/answer_body.h"
+#include "main/node/call_observer.h"
+#include "main/node/origin_client.h"
+#include "main/node/permit_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/byte_account.h"
@@ -173,4 +173,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_FORWARDED_REQUEST_H_
+#endif  // MAIN_NODE_FORWARDED_REQUEST_H_
--- a/main/handle_release.cc
+++ b/main/node/handle_release.cc
@@ -1,4 +1,4 @@
-#include "main/handle_release.h"
+#include "main/node/handle_release.h"
 
 #include <cstdint>
 #include <string_view>
--- a/main/handle_release.h
+++ b/main/node/handle_release.h
@@ -1,6 +1,6 @@
 // Releases a prompt's KV cache that no run will fetch.
-#ifndef MAIN_HANDLE_RELEASE_H_
-#define MAIN_HANDLE_RELEASE_H_
+#ifndef MAIN_NODE_HANDLE_RELEASE_H_
+#define MAIN_NODE_HANDLE_RELEASE_H_
 
 #include "drivers/http_client.h"
 #include "servers/entry/request_forwarder.h"
@@ -12,4 +12,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_HANDLE_RELEASE_H_
+#endif  // MAIN_NODE_HANDLE_RELEASE_H_
--- a/main/load_messages.cc
+++ b/main/node/load_messages.cc
@@ -1,4 +1,4 @@
-#include "main/load_messages.h"
+#include "main/node/load_messages.h"
 
 #include <algorithm>
 
--- a/main/load_messages.h
+++ b/main/node/load_messages.h
@@ -1,6 +1,6 @@
 // Conversion of endpoint loads to and from messages between instances.
-#ifndef MAIN_LOAD_MESSAGES_H_
-#define MAIN_LOAD_MESSAGES_H_
+#ifndef MAIN_NODE_LOAD_MESSAGES_H_
+#define MAIN_NODE_LOAD_MESSAGES_H_
 
 #include "proto/gen/node.pb.h"
 #include "servers/loads/endpoint_loads.h"
@@ -15,4 +15,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_LOAD_MESSAGES_H_
+#endif  // MAIN_NODE_LOAD_MESSAGES_H_
--- a/main/message_age.h
+++ b/main/node/message_age.h
@@ -1,6 +1,6 @@
 // Ages of times in messages between instances, whose clocks differ.
-#ifndef MAIN_MESSAGE_AGE_H_
-#define MAIN_MESSAGE_AGE_H_
+#ifndef MAIN_NODE_MESSAGE_AGE_H_
+#define MAIN_NODE_MESSAGE_AGE_H_
 
 #include <algorithm>
 #include <cstdint>
@@ -25,4 +25,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_MESSAGE_AGE_H_
+#endif  // MAIN_NODE_MESSAGE_AGE_H_
--- a/main/node_link.cc
+++ b/main/node/node_link.cc
@@ -1,4 +1,4 @@
-#include "main/node_link.h"
+#include "main/node/node_link.h"
 
 #include <utility>
 
--- a/main/node_link.h
+++ b/main/node/node_link.h
@@ -1,7 +1,7 @@
 // Messages between entry and control instances. An instance is identified by
 // its IP address, since there is no list of names.
-#ifndef MAIN_NODE_LINK_H_
-#define MAIN_NODE_LINK_H_
+#ifndef MAIN_NODE_NODE_LINK_H_
+#define MAIN_NODE_NODE_LINK_H_
 
 #include <cstdint>
 #include <functional>
@@ -14,7 +14,7 @@
 #include "core/metrics.h"
 #include "core/time.h"
 #include "drivers/peer_transport.h"
-#include "main/node_settings.h"
+#include "main/node/node_settings.h"
 #include "main/sent_bytes_by_kind.h"
 #include "proto/gen/node.pb.h"
 
@@ -58,4 +58,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_NODE_LINK_H_
+#endif  // MAIN_NODE_NODE_LINK_H_
--- a/main/node_main.cc
+++ b/main/node/node_main.cc
@@ -16,9 +16,9 @@
 #include "drivers/clock.h"
 #include "drivers/drain_watch.h"
 #include "drivers/http_server.h"
-#include "main/control_node.h"
-#include "main/entry_node.h"
-#include "main/node_settings.h"
+#include "main/node/control_node.h"
+#include "main/node/entry_node.h"
+#include "main/node/node_settings.h"
 #include "modules/file_log/register_types.h"
 #include "platform/configuration_document.h"
 
--- a/main/node_messages.cc
+++ b/main/node/node_messages.cc
@@ -1,4 +1,4 @@
-#include "main/node_messages.h"
+#include "main/node/node_messages.h"
 
 #include <algorithm>
 
--- a/main/node_messages.h
+++ b/main/node/node_messages.h
@@ -1,8 +1,8 @@
 // Conversion of configuration documents, and of what an instance knows of the
 // newest one, to and from messages. Times become ages, since the clocks of two
 // instances differ.
-#ifndef MAIN_NODE_MESSAGES_H_
-#define MAIN_NODE_MESSAGES_H_
+#ifndef MAIN_NODE_NODE_MESSAGES_H_
+#define MAIN_NODE_NODE_MESSAGES_H_
 
 #include <optional>
 
@@ -26,4 +26,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_NODE_MESSAGES_H_
+#endif  // MAIN_NODE_NODE_MESSAGES_H_
--- a/main/node_settings.cc
+++ b/main/node/node_settings.cc
@@ -1,4 +1,4 @@
-#include "main/node_settings.h"
+#include "main/node/node_settings.h"
 
 #include <charconv>
 #include <fstream>
--- a/main/node_settings.h
+++ b/main/node/node_settings.h
@@ -1,6 +1,6 @@
 // Settings of an entry or control instance, in JSON.
-#ifndef MAIN_NODE_SETTINGS_H_
-#define MAIN_NODE_SETTINGS_H_
+#ifndef MAIN_NODE_NODE_SETTINGS_H_
+#define MAIN_NODE_NODE_SETTINGS_H_
 
 #include <cstdint>
 #include <optional>
@@ -55,4 +55,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_NODE_SETTINGS_H_
+#endif  // MAIN_NODE_NODE_SETTINGS_H_
--- a/main/operator_calls.cc
+++ b/main/node/operator_calls.cc
@@ -1,11 +1,11 @@
-#include "main/operator_calls.h"
+#include "main/node/operator_calls.h"
 
 #include <utility>
 #include <vector>
 
 #include "core/log.h"
 #include "main/error_body.h"
-#include "main/node_messages.h"
+#include "main/node/node_messages.h"
 
 namespace cassiausher {
 namespace {
--- a/main/operator_calls.h
+++ b/main/node/operator_calls.h
@@ -1,7 +1,7 @@
 // Operators' HTTP calls at a control instance, each held until the leader of
 // the replicated log has answered it.
-#ifndef MAIN_OPERATOR_CALLS_H_
-#define MAIN_OPERATOR_CALLS_H_
+#ifndef MAIN_NODE_OPERATOR_CALLS_H_
+#define MAIN_NODE_OPERATOR_CALLS_H_
 
 #include <cstdint>
 #include <map>
@@ -11,8 +11,8 @@
 #include "core/ids.h"
 #include "core/time.h"
 #include "drivers/http_server.h"
-#include "main/configuration_log.h"
-#include "main/node_link.h"
+#include "main/node/configuration_log.h"
+#include "main/node/node_link.h"
 #include "main/raft_host.h"
 #include "servers/control/configuration_register.h"
 
@@ -69,4 +69,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_OPERATOR_CALLS_H_
+#endif  // MAIN_NODE_OPERATOR_CALLS_H_
--- a/main/origin_client.cc
+++ b/main/node/origin_client.cc
@@ -1,10 +1,10 @@
-#include "main/origin_client.h"
+#include "main/node/origin_client.h"
 
 #include <set>
 #include <utility>
 
 #include "core/log.h"
-#include "main/origin_messages.h"
+#include "main/node/origin_messages.h"
 
 namespace cassiausher {
 
--- a/main/origin_client.h
+++ b/main/node/origin_client.h
@@ -1,8 +1,8 @@
 // Origins of streams at an entry instance: stored at control instances before
 // the first event is passed on, and found there when a caller takes a stream
 // up.
-#ifndef MAIN_ORIGIN_CLIENT_H_
-#define MAIN_ORIGIN_CLIENT_H_
+#ifndef MAIN_NODE_ORIGIN_CLIENT_H_
+#define MAIN_NODE_ORIGIN_CLIENT_H_
 
 #include <functional>
 #include <map>
@@ -10,8 +10,8 @@
 
 #include "core/metrics.h"
 #include "core/time.h"
-#include "main/node_link.h"
-#include "main/node_settings.h"
+#include "main/node/node_link.h"
+#include "main/node/node_settings.h"
 #include "proto/gen/node.pb.h"
 #include "servers/entry/control_directory.h"
 #include "servers/entry/origin_keeper.h"
@@ -60,4 +60,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ORIGIN_CLIENT_H_
+#endif  // MAIN_NODE_ORIGIN_CLIENT_H_
--- a/main/origin_messages.cc
+++ b/main/node/origin_messages.cc
@@ -1,4 +1,4 @@
-#include "main/origin_messages.h"
+#include "main/node/origin_messages.h"
 
 #include <algorithm>
 
--- a/main/origin_messages.h
+++ b/main/node/origin_messages.h
@@ -1,7 +1,7 @@
 // Conversion of stream origins to and from messages, and the answers of a
 // control instance that keeps them.
-#ifndef MAIN_ORIGIN_MESSAGES_H_
-#define MAIN_ORIGIN_MESSAGES_H_
+#ifndef MAIN_NODE_ORIGIN_MESSAGES_H_
+#define MAIN_NODE_ORIGIN_MESSAGES_H_
 
 #include "core/time.h"
 #include "proto/gen/node.pb.h"
@@ -22,4 +22,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_ORIGIN_MESSAGES_H_
+#endif  // MAIN_NODE_ORIGIN_MESSAGES_H_
--- a/main/permit_client.cc
+++ b/main/node/permit_client.cc
@@ -1,4 +1,4 @@
-#include "main/permit_client.h"
+#include "main/node/permit_client.h"
 
 #include <utility>
 
--- a/main/permit_client.h
+++ b/main/node/permit_client.h
@@ -1,7 +1,7 @@
 // Rate limits of endpoints at an entry instance: learned from answers and from
 // control instances, and kept by permits that the issuer grants.
-#ifndef MAIN_PERMIT_CLIENT_H_
-#define MAIN_PERMIT_CLIENT_H_
+#ifndef MAIN_NODE_PERMIT_CLIENT_H_
+#define MAIN_NODE_PERMIT_CLIENT_H_
 
 #include <functional>
 #include <map>
@@ -10,8 +10,8 @@
 
 #include "core/metrics.h"
 #include "core/time.h"
-#include "main/node_link.h"
-#include "main/rate_limit_messages.h"
+#include "main/node/node_link.h"
+#include "main/node/rate_limit_messages.h"
 #include "servers/control/rate_limits.h"
 #include "servers/entry/endpoint_pool.h"
 #include "servers/entry/permit_holder.h"
@@ -76,4 +76,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_PERMIT_CLIENT_H_
+#endif  // MAIN_NODE_PERMIT_CLIENT_H_
--- a/main/permit_service.cc
+++ b/main/node/permit_service.cc
@@ -1,4 +1,4 @@
-#include "main/permit_service.h"
+#include "main/node/permit_service.h"
 
 #include <utility>
 
--- a/main/permit_service.h
+++ b/main/node/permit_service.h
@@ -1,15 +1,15 @@
 // Rate limits of endpoints at a control instance: gathers what entry instances
 // report and, while this instance leads, issues permits to them.
-#ifndef MAIN_PERMIT_SERVICE_H_
-#define MAIN_PERMIT_SERVICE_H_
+#ifndef MAIN_NODE_PERMIT_SERVICE_H_
+#define MAIN_NODE_PERMIT_SERVICE_H_
 
 #include <cstdint>
 
 #include "core/metrics.h"
 #include "core/time.h"
-#include "main/configuration_log.h"
-#include "main/node_link.h"
-#include "main/rate_limit_messages.h"
+#include "main/node/configuration_log.h"
+#include "main/node/node_link.h"
+#include "main/node/rate_limit_messages.h"
 #include "servers/control/endpoint_registry.h"
 #include "servers/control/permit_issuer.h"
 #include "servers/control/rate_limits.h"
@@ -57,4 +57,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_PERMIT_SERVICE_H_
+#endif  // MAIN_NODE_PERMIT_SERVICE_H_
--- a/main/rate_limit_messages.cc
+++ b/main/node/rate_limit_messages.cc
@@ -1,8 +1,8 @@
-#include "main/rate_limit_messages.h"
+#include "main/node/rate_limit_messages.h"
 
 #include <cmath>
 
-#include "main/message_age.h"
+#include "main/node/message_age.h"
 
 namespace cassiausher {
 
--- a/main/rate_limit_messages.h
+++ b/main/node/rate_limit_messages.h
@@ -1,7 +1,7 @@
 // Conversion of rate limits to and from messages. Times become ages, since the
 // clocks of two instances differ.
-#ifndef MAIN_RATE_LIMIT_MESSAGES_H_
-#define MAIN_RATE_LIMIT_MESSAGES_H_
+#ifndef MAIN_NODE_RATE_LIMIT_MESSAGES_H_
+#define MAIN_NODE_RATE_LIMIT_MESSAGES_H_
 
 #include <optional>
 
@@ -21,4 +21,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_RATE_LIMIT_MESSAGES_H_
+#endif  // MAIN_NODE_RATE_LIMIT_MESSAGES_H_
--- a/main/stage_orders.cc
+++ b/main/node/stage_orders.cc
@@ -1,4 +1,4 @@
-#include "main/stage_orders.h"
+#include "main/node/stage_orders.h"
 
 #include <algorithm>
 #include <utility>
--- a/main/stage_orders.h
+++ b/main/node/stage_orders.h
@@ -1,7 +1,7 @@
 // Sends the orders that make runners change stage, from the control instance
 // that leads.
-#ifndef MAIN_STAGE_ORDERS_H_
-#define MAIN_STAGE_ORDERS_H_
+#ifndef MAIN_NODE_STAGE_ORDERS_H_
+#define MAIN_NODE_STAGE_ORDERS_H_
 
 #include <cstdint>
 #include <map>
@@ -81,4 +81,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_STAGE_ORDERS_H_
+#endif  // MAIN_NODE_STAGE_ORDERS_H_
--- a/scripts/speed.py
+++ b/scripts/speed.py
@@ -59,7 +59,7 @@
     os.environ["CASSIAUSHER_STEP_MS"] = "250"
     local.STEP_MS = 250
     hard_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
-    # Two descriptors per stream; see FitToDescriptorLimit in main/main.cc.
+    # Two descriptors per stream; see FitToDescriptorLimit in main/daemon/main.cc.
     wanted = OPEN_STREAMS if hard_limit == resource.RLIM_INFINITY else min(OPEN_STREAMS, (hard_limit - 400) // 2)
     folder = pathlib.Path(tempfile.mkdtemp(prefix="cassiausher-streams-")) / "deployment"
     local.up_deployment(DEPLOYMENT, folder)
--- a/tests/main/active_request_test.cc
+++ b/tests/main/daemon/active_request_test.cc
@@ -1,5 +1,5 @@
 // Guards against an unfinished stream that looks complete to its caller.
-#include "main/active_request.h"
+#include "main/daemon/active_request.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -9,7 +9,7 @@
 #include <string_view>
 
 #include "drivers/clock.h"
-#include "main/cancel_queue.h"
+#include "main/daemon/cancel_queue.h"
 #include "modules/openai_endpoint/openai_driver.h"
 
 using namespace cassiausher;  // NOLINT: test file
--- a/tests/main/announcement_test.cc
+++ b/tests/main/daemon/announcement_test.cc
@@ -1,6 +1,6 @@
 // Malformed announcements must be rejected, so that wrong values don't enter
 // the endpoint directory.
-#include "main/announcement.h"
+#include "main/daemon/announcement.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/main/configuration_service_test.cc
+++ b/tests/main/daemon/configuration_service_test.cc
@@ -1,5 +1,5 @@
 // Guards against answers of the leader to an earlier process of the instance.
-#include "main/configuration_service.h"
+#include "main/daemon/configuration_service.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/main/request_id_test.cc
+++ b/tests/main/daemon/request_id_test.cc
@@ -1,6 +1,6 @@
 // A grant must be routed to the serving task that requested it, and a caller
 // must not be able to choose that task through X-Request-Id.
-#include "main/request_id.h"
+#include "main/daemon/request_id.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/main/shutdown_sequence_test.cc
+++ b/tests/main/daemon/shutdown_sequence_test.cc
@@ -1,6 +1,6 @@
 // Guards against a shutdown that takes its steps in another order, ends while
 // an answer is unsent, or outlasts its limit.
-#include "main/shutdown_sequence.h"
+#include "main/daemon/shutdown_sequence.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/main/task_drain_test.cc
+++ b/tests/main/daemon/task_drain_test.cc
@@ -17,9 +17,9 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "drivers/clock.h"
-#include "main/admin_task.h"
-#include "main/register_modules.h"
-#include "main/serving_task.h"
+#include "main/daemon/admin_task.h"
+#include "main/daemon/register_modules.h"
+#include "main/daemon/serving_task.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
--- a/tests/main/token_table_test.cc
+++ b/tests/main/daemon/token_table_test.cc
@@ -1,6 +1,6 @@
 // A wrong, truncated or extended token, or a stored hash, must not authenticate
 // as a token's owner.
-#include "main/token_table.h"
+#include "main/daemon/token_table.h"
 
 #include <CppUTest/TestHarness.h>
 
--- a/tests/main/broken_stream_test.cc
+++ b/tests/main/node/broken_stream_test.cc
@@ -2,7 +2,7 @@
 // that are dropped although they are whole.
 #include <string>
 
-#include "tests/main/node_fixture.h"
+#include "tests/main/node/node_fixture.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
--- a/tests/main/crashing_calls_test.cc
+++ b/tests/main/node/crashing_calls_test.cc
@@ -6,7 +6,7 @@
 #include <set>
 #include <string>
 
-#include "tests/main/node_fixture.h"
+#include "tests/main/node/node_fixture.h"
 
 namespace cassiausher {
 namespace {
--- a/tests/main/endpoint_readiness_test.cc
+++ b/tests/main/node/endpoint_readiness_test.cc
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/main/node_fixture.h"
+#include "tests/main/node/node_fixture.h"
 
 namespace cassiausher {
 namespace {
--- a/tests/main/entry_drain_test.cc
+++ b/tests/main/node/entry_drain_test.cc
@@ -3,7 +3,7 @@
 #include <string>
 #include <vector>
 
-#include "tests/main/node_fixture.h"
+#include "tests/main/node/node_fixture.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
--- a/tests/main/evidence_exchange_test.cc
+++ b/tests/main/node/evidence_exchange_test.cc
@@ -1,6 +1,6 @@
 // Guards against crash evidence that doesn't reach another instance, or is lost
 // when one of them restarts. Real sockets on loopback.
-#include "main/evidence_exchange.h"
+#include "main/node/evidence_exchange.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "drivers/clock.h"
-#include "main/crash_service.h"
-#include "tests/main/node_fixture.h"
+#include "main/node/crash_service.h"
+#include "tests/main/node/node_fixture.h"
 
 namespace cassiausher {
 namespace {
--- a/tests/main/node_fixture.h
+++ b/tests/main/node/node_fixture.h
@@ -1,7 +1,7 @@
 // Runs an entry instance with stand-ins for its peer and its endpoints. Real
 // sockets on loopback; each instance has an address of its own in 127.0.0.0/8.
-#ifndef TESTS_MAIN_NODE_FIXTURE_H_
-#define TESTS_MAIN_NODE_FIXTURE_H_
+#ifndef TESTS_MAIN_NODE_NODE_FIXTURE_H_
+#define TESTS_MAIN_NODE_NODE_FIXTURE_H_
 
 #include <CppUTest/TestHarness.h>
 #include <unistd.h>
@@ -17,8 +17,8 @@
 #include "core/metrics.h"
 #include "drivers/http_client.h"
 #include "drivers/http_server.h"
-#include "main/entry_node.h"
-#include "main/node_link.h"
+#include "main/node/entry_node.h"
+#include "main/node/node_link.h"
 #include "platform/configuration_document.h"
 
 namespace cassiausher {
@@ -245,4 +245,4 @@
 
 }  // namespace cassiausher
 
-#endif  // TESTS_MAIN_NODE_FIXTURE_H_
+#endif  // TESTS_MAIN_NODE_NODE_FIXTURE_H_
--- a/tests/main/node_roles_test.cc
+++ b/tests/main/node/node_roles_test.cc
@@ -15,9 +15,9 @@
 #include <vector>
 
 #include "core/compression.h"
-#include "main/control_node.h"
+#include "main/node/control_node.h"
 #include "modules/file_log/register_types.h"
-#include "tests/main/node_fixture.h"
+#include "tests/main/node/node_fixture.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -1,6 +1,6 @@
 // Guards against node settings from the platform's template that are ignored,
 // and against errors in them that aren't reported.
-#include "main/node_settings.h"
+#include "main/node/node_settings.h"
 
 #include <CppUTest/TestHarness.h>
 
