Hear an instance again that restarted after its time of day stepped back

NodeLink dropped every message with a lower incarnation than the highest it had seen of that instance, for ever. A process that is killed while its clock is ahead, and starts again after the clock has stepped back, has a lower one: no other instance hears it, so that an entry instance gets no configuration and a control instance is lost to its group, until its clock has caught up and it starts once more. EvidenceSharing did the same for 10 s.

Change: ProcessSequence, used by both. A lower incarnation is a late message only while the known process was heard within 1.5 s.

--- a/main/node/node_link.cc
+++ b/main/node/node_link.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/clock.h"
 
 namespace cassiausher {
 namespace {
@@ -73,12 +74,11 @@
     return;
   }
   const InstanceId from(message.sender());
-  std::uint64_t& latest = incarnations_[from];
-  if (message.incarnation() < latest) {
+  const Incarnation process(message.incarnation());
+  if (!processes_[from].Accept(process, BootTimeNow())) {
     stale_.Add();
     return;
   }
-  latest = message.incarnation();
   handler_(from, message);
 }
 
--- a/main/node/node_link.h
+++ b/main/node/node_link.h
@@ -12,6 +12,7 @@
 
 #include "core/ids.h"
 #include "core/metrics.h"
+#include "core/process_sequence.h"
 #include "core/time.h"
 #include "drivers/peer_transport.h"
 #include "main/node/node_settings.h"
@@ -51,8 +52,8 @@
   Counter& stale_;
   SentBytesByKind<proto::NodeMessage> sent_by_kind_;
   Handler handler_;
-  /// Highest incarnation of each sender; messages with a lower one are stale.
-  std::map<InstanceId, std::uint64_t> incarnations_;
+  /// By sender.
+  std::map<InstanceId, ProcessSequence> processes_;
   PeerTransport transport_;
 };
 
--- a/servers/crashes/evidence_sharing.cc
+++ b/servers/crashes/evidence_sharing.cc
@@ -9,9 +9,11 @@
                                                   Incarnation process,
                                                   Time now) {
   Peer& known = peers_[instance];
-  if (process < known.process) return nullptr;
-  if (process > known.process) known = {.process = process};
-  known.heard_at = now;
+  ProcessSequence sequence = known.process;
+  if (!sequence.Accept(process, now)) return nullptr;
+  // What the process before had is lost with it.
+  if (process != known.process.current()) known = {};
+  known.process = sequence;
   return &known;
 }
 
@@ -23,7 +25,6 @@
 void EvidenceSharing::OnMessage(const InstanceId& from, Incarnation process,
                                 const EvidenceMessage& message, Time now) {
   Peer* sender = FindOrAdd(from, process, now);
-  // What an earlier process had is lost with it.
   if (sender == nullptr) return;
   Peer& peer = *sender;
   const bool has_all = peer.acknowledged == evidence_->revision();
@@ -63,12 +64,12 @@
 
 std::vector<OutgoingEvidence> EvidenceSharing::Tick(Time now) {
   std::erase_if(peers_, [&](const auto& item) {
-    return now - item.second.heard_at >= options_.peer_lifetime;
+    return now - item.second.process.heard_at() >= options_.peer_lifetime;
   });
   std::vector<OutgoingEvidence> outgoing;
   for (auto& [instance, peer] : peers_) {
     EvidenceMessage message{.changes = TakeChanges(peer, now),
-                            .acknowledged_process = peer.process,
+                            .acknowledged_process = peer.process.current(),
                             .acknowledged_revision = peer.received};
     if (message.changes.empty() && !peer.owes_acknowledgement) continue;
     peer.owes_acknowledgement = false;
--- a/servers/crashes/evidence_sharing.h
+++ b/servers/crashes/evidence_sharing.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/ids.h"
+#include "core/process_sequence.h"
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/crashes/crash_evidence.h"
@@ -59,7 +60,7 @@
       : options_(options), evidence_(evidence) {}
 
   /// A message has arrived from an instance that takes part. `process` is its
-  /// incarnation. Messages of a process before the known one are ignored.
+  /// incarnation. Late messages of a process before the known one are ignored.
   void OnPeer(const InstanceId& peer, Incarnation process, Time now);
   void OnMessage(const InstanceId& from, Incarnation process,
                  const EvidenceMessage& message, Time now);
@@ -68,8 +69,7 @@
 
  private:
   struct Peer {
-    Incarnation process{0};
-    Time heard_at{};
+    ProcessSequence process;
     /// Own revision up to which the peer has the changes, and up to which they
     /// were sent. Invariant: `acknowledged` <= `sent`.
     std::uint64_t acknowledged = 0;
@@ -80,7 +80,7 @@
     bool owes_acknowledgement = false;
   };
 
-  /// Null if the process isn't the latest one of the instance.
+  /// Null if the process isn't the current one of the instance.
   Peer* FindOrAdd(const InstanceId& instance, Incarnation process, Time now);
   /// Takes the changes that the peer is sent now.
   EvidenceChanges TakeChanges(Peer& peer, Time now) const;
--- a/tests/crashes/evidence_sharing_test.cc
+++ b/tests/crashes/evidence_sharing_test.cc
@@ -276,6 +276,27 @@
   LONGS_EQUAL(1, outgoing.front().message.changes.crashes.size());
 }
 
+// The time of day stepped back before the peer restarted.
+TEST(EvidenceSharing, ASuccessorWithALowerIncarnationGetsAll) {
+  CrashEvidence evidence{CrashEvidenceOptions{}};
+  EvidenceSharing sharing({.self = Incarnation(1)}, &evidence);
+  const InstanceId peer("peer");
+  Time now{Seconds(1000)};
+  evidence.AddCall(Run(1), kService, {TraitId(2)}, now);
+  sharing.OnPeer(peer, Incarnation(20), now);
+  sharing.OnMessage(peer, Incarnation(20),
+                    {.acknowledged_process = Incarnation(1),
+                     .acknowledged_revision = evidence.revision()},
+                    now);
+  LONGS_EQUAL(0, sharing.Tick(now).size());
+  now += Seconds(2);
+  sharing.OnPeer(peer, Incarnation(19), now);
+  const auto outgoing = sharing.Tick(now);
+  LONGS_EQUAL(1, outgoing.size());
+  LONGS_EQUAL(1, outgoing.front().message.changes.crashes.size());
+  CHECK_TRUE(outgoing.front().message.acknowledged_process == Incarnation(19));
+}
+
 // A message that follows what the receiver's predecessor had arrives at its
 // successor. Acknowledging it would stand for all that the successor lacks.
 TEST(EvidenceSharing, AMessageToAnEarlierProcessIsNotAcknowledged) {
--- a/tests/main/node/evidence_exchange_test.cc
+++ b/tests/main/node/evidence_exchange_test.cc
@@ -104,6 +104,26 @@
   LONGS_EQUAL(received, first->received + second->received);
 }
 
+// The time of day stepped back before the other instance restarted, and its
+// messages were dropped as those of an earlier process for ever.
+TEST(EvidenceExchange, AnInstanceWithALowerIncarnationIsHeardAgain) {
+  first->Report("e1");
+  CHECK_TRUE(SecondGets(1));
+  CHECK_TRUE(RunUntil([&] {
+    Tick();
+    return first->received > 0;
+  }));
+  second.reset();
+  second = Start(other_ip, 19);
+  second->Report("e2");
+  CHECK_TRUE(RunUntil([&] {
+    Introduce(19);
+    Tick();
+    return first->evidence.crashes().size() == 2 &&
+           second->evidence.crashes().size() == 2;
+  }));
+}
+
 TEST(EvidenceExchange, ALostMessageIsSentAgain) {
   first->Report("e1");
   CHECK_TRUE(SecondGets(1));
