Find the version that began a stream by the content of the request too

A request with a Last-Event-Id alone was handled as a new one: any version could go on with it, answered 200 and whole to the end. While entry instances live it rarely matters, as they continue streams themselves; once all are killed, every caller comes back like this.

Change: an origin is kept under two names, the request's id and a hash of what the attempts of one caller share (CallerRequestTrait, which the crash guard uses). A take-up without the request's id is searched by the second. Streams of two versions under one name leave the version open, also if control instances in different data centres know one each; then, and if nobody knows the stream, it is refused as before.

versions_soak.py: half of the callers don't tell the request; callers reach all entry instances while fewer than half are in rotation, as the platform's do, instead of giving up; three in ten kills of all entry instances take all control instances with them.

--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -87,11 +87,21 @@
   exchange_->WatchSent([weak] {
     if (const auto self = weak.lock()) self->ControlFlow();
   });
-  const bool taken_up = facts_.resumable && !caller_.resumes.empty();
-  if (taken_up) return StartTakenUp();
+  if (TakesUp()) return StartTakenUp();
   StartForwarding();
 }
 
+bool ForwardedRequest::TakesUp() const {
+  const bool has_part =
+      !caller_.resumes.empty() || caller_.last_event_id.has_value();
+  return facts_.resumable && has_part;
+}
+
+StreamNames ForwardedRequest::Names() const {
+  return NamesOf(TakesUp() ? caller_.resumes : caller_.id,
+                 CallerRequestTrait(caller_.content, exchange_->body()));
+}
+
 void ForwardedRequest::StartForwarding() {
   forwarder_.emplace(facts_,
                      ForwarderResources{.pool = context_.pool,
@@ -106,7 +116,7 @@
   ArmTimer();
   const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
   context_.origins->Find(
-      caller_.resumes,
+      Names(),
       [weak](const std::optional<StreamOrigin>& origin) {
         const auto self = weak.lock();
         if (self != nullptr && !self->ended_) self->OnOrigin(origin);
@@ -124,6 +134,7 @@
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", caller_.id.value()},
        {"begun_as", caller_.resumes.value()},
+       {"after_event", caller_.last_event_id.value_or(0)},
        {"found", origin.has_value()},
        {"version",
         facts_.begun_by.value_or(SoftwareVersion("unknown")).value()}});
@@ -228,6 +239,9 @@
        {"takes_up", caller_.resumes.value()},
        {"resumes", resumes},
        {"kv_source", call.kv_source ? call.kv_source->address : ""},
+       {"decode_runner", call.decode_runner.value()},
+       {"decode_occupancy", call.decode_occupancy},
+       {"loads_age_ms", ToMilliseconds(context_.pool->LoadsAge(now))},
        {"time_left_ms", ToMilliseconds(plan.time_left)}});
   const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
   bytes_id_ = context_.bytes->Add(call.endpoint.id, [weak] {
@@ -407,12 +421,12 @@
   forwarder_->OnBegun();
   const std::optional<SoftwareVersion>& version = forwarder_->CurrentVersion();
   const bool can_be_taken_up =
-      facts_.resumable && caller_.resumes.empty() && version.has_value();
+      facts_.resumable && !TakesUp() && version.has_value();
   holding_ = true;
   if (!can_be_taken_up) return ReleaseHeldEvents();
   const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
   context_.origins->Store(
-      caller_.id,
+      Names(),
       {.version = *version, .expires_at = facts_.deadline + kOriginMargin},
       [weak] {
         const auto self = weak.lock();
--- a/main/node/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -71,6 +71,9 @@
   void OnDone(std::string_view error, bool sent) override;
 
  private:
+  /// Whether the caller has a part of the stream already.
+  bool TakesUp() const;
+  StreamNames Names() const;
   /// Finds the software version that began the stream which the caller takes
   /// up, then begins; refuses if nobody knows it.
   void StartTakenUp();
--- a/main/node/origin_client.cc
+++ b/main/node/origin_client.cc
@@ -18,15 +18,15 @@
       kept_(metrics.gauge("stream_origins")),
       keeper_({.data_centre = settings.data_centre}) {}
 
-void OriginClient::Store(const RequestId& request, const StreamOrigin& origin,
+void OriginClient::Store(const StreamNames& names, const StreamOrigin& origin,
                          StoredCallback callback, Time now) {
-  const OriginTicket ticket = keeper_.Begin(request, origin, now);
-  callbacks_[ticket] = [this, request, callback = std::move(callback)](
+  const OriginTicket ticket = keeper_.Begin(names, origin, now);
+  callbacks_[ticket] = [this, names, callback = std::move(callback)](
                            const OriginOutcome& outcome) {
     (outcome.copied ? stored_ : unconfirmed_).Add();
     if (!outcome.copied) {
       Log(LogLevel::kWarning, "stream_origin_unconfirmed",
-          {{"request", request.value()}});
+          {{"request", names.request.value()}});
     }
     callback();
   };
@@ -34,15 +34,17 @@
   DeliverOutcomes();
 }
 
-void OriginClient::Find(const RequestId& request, FoundCallback callback,
+void OriginClient::Find(const StreamNames& names, FoundCallback callback,
                         Time now) {
-  const OriginTicket ticket = keeper_.Search(request, now);
-  callbacks_[ticket] = [this, request, callback = std::move(callback)](
+  const OriginTicket ticket = keeper_.Search(names, now);
+  callbacks_[ticket] = [this, names, callback = std::move(callback)](
                            const OriginOutcome& outcome) {
     (outcome.origin.has_value() ? found_ : unknown_).Add();
     if (!outcome.origin.has_value()) {
       Log(LogLevel::kWarning, "stream_origin_unknown",
-          {{"begun_as", request.value()}, {"unanswered", outcome.unanswered}});
+          {{"begun_as", names.request.value()},
+           {"content", names.content.value()},
+           {"unanswered", outcome.unanswered}});
     }
     callback(outcome.origin);
   };
@@ -91,13 +93,16 @@
     proto::NodeMessage message;
     proto::StoreOrigins* store = message.mutable_store_origins();
     store->set_number(copy.number);
-    WriteOrigin(copy.request, copy.origin, now, store->add_origins());
+    for (const StreamName& name : {copy.names.request, copy.names.content}) {
+      if (name.empty()) continue;
+      WriteOrigin(name, copy.origin, now, store->add_origins());
+    }
     link_->Send(copy.store, std::move(message));
   }
   for (const OriginSearch& search : keeper_.TakeSearches()) {
     proto::NodeMessage message;
     message.mutable_find_origin()->set_number(search.number);
-    message.mutable_find_origin()->set_request(search.request.value());
+    message.mutable_find_origin()->set_stream(search.name.value());
     link_->Send(search.store, std::move(message));
   }
 }
--- a/main/node/origin_client.h
+++ b/main/node/origin_client.h
@@ -28,10 +28,10 @@
   OriginClient(const NodeSettings& settings, Metrics& metrics, NodeLink* link);
 
   /// Calls `callback` once the origin is kept elsewhere, or can't be for now.
-  void Store(const RequestId& request, const StreamOrigin& origin,
+  void Store(const StreamNames& names, const StreamOrigin& origin,
              StoredCallback callback, Time now);
   /// Calls `callback` with the origin; null if nobody knows the stream.
-  void Find(const RequestId& request, FoundCallback callback, Time now);
+  void Find(const StreamNames& names, FoundCallback callback, Time now);
 
   /// Uses the control instances that are connected and keep origins.
   void SetControls(const ControlDirectory& controls, Time now);
--- a/main/node/origin_messages.h
+++ b/main/node/origin_messages.h
@@ -9,7 +9,7 @@
 
 namespace cassiausher {
 
-void WriteOrigin(const RequestId& request, const StreamOrigin& origin, Time now,
+void WriteOrigin(const StreamName& name, const StreamOrigin& origin, Time now,
                  proto::StreamOrigin* message);
 StreamOrigin ReadOrigin(const proto::StreamOrigin& message, Time now);
 
--- a/servers/entry/origin_keeper.cc
+++ b/servers/entry/origin_keeper.cc
@@ -19,6 +19,21 @@
   return std::max(kMinMaxStreamAge, kStreamAgeInTimeouts * route_timeout);
 }
 
+StreamNames NamesOf(const RequestId& request, TraitId content) {
+  return {.request = StreamName(request.value()),
+          .content = StreamName("content-" + ToString({content}))};
+}
+
+const StreamName& OriginKeeper::KeyOf(const StreamNames& names) {
+  return names.request.empty() ? names.content : names.request;
+}
+
+void OriginKeeper::AddOwn(const StreamNames& names, const StreamOrigin& origin,
+                          Time now) {
+  if (!names.request.empty()) own_.Add(names.request, origin, now);
+  own_.Add(names.content, origin, now);
+}
+
 void OriginKeeper::SetStores(const std::set<OriginStore>& stores, bool complete,
                              Time now) {
   stores_are_complete_ = complete;
@@ -27,17 +42,17 @@
   for (auto& [number, search] : pending_searches_) {
     AskNewStores(number, search);
   }
-  for (auto& [request, copies] : copies_) {
+  for (auto& [names, copies] : copies_) {
     std::erase_if(copies.stores, [&](const OriginStore& store) {
       return !stores_.contains(store);
     });
-    const auto origin = own_.Find(request, now);
-    if (origin.has_value()) CopyWhereMissing(request, *origin, now);
+    const auto origin = own_.Find(KeyOf(names), now);
+    if (origin.has_value()) CopyWhereMissing(names, *origin, now);
   }
 }
 
 const OriginStore* OriginKeeper::ChooseStore(
-    const RequestId& request, const std::set<OriginStore>& used) const {
+    const StreamName& name, const std::set<OriginStore>& used) const {
   const auto is_used = [&](const DataCentreId& data_centre) {
     return std::any_of(used.begin(), used.end(), [&](const OriginStore& store) {
       return store.data_centre == data_centre;
@@ -51,7 +66,7 @@
     if (used.contains(store)) continue;
     const std::tuple rank(
         store.data_centre != options_.data_centre, !is_used(store.data_centre),
-        HashText(store.instance.value(), HashText(request.value(), 0)));
+        HashText(store.instance.value(), HashText(name.value(), 0)));
     if (best != nullptr && rank <= best_rank) continue;
     best = &store;
     best_rank = rank;
@@ -59,22 +74,22 @@
   return best;
 }
 
-std::uint64_t OriginKeeper::CopyWhereMissing(const RequestId& request,
+std::uint64_t OriginKeeper::CopyWhereMissing(const StreamNames& names,
                                              const StreamOrigin& origin,
                                              Time now) {
   const std::uint64_t number = next_number_++;
-  Copies& copies = copies_[request];
+  Copies& copies = copies_[names];
   copies.expires_at = origin.expires_at;
   while (copies.stores.size() < options_.copies) {
-    const OriginStore* store = ChooseStore(request, copies.stores);
+    const OriginStore* store = ChooseStore(KeyOf(names), copies.stores);
     if (store == nullptr) break;
     copies_to_send_.push_back({.store = store->instance,
                                .number = number,
-                               .request = request,
+                               .names = names,
                                .origin = origin});
     copies.stores.insert(*store);
     unconfirmed_copies_[{number, store->instance}] = {
-        .request = request, .store = *store, .sent_at = now};
+        .names = names, .store = *store, .sent_at = now};
   }
   return number;
 }
@@ -84,27 +99,27 @@
     const UnconfirmedCopy& copy = item.second;
     if (now - copy.sent_at < options_.copy_period) return false;
     return copy.sends >= options_.max_copy_sends ||
-           !stores_.contains(copy.store) || !own_.Find(copy.request, now);
+           !stores_.contains(copy.store) || !own_.Find(KeyOf(copy.names), now);
   });
   for (auto& [key, copy] : unconfirmed_copies_) {
     if (now - copy.sent_at < options_.copy_period) continue;
-    const auto origin = own_.Find(copy.request, now);
+    const auto origin = own_.Find(KeyOf(copy.names), now);
     if (!origin.has_value()) continue;
     copy.sent_at = now;
     ++copy.sends;
     copies_to_send_.push_back({.store = copy.store.instance,
                                .number = key.first,
-                               .request = copy.request,
+                               .names = copy.names,
                                .origin = *origin});
   }
 }
 
-OriginTicket OriginKeeper::Begin(const RequestId& request,
+OriginTicket OriginKeeper::Begin(const StreamNames& names,
                                  const StreamOrigin& origin, Time now) {
   const OriginTicket ticket(next_ticket_++);
-  own_.Add(request, origin);
-  const std::uint64_t number = CopyWhereMissing(request, origin, now);
-  if (copies_[request].stores.empty()) {
+  AddOwn(names, origin, now);
+  const std::uint64_t number = CopyWhereMissing(names, origin, now);
+  if (copies_[names].stores.empty()) {
     outcomes_.push_back({.ticket = ticket});
   } else {
     pending_copies_[number] = {.ticket = ticket, .begun_at = now};
@@ -112,17 +127,20 @@
   return ticket;
 }
 
-OriginTicket OriginKeeper::Search(const RequestId& request, Time now) {
+OriginTicket OriginKeeper::Search(const StreamNames& names, Time now) {
   const OriginTicket ticket(next_ticket_++);
-  const auto known = own_.Find(request, now);
-  if (known.has_value()) {
+  const auto known = own_.Find(KeyOf(names), now);
+  if (known.has_value() && !names.request.empty()) {
     outcomes_.push_back({.ticket = ticket, .origin = known});
     return ticket;
   }
   const std::uint64_t number = next_number_++;
   PendingSearch& search = pending_searches_[number];
-  search = {
-      .ticket = ticket, .request = request, .begun_at = now, .asked_at = now};
+  search = {.ticket = ticket,
+            .names = names,
+            .begun_at = now,
+            .asked_at = now,
+            .found = known};
   AskNewStores(number, search);
   return ticket;
 }
@@ -130,7 +148,7 @@
 void OriginKeeper::AskNewStores(std::uint64_t number, PendingSearch& search) {
   for (const OriginStore& store : stores_) {
     if (!search.asked.insert(store).second) continue;
-    searches_to_send_.push_back({store.instance, number, search.request});
+    searches_to_send_.push_back({store.instance, number, KeyOf(search.names)});
     search.unanswered.insert(store.instance);
   }
 }
@@ -140,7 +158,7 @@
   if (now - search.asked_at < options_.search_period) return;
   search.asked_at = now;
   for (const InstanceId& store : search.unanswered) {
-    searches_to_send_.push_back({store, number, search.request});
+    searches_to_send_.push_back({store, number, KeyOf(search.names)});
   }
 }
 
@@ -169,16 +187,35 @@
   if (found == pending_searches_.end()) return;
   PendingSearch& search = found->second;
   search.unanswered.erase(from);
-  const bool all_answered = search.unanswered.empty() && stores_are_complete_;
-  if (!origin.has_value() && !all_answered) return;
-  const RequestId request = search.request;
-  outcomes_.push_back({.ticket = search.ticket, .origin = origin});
+  if (origin.has_value()) {
+    search.found =
+        search.found.has_value() ? Combine(*search.found, *origin) : origin;
+  }
+  if (!IsDecided(search, now)) return;
+  Conclude(search, now);
   pending_searches_.erase(found);
-  if (!origin.has_value() || now >= origin->expires_at) return;
+}
+
+bool OriginKeeper::IsDecided(const PendingSearch& search, Time now) const {
+  const Duration waited = now - search.begun_at;
+  if (waited >= options_.search_timeout) return true;
+  const bool all_answered = !search.asked.empty() && search.unanswered.empty();
+  if (!search.found.has_value()) return all_answered && stores_are_complete_;
+  if (!search.names.request.empty() || all_answered) return true;
+  return waited >= options_.agreement_timeout;
+}
+
+void OriginKeeper::Conclude(const PendingSearch& search, Time now) {
+  const std::optional<StreamOrigin>& origin = search.found;
+  outcomes_.push_back({.ticket = search.ticket,
+                       .origin = origin,
+                       .unanswered = search.unanswered.size()});
+  const bool known = origin.has_value() && origin->version.has_value();
+  if (!known || now >= origin->expires_at) return;
   // The instance that began the stream may be gone; this one takes its place
   // in keeping the copies up.
-  own_.Add(request, *origin);
-  CopyWhereMissing(request, *origin, now);
+  AddOwn(search.names, *origin, now);
+  CopyWhereMissing(search.names, *origin, now);
 }
 
 void OriginKeeper::CheckTimeouts(Time now) {
@@ -192,9 +229,8 @@
     AskAgain(number, search, now);
   }
   std::erase_if(pending_searches_, [&](const auto& item) {
-    if (now - item.second.begun_at < options_.search_timeout) return false;
-    outcomes_.push_back({.ticket = item.second.ticket,
-                         .unanswered = item.second.unanswered.size()});
+    if (!IsDecided(item.second, now)) return false;
+    Conclude(item.second, now);
     return true;
   });
   own_.Expire(now);
--- a/servers/entry/origin_keeper.h
+++ b/servers/entry/origin_keeper.h
@@ -16,6 +16,7 @@
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/stream_origins.h"
+#include "servers/crashes/call_traits.h"
 
 namespace cassiausher {
 
@@ -24,6 +25,18 @@
 /// stream began.
 Duration MaxStreamAge(Duration route_timeout);
 
+/// What callers may name a stream by when they take it up.
+struct StreamNames {
+  /// Request that brought the first event; empty if the caller doesn't tell.
+  StreamName request;
+  /// What all attempts of the caller have in common.
+  StreamName content;
+
+  auto operator<=>(const StreamNames&) const = default;
+};
+
+StreamNames NamesOf(const RequestId& request, TraitId content);
+
 struct OriginKeeperOptions {
   DataCentreId data_centre;
   /// Control instances that keep an origin, in two data centres if there are.
@@ -44,6 +57,10 @@
   /// A control instance that hasn't answered is asked again after this time,
   /// since messages are lost with a connection.
   Duration search_period = Milliseconds(200);
+  /// The answers of all connected control instances are waited for this long
+  /// if only the content names the stream, since streams of two versions may
+  /// have the same.
+  Duration agreement_timeout = Milliseconds(150);
 };
 
 /// A connected control instance that keeps origins.
@@ -63,7 +80,7 @@
 struct OriginCopy {
   InstanceId store;
   std::uint64_t number = 0;
-  RequestId request;
+  StreamNames names;
   StreamOrigin origin;
 };
 
@@ -71,7 +88,7 @@
 struct OriginSearch {
   InstanceId store;
   std::uint64_t number = 0;
-  RequestId request;
+  StreamName name;
 };
 
 /// A request need not wait any longer.
@@ -98,12 +115,12 @@
   void SetStores(const std::set<OriginStore>& stores, bool complete, Time now);
 
   /// A stream begins here. The outcome follows once a copy is confirmed.
-  OriginTicket Begin(const RequestId& request, const StreamOrigin& origin,
+  OriginTicket Begin(const StreamNames& names, const StreamOrigin& origin,
                      Time now);
   /// A stream is taken up here. The outcome follows at once if this instance
-  /// knows it, else once the control instances have answered. Without any, one
-  /// is waited for.
-  OriginTicket Search(const RequestId& request, Time now);
+  /// knows its request, else once the control instances have answered. Without
+  /// any, one is waited for.
+  OriginTicket Search(const StreamNames& names, Time now);
 
   void OnStored(const InstanceId& from, std::uint64_t number);
   void OnAnswer(const InstanceId& from, std::uint64_t number,
@@ -132,30 +149,39 @@
   };
   /// A copy that its control instance hasn't confirmed.
   struct UnconfirmedCopy {
-    RequestId request;
+    StreamNames names;
     OriginStore store;
     Time sent_at{};
     int sends = 1;
   };
   struct PendingSearch {
     OriginTicket ticket{0};
-    RequestId request;
+    StreamNames names;
     Time begun_at{};
     Time asked_at{};
     std::set<OriginStore> asked;
     std::set<InstanceId> unanswered;
+    /// What the answers so far tell together.
+    std::optional<StreamOrigin> found;
   };
 
+  /// The name that the stream is searched by.
+  static const StreamName& KeyOf(const StreamNames& names);
+  void AddOwn(const StreamNames& names, const StreamOrigin& origin, Time now);
   /// Sends the origin to further control instances until there are enough
   /// copies, and returns the number of the messages.
-  std::uint64_t CopyWhereMissing(const RequestId& request,
+  std::uint64_t CopyWhereMissing(const StreamNames& names,
                                  const StreamOrigin& origin, Time now);
   /// Sends copies again that were not confirmed in time.
   void RepeatCopies(Time now);
   void AskNewStores(std::uint64_t number, PendingSearch& search);
   void AskAgain(std::uint64_t number, PendingSearch& search, Time now);
+  /// Whether the answers so far decide the search.
+  bool IsDecided(const PendingSearch& search, Time now) const;
+  /// Tells the outcome, and keeps the copies of what was found up from now on.
+  void Conclude(const PendingSearch& search, Time now);
   /// The control instance for the next copy; null if there is none.
-  const OriginStore* ChooseStore(const RequestId& request,
+  const OriginStore* ChooseStore(const StreamName& name,
                                  const std::set<OriginStore>& used) const;
   /// Whether a copy there survives the loss of this data centre, or none can.
   bool IsSafe(const InstanceId& store) const;
@@ -164,7 +190,7 @@
   std::set<OriginStore> stores_;
   bool stores_are_complete_ = false;
   StreamOrigins own_;
-  std::map<RequestId, Copies> copies_;
+  std::map<StreamNames, Copies> copies_;
   /// By the number of their messages.
   std::map<std::uint64_t, PendingCopy> pending_copies_;
   std::map<std::uint64_t, PendingSearch> pending_searches_;
--- a/tests/entry/origin_keeper_test.cc
+++ b/tests/entry/origin_keeper_test.cc
@@ -11,7 +11,10 @@
 namespace {
 
 constexpr Time kStart{Seconds(100)};
-const RequestId request_id("r1");
+const TraitId content{7};
+const StreamNames names = NamesOf(RequestId("r1"), content);
+/// The caller doesn't tell which request brought the first event.
+const StreamNames unnamed = NamesOf(RequestId(), content);
 
 OriginStore Store(const std::string& name, const std::string& data_centre,
                   std::uint64_t process = 1) {
@@ -34,7 +37,7 @@
                      true, kStart);
   }
   void Begin() {
-    keeper.Begin(request_id, Origin(), kStart);
+    keeper.Begin(names, Origin(), kStart);
     copies = keeper.TakeCopies();
   }
   std::vector<OriginCopy> copies;
@@ -42,7 +45,8 @@
 
 TEST(OriginKeeper, CopiesAreInOtherDataCentres) {
   for (int i = 0; i < 20; ++i) {
-    keeper.Begin(RequestId(std::to_string(i)), Origin(), kStart);
+    keeper.Begin(NamesOf(RequestId(std::to_string(i)), content), Origin(),
+                 kStart);
     copies = keeper.TakeCopies();
     LONGS_EQUAL(2, copies.size());
     for (const OriginCopy& copy : copies) {
@@ -85,7 +89,7 @@
 
 TEST(OriginKeeper, WithoutControlInstancesANewStreamDoesNotWait) {
   keeper.SetStores({}, true, kStart);
-  keeper.Begin(request_id, Origin(), kStart);
+  keeper.Begin(names, Origin(), kStart);
   LONGS_EQUAL(1, keeper.TakeOutcomes().size());
 }
 
@@ -93,7 +97,7 @@
 // silent and refused every stream that was taken up (soak_versions, seed 21).
 TEST(OriginKeeper, ASearchAsksControlInstancesThatAppearMeanwhile) {
   keeper.SetStores({}, true, kStart);
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
   keeper.SetStores({Store("c1", "a"), Store("c2", "b")}, true, kStart);
   const auto searches = keeper.TakeSearches();
@@ -118,7 +122,7 @@
   const auto again = keeper.TakeCopies();
   LONGS_EQUAL(1, again.size());
   CHECK_TRUE(again[0].store == lost.store);
-  CHECK_TRUE(again[0].request == request_id);
+  CHECK_TRUE(again[0].names == names);
   CHECK_TRUE(again[0].origin.version == Origin().version);
   keeper.OnStored(again[0].store, again[0].number);
   keeper.CheckTimeouts(kStart + Milliseconds(1000));
@@ -163,7 +167,7 @@
 }
 
 TEST(OriginKeeper, ASearchEndsWithTheFirstControlInstanceThatKnows) {
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   const auto searches = keeper.TakeSearches();
   LONGS_EQUAL(3, searches.size());
   keeper.OnAnswer(InstanceId("c1"), searches[0].number, std::nullopt, kStart);
@@ -175,12 +179,68 @@
   // This instance keeps the copies up from now on, and knows the stream.
   LONGS_EQUAL(1, keeper.streams());
   LONGS_EQUAL(2, keeper.TakeCopies().size());
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   CHECK_TRUE(keeper.TakeOutcomes()[0].origin.has_value());
 }
 
+// Callers whose streams break when all entry instances are lost may repeat
+// their requests with the number of the last event only.
+TEST(OriginKeeper, AStreamIsFoundByItsContent) {
+  keeper.Search(unnamed, kStart);
+  const auto searches = keeper.TakeSearches();
+  CHECK_TRUE(searches[0].name == names.content);
+  keeper.OnAnswer(InstanceId("c1"), searches[0].number, Origin(), kStart);
+  keeper.OnAnswer(InstanceId("c2"), searches[0].number, Origin(), kStart);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.OnAnswer(InstanceId("c3"), searches[0].number, std::nullopt, kStart);
+  CHECK_TRUE(keeper.TakeOutcomes()[0].origin->version ==
+             SoftwareVersion("v1.1"));
+  LONGS_EQUAL(2, keeper.TakeCopies().size());
+}
+
+// Two entry instances began streams with the same content, and control
+// instances in different data centres keep their origins.
+TEST(OriginKeeper, ControlInstancesThatDisagreeLeaveTheVersionOpen) {
+  keeper.Search(unnamed, kStart);
+  const auto number = keeper.TakeSearches()[0].number;
+  StreamOrigin other = Origin();
+  other.version = SoftwareVersion("v1");
+  keeper.OnAnswer(InstanceId("c1"), number, Origin(), kStart);
+  keeper.OnAnswer(InstanceId("c2"), number, std::nullopt, kStart);
+  keeper.OnAnswer(InstanceId("c3"), number, other, kStart);
+  const auto outcomes = keeper.TakeOutcomes();
+  CHECK_TRUE(outcomes[0].origin.has_value());
+  CHECK_FALSE(outcomes[0].origin->version.has_value());
+  LONGS_EQUAL(0, keeper.TakeCopies().size());
+}
+
+// An instance that began a stream which never reached its caller doesn't know
+// of the one that was begun elsewhere afterwards.
+TEST(OriginKeeper, ControlInstancesAreAskedAlthoughTheContentIsKnownHere) {
+  Begin();
+  keeper.Search(unnamed, kStart);
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  const auto number = keeper.TakeSearches()[0].number;
+  StreamOrigin other = Origin();
+  other.version = SoftwareVersion("v1");
+  for (const char* control : {"c1", "c2", "c3"}) {
+    keeper.OnAnswer(InstanceId(control), number, other, kStart);
+  }
+  CHECK_FALSE(keeper.TakeOutcomes()[0].origin->version.has_value());
+}
+
+TEST(OriginKeeper, ASilentControlInstanceDelaysAKnownContentOnlyShortly) {
+  keeper.Search(unnamed, kStart);
+  const auto number = keeper.TakeSearches()[0].number;
+  keeper.OnAnswer(InstanceId("c1"), number, Origin(), kStart);
+  keeper.CheckTimeouts(kStart + Milliseconds(149));
+  LONGS_EQUAL(0, keeper.TakeOutcomes().size());
+  keeper.CheckTimeouts(kStart + Milliseconds(150));
+  CHECK_TRUE(keeper.TakeOutcomes()[0].origin->version.has_value());
+}
+
 TEST(OriginKeeper, AStreamThatNobodyKnowsIsUnknownOnceAllHaveAnswered) {
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   for (const char* control : {"c1", "c2", "c3"}) {
     LONGS_EQUAL(0, keeper.TakeOutcomes().size());
@@ -192,7 +252,7 @@
 // The connections of an instance that was frozen are replaced, and what was
 // sent on the old ones is lost.
 TEST(OriginKeeper, AControlInstanceThatDoesNotAnswerIsAskedAgain) {
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   keeper.OnAnswer(InstanceId("c1"), number, std::nullopt, kStart);
   keeper.CheckTimeouts(kStart + Milliseconds(199));
@@ -205,7 +265,7 @@
 // last.
 TEST(OriginKeeper, ASearchWaitsForAKnownControlInstanceWithoutConnection) {
   keeper.SetStores({Store("c1", "a")}, false, kStart);
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   const auto number = keeper.TakeSearches()[0].number;
   keeper.OnAnswer(InstanceId("c1"), number, std::nullopt, kStart);
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
@@ -215,7 +275,7 @@
 }
 
 TEST(OriginKeeper, ASearchThatIsNotAnsweredEnds) {
-  keeper.Search(request_id, kStart);
+  keeper.Search(names, kStart);
   keeper.CheckTimeouts(kStart + Milliseconds(1499));
   LONGS_EQUAL(0, keeper.TakeOutcomes().size());
   keeper.CheckTimeouts(kStart + Milliseconds(1500));
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 MIN_HERD_PAUSE_S = 5.0
 MAX_HERD_PAUSE_S = 8.0
 MAX_HERD_DOWNTIME_S = 1.0
+# Share of these kills that all control instances are lost in as well.
+LOST_CONTROLS_SHARE = 0.3
 
 
 class Faults:
@@ -35,13 +37,16 @@
             await asyncio.wait(self.running)
 
     async def run_herds(self, until, before_kill):
-        """Kills all entry instances at once, in series, each time after `before_kill()`."""
+        """Kills all entry instances at once, now and then with all control instances, in series, each time after
+        `before_kill()`."""
         while time.monotonic() < until:
             await asyncio.sleep(self.random.uniform(MIN_HERD_PAUSE_S, MAX_HERD_PAUSE_S))
             await before_kill()
             idle = [entry for entry in self.deployment.entries if entry not in self.busy]
+            if self.random.random() < LOST_CONTROLS_SHARE and not self.busy:
+                idle += self.deployment.controls
             down = self.random.uniform(MIN_PAUSE_S, MAX_HERD_DOWNTIME_S)
-            self.log.append(f"{asyncio.get_running_loop().time():.2f} kill of {len(idle)} entry instances")
+            self.log.append(f"{asyncio.get_running_loop().time():.2f} kill of {len(idle)} instances")
             self.busy.update(idle)
             await asyncio.gather(*(self.deployment.kill(entry, down) for entry in idle))
             self.busy.difference_update(idle)
--- a/tests/soak/stream_callers.py
+++ b/tests/soak/stream_callers.py
@@ -1,4 +1,7 @@
-"""Callers of streams: when a stream breaks, they take it up at another entry instance."""
+"""Callers of streams: when a stream breaks, they take it up at another entry instance.
+
+Some tell which request brought the first event, others only the number of the last event.
+"""
 
 import asyncio
 import dataclasses
@@ -16,6 +19,10 @@
 MAX_GAP_S = 3.6
 # A caller that can't connect comes back after this time.
 RECONNECT_DELAY_S = 0.8
+# Share of the callers that tell which request brought the first event.
+TELLING_SHARE = 0.5
+# With a smaller share of the entry instances in rotation, callers reach all of them.
+MIN_ROTATION_SHARE = 0.5
 
 
 @dataclasses.dataclass
@@ -41,8 +48,10 @@
 
 @dataclasses.dataclass
 class Stream:
-    """One stream over all tries of its caller."""
+    """One stream over all tries of its caller. `tells`: which request brought the first event."""
     attempts: list = dataclasses.field(default_factory=list)
+    prompt: str = ""
+    tells: bool = True
 
     def events(self):
         return [event for attempt in self.attempts for event in attempt.events]
@@ -59,9 +68,15 @@
         super().__init__(session, balancer, seed)
         self.streams = []
 
+    def choose_entry(self, avoided=None):
+        entries = self.balancer.entries
+        if len(self.balancer.in_rotation()) >= MIN_ROTATION_SHARE * len(entries):
+            return super().choose_entry(avoided)
+        return self.random.choice([entry for entry in entries if entry is not avoided])
+
     async def lookup(self, deadline_s=DEADLINE_S):
         deadline = time.monotonic() + deadline_s
-        stream = Stream()
+        stream = Stream(prompt=f"prompt{len(self.streams)}", tells=self.random.random() < TELLING_SHARE)
         self.streams.append(stream)
         entry = None
         for _ in range(1 + MAX_RETRIES):
@@ -86,12 +101,14 @@
         attempt = StreamAttempt(f"{self.next_id:016x}", entry.name, time.monotonic())
         headers = {
             "Host": HOST, "X-Request-Id": attempt.request, "X-Deadline-Ms": str(int(left * 1000)), "X-Model": "m",
-            "X-Token-Counts": f"5000,{EVENTS}", "X-Prompt-Prefix": f"{attempt.request}:5000"
+            "X-Token-Counts": f"5000,{EVENTS}", "X-Prompt-Prefix": f"{stream.prompt}:5000"
         }
         known = stream.events()
         if known:
             attempt.resumes = next(tried.request for tried in stream.attempts if tried.events)
-            headers |= {"Resumes": attempt.resumes, "Last-Event-Id": str(known[-1].number)}
+            headers["Last-Event-Id"] = str(known[-1].number)
+            if stream.tells:
+                headers["Resumes"] = attempt.resumes
         stream.attempts.append(attempt)
         self.attempts.append(attempt)
         retry_after = 0.0
