Configure an entry instance as soon as it is connected, not at its next tick

Cause: an entry instance that starts sends Follow before any connection stands, so that the message is dropped, and again after 500 ms. A control instance that got a Follow answered it the same way: its own connection to the new process stood only after up to 300 ms, the Update was dropped, and the Follow counted as answered. So a restarted instance refused every caller with "no configuration yet" for 0.6 s after each kill or restart, and callers who came back to take up a stream spent their tries.

Change: a Follow is due until there is a connection for it; a control instance keeps a Follow unanswered until it can send; the connection to a process that a successor has replaced is made anew at once. The instance asks for the loads of others with the first Update instead of 500 ms later.

Tests: NodeRoles.AFollowerThatHasJustStartedGetsTheAnswerToItsFirstFollow (never answered with the check taken back) and AnEntryInstanceFollowsOnceItIsConnected. The line of a call names the decode runner and its occupancy as this instance sees it.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -225,6 +225,14 @@
   sockets_->peers.erase(found);
 }
 
+bool PeerTransport::CanSend(const InstanceId& peer) {
+  const auto found = sockets_->peers.find(peer);
+  if (found == sockets_->peers.end()) return false;
+  const int events = RetryIfInterrupted(
+      [&] { return found->second.socket.get(zmq::sockopt::events); });
+  return (events & ZMQ_POLLOUT) != 0;
+}
+
 bool PeerTransport::Send(const InstanceId& peer, std::string_view message) {
   const auto found = sockets_->peers.find(peer);
   if (found == sockets_->peers.end()) {
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -63,6 +63,8 @@
                const std::string& public_key);
   bool HasPeer(const InstanceId& peer) const;
   void RemovePeer(const InstanceId& peer);
+  /// Whether Send() would succeed now.
+  bool CanSend(const InstanceId& peer);
 
   /// Never blocks. If the peer is unknown or not connected, or its queue is
   /// full, drops and counts the message and returns false.
--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -119,13 +119,14 @@
   if (auto error = readiness_->Listen(context_); !error.empty()) return error;
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
   batch_timer_ = AddTimer(context_, kBatchPeriod, [this] {
+    SendDueFollows(BootTimeNow());
     SendPlacements();
     configuration_.SendRequest(BootTimeNow());
     permits_.Tick(BootTimeNow());
     origins_.Tick(BootTimeNow());
     crashes_.Tick(BootTimeNow());
   });
-  SendFollowMessages(BootTimeNow());
+  FollowControls(BootTimeNow());
   return {};
 }
 
@@ -370,6 +371,8 @@
     configuration_.OnDocument(update.configuration());
   }
   configuration_.OnNotice(from, update.notice(), now);
+  // The first control instance; the loads of the others are asked for.
+  if (load_source_.empty()) FollowControls(now);
 }
 
 void EntryNode::OnChanges(const InstanceId& from,
@@ -416,12 +419,11 @@
   }
 }
 
-void EntryNode::SendFollowMessages(Time now) {
+void EntryNode::FollowControls(Time now) {
   for (const InstanceId& control : controls_.Expire(now)) {
     link_.Disconnect(control);
+    due_follows_.erase(control);
   }
-  SendPlacements();
-  const EndpointLoads loads = pool_.OwnLoads();
   for (const InstanceId& control : controls_.Disconnect(now)) {
     const Time heard_at = controls_.controls().at(control).last_update_at;
     Log(LogLevel::kWarning, "control_silent",
@@ -433,21 +435,43 @@
   evidence_partners_ = {partners.begin(), partners.end()};
   UseControls(now);
   for (const auto& [instance, control] : controls_.controls()) {
-    proto::NodeMessage message;
-    proto::Follow* follow = message.mutable_follow();
-    follow->set_configuration_version(configuration_.version().value());
-    follow->set_fetches_configuration(true);
-    follow->set_shares_crashes(evidence_partners_.contains(instance));
-    follow->set_registry_epoch(control.process.value());
-    follow->set_registry_revision(control.registry_revision);
-    follow->set_last_received(control.last_received);
-    WriteLoads(loads, follow->mutable_loads());
-    permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
-    follow->set_wants_placements(instance == load_source_);
-    link_.Send(instance, std::move(message));
+    due_follows_.insert(instance);
+  }
+  SendDueFollows(now);
+}
+
+void EntryNode::SendDueFollows(Time now) {
+  std::vector<InstanceId> reachable;
+  for (const InstanceId& control : due_follows_) {
+    if (link_.CanSend(control)) reachable.push_back(control);
+  }
+  if (reachable.empty()) return;
+  // The loads of a Follow include the placements so far.
+  SendPlacements();
+  const EndpointLoads loads = pool_.OwnLoads();
+  for (const InstanceId& control : reachable) {
+    due_follows_.erase(control);
+    SendFollow(control, controls_.controls().at(control), loads, now);
   }
 }
 
+void EntryNode::SendFollow(const InstanceId& to,
+                           const ControlDirectory::Control& control,
+                           const EndpointLoads& loads, Time now) {
+  proto::NodeMessage message;
+  proto::Follow* follow = message.mutable_follow();
+  follow->set_configuration_version(configuration_.version().value());
+  follow->set_fetches_configuration(true);
+  follow->set_shares_crashes(evidence_partners_.contains(to));
+  follow->set_registry_epoch(control.process.value());
+  follow->set_registry_revision(control.registry_revision);
+  follow->set_last_received(control.last_received);
+  WriteLoads(loads, follow->mutable_loads());
+  permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
+  follow->set_wants_placements(to == load_source_);
+  link_.Send(to, std::move(message));
+}
+
 void EntryNode::SendPlacements() {
   const EndpointLoads placed = pool_.TakePlaced();
   if (placed.empty()) return;
@@ -463,7 +487,7 @@
   for (const SocketAddress& seed : settings_.seeds) {
     controls_.Learn(InstanceId(seed.ip), now);
   }
-  SendFollowMessages(now);
+  FollowControls(now);
   metrics_.gauge("unfinished_answer_bytes").Set(bytes_.bytes());
   metrics_.gauge("unsent_answer_bytes").Set(callers_->unsent_bytes());
   if (now < next_expiry_) return;
--- a/main/node/entry_node.h
+++ b/main/node/entry_node.h
@@ -84,7 +84,13 @@
   /// Tells the parts that depend on control instances which ones to use.
   void UseControls(Time now);
   void SetChangingEndpoints(const EndpointNames& names, Time now);
-  void SendFollowMessages(Time now);
+  /// Makes a Follow to each control instance due.
+  void FollowControls(Time now);
+  /// Sends each Follow that is due once there is a connection for it.
+  void SendDueFollows(Time now);
+  void SendFollow(const InstanceId& to,
+                  const ControlDirectory::Control& control,
+                  const EndpointLoads& loads, Time now);
   void Tick();
   /// Part of the shutdown grace period in which requests are answered.
   Duration ServingPeriod() const;
@@ -123,6 +129,8 @@
   GSourcePtr timer_;
   GSourcePtr batch_timer_;
   InstanceId load_source_;
+  /// Control instances that a Follow is due to.
+  std::set<InstanceId> due_follows_;
   std::set<InstanceId> evidence_partners_;
   Time next_expiry_{};
   /// Set by Shutdown().
--- a/main/node/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -42,6 +42,8 @@
 void FollowerUpdates::Answer(const InstanceId& to, Follower& follower,
                              const std::vector<InstanceId>& controls,
                              Time now) {
+  // The connection to a follower that has just started stands a moment later.
+  if (!link_->CanSend(to)) return;
   follower.awaits_update = false;
   if (!follower.window.IsOpen(now)) {
     withheld_.Add();
--- a/main/node/node_link.cc
+++ b/main/node/node_link.cc
@@ -53,11 +53,19 @@
   }
 }
 
+bool NodeLink::CanSend(const InstanceId& to) {
+  ConnectIfNew(to);
+  return transport_.CanSend(to);
+}
+
+void NodeLink::ConnectIfNew(const InstanceId& to) {
+  if (transport_.HasPeer(to)) return;
+  const SocketAddress address{to.value(), settings_.peer_port};
+  transport_.SetPeer(to, address.text(), {});
+}
+
 void NodeLink::SendBytes(const InstanceId& to, std::string_view bytes) {
-  if (!transport_.HasPeer(to)) {
-    const SocketAddress address{to.value(), settings_.peer_port};
-    transport_.SetPeer(to, address.text(), {});
-  }
+  ConnectIfNew(to);
   transport_.Send(to, bytes);
 }
 
@@ -75,10 +83,16 @@
   }
   const InstanceId from(message.sender());
   const Incarnation process(message.incarnation());
-  if (!processes_[from].Accept(process, BootTimeNow())) {
+  ProcessSequence& processes = processes_[from];
+  const Incarnation before = processes.current();
+  if (!processes.Accept(process, BootTimeNow())) {
     stale_.Add();
     return;
   }
+  // The connection was to the process before, and would be tried again only
+  // after a while.
+  const bool replaced = before != Incarnation(0) && process != before;
+  if (replaced) transport_.RemovePeer(from);
   handler_(from, message);
 }
 
--- a/main/node/node_link.h
+++ b/main/node/node_link.h
@@ -33,6 +33,9 @@
   /// Returns an error message, empty on success.
   std::string Listen(GMainContext* context);
 
+  /// Whether there is a connection with room for a message. Connects on the
+  /// first use.
+  bool CanSend(const InstanceId& to);
   /// Never blocks; the message is dropped if there is no connection. Connects
   /// on the first use.
   void Send(const InstanceId& to, proto::NodeMessage message);
@@ -43,6 +46,7 @@
   void Disconnect(const InstanceId& instance);
 
  private:
+  void ConnectIfNew(const InstanceId& to);
   void SendBytes(const InstanceId& to, std::string_view bytes);
   void OnBytes(std::string_view bytes);
 
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -467,6 +467,8 @@
       runner->trial ? kToleratedSilence : kFirstEventTimeout;
   StartCall call{.endpoint = runner->endpoint,
                  .work = decode,
+                 .decode_runner = runner->endpoint.id,
+                 .decode_occupancy = runner->occupancy,
                  .kv_source = kv_source_,
                  .silence_limit = first_event_timeout};
   if (IsRetryable() && runs_ + 1 < facts_.attempts) {
@@ -483,6 +485,8 @@
                                       const Placement& runner,
                                       const WorkSpec& decode) {
   ReserveMemory(runner.endpoint.id, decode);
+  prefill.decode_runner = runner.endpoint.id;
+  prefill.decode_occupancy = runner.occupancy;
   prefill_version_ = runner.endpoint.version;
   return prefill;
 }
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -79,6 +79,11 @@
   CallKind kind = CallKind::kRun;
   EndpointRecord endpoint;
   WorkSpec work;
+  /// Runner that decodes the stream: `endpoint`, or the one that is reserved
+  /// while the prompt is prefilled. Empty for plain services.
+  EndpointId decode_runner;
+  /// Share of its memory or slots in use with this stream, as forecast here.
+  double decode_occupancy = 0;
   std::optional<KvSource> kv_source;
   /// Maximum time to the response, or to the first event of a stream, before
   /// the call counts as broken; zero for the deadline only.
--- a/tests/main/node/node_fixture.h
+++ b/tests/main/node/node_fixture.h
@@ -98,9 +98,9 @@
 
 /// Another instance that the node under test talks to.
 struct Peer {
-  explicit Peer(const std::string& ip)
+  explicit Peer(const std::string& ip, std::uint64_t incarnation = 1)
       : settings(SettingsOf(ip)),
-        link(settings, 1, metrics,
+        link(settings, incarnation, metrics,
              [this](const InstanceId&, const proto::NodeMessage& message) {
                if (on_message) on_message(message);
              }) {}
--- a/tests/main/node/node_roles_test.cc
+++ b/tests/main/node/node_roles_test.cc
@@ -106,6 +106,54 @@
   }
 };
 
+// An Update to an entry instance that had just started was dropped, since the
+// connection to it didn't stand yet, and the next one followed half a second
+// later.
+TEST(NodeRoles, AFollowerThatHasJustStartedGetsTheAnswerToItsFirstFollow) {
+  StartControl();
+  bool answered = false;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    answered |= message.has_update();
+  };
+  CHECK_TRUE(RunUntil([&] { return peer->link.CanSend(InstanceId(node_ip)); }));
+  proto::NodeMessage follow;
+  follow.mutable_follow();
+  peer->link.Send(InstanceId(node_ip), follow);
+  CHECK_TRUE(RunUntil([&] { return answered; }));
+  // The same with the connection to its predecessor.
+  peer.reset();
+  RunFor(Milliseconds(300));
+  answered = false;
+  peer = std::make_unique<Peer>(peer_ip, 2);
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    answered |= message.has_update();
+  };
+  STRCMP_EQUAL("", peer->link.Listen(context).c_str());
+  CHECK_TRUE(RunUntil([&] { return peer->link.CanSend(InstanceId(node_ip)); }));
+  peer->link.Send(InstanceId(node_ip), follow);
+  CHECK_TRUE(RunUntil([&] { return answered; }));
+}
+
+// The first Follow was dropped, since no connection stood yet, and the next one
+// followed half a second later. Until then every caller was refused.
+TEST(NodeRoles, AnEntryInstanceFollowsOnceItIsConnected) {
+  bool followed = false;
+  peer->on_message = [&](const proto::NodeMessage& message) {
+    followed |= message.has_follow();
+  };
+  bool soon = false;
+  // A busy machine may delay one of them.
+  for (int i = 0; i < 5 && !soon; ++i) {
+    entry.reset();
+    followed = false;
+    const gint64 started = g_get_monotonic_time();
+    StartEntry();
+    CHECK_TRUE(RunUntil([&] { return followed; }));
+    soon = Duration(g_get_monotonic_time() - started) < Milliseconds(400);
+  }
+  CHECK_TRUE(soon);
+}
+
 // Incident inc1: while endpoints registered and left, every change of the
 // registry sent the whole document to every entry instance that didn't have it
 // yet, which filled the links and the memory of the control instances.
