Take the loads of others from a control instance that was heard lately

Change: loads come from the first control instance, in the instance's own order, that sent an update within 0.8 s; updates answer messages that go out each 0.5 s.

Tests: ControlDirectory.LoadsAreTakenFromOneThatWasHeardLately (the function took no time before), AConnectedOneIsBetterThanNone.

--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -430,7 +430,7 @@
         {{"control", control.value()},
          {"silent_ms", ToMilliseconds(now - heard_at)}});
   }
-  load_source_ = controls_.LoadSource();
+  load_source_ = controls_.LoadSource(now);
   const std::vector<InstanceId> partners = controls_.EvidencePartners();
   evidence_partners_ = {partners.begin(), partners.end()};
   UseControls(now);
--- a/servers/entry/control_directory.cc
+++ b/servers/entry/control_directory.cc
@@ -77,9 +77,15 @@
   return preferred;
 }
 
-InstanceId ControlDirectory::LoadSource() const {
-  const std::vector<InstanceId> preferred = Preferred(1);
-  return preferred.empty() ? InstanceId() : preferred.front();
+InstanceId ControlDirectory::LoadSource(Time now) const {
+  const std::vector<InstanceId> preferred = Preferred(controls_.size());
+  if (preferred.empty()) return InstanceId();
+  const auto is_recent = [&](const InstanceId& instance) {
+    return now - controls_.at(instance).last_update_at < options_.load_timeout;
+  };
+  const auto recent =
+      std::find_if(preferred.begin(), preferred.end(), is_recent);
+  return recent == preferred.end() ? preferred.front() : *recent;
 }
 
 std::vector<InstanceId> ControlDirectory::EvidencePartners() const {
--- a/servers/entry/control_directory.h
+++ b/servers/entry/control_directory.h
@@ -22,6 +22,10 @@
   /// A control instance counts as disconnected after this time without an
   /// update.
   Duration update_timeout = Seconds(2);
+  /// Loads are taken from another control instance after this time without an
+  /// update. Updates answer the messages that each gets every 500 ms; without
+  /// them, runners that others have filled seem to have room.
+  Duration load_timeout = Milliseconds(800);
   /// The number of entry instances is taken to be at least this, since a
   /// control instance that has just started doesn't know all of them.
   std::uint32_t min_entry_instances = 8;
@@ -80,8 +84,8 @@
 
   /// The control instance from which other entry instances' loads are taken:
   /// one of the connected ones, so chosen that entry instances are spread over
-  /// them. Empty if none is connected.
-  InstanceId LoadSource() const;
+  /// them, and heard lately if one was. Empty if none is connected.
+  InstanceId LoadSource(Time now) const;
   /// The control instances with which crash evidence is exchanged, chosen like
   /// LoadSource(). They pass it on to all others.
   std::vector<InstanceId> EvidencePartners() const;
--- a/tests/entry/control_directory_test.cc
+++ b/tests/entry/control_directory_test.cc
@@ -31,7 +31,8 @@
 TEST(ControlDirectory, LoadSourcesAreSpreadOverTheControlInstances) {
   std::set<InstanceId> chosen;
   for (int i = 0; i < 40; ++i) {
-    chosen.insert(Directory("10.1.0." + std::to_string(i), 3).LoadSource());
+    chosen.insert(
+        Directory("10.1.0." + std::to_string(i), 3).LoadSource(kStart));
   }
   LONGS_EQUAL(3, chosen.size());
 }
@@ -41,7 +42,7 @@
   ControlDirectory directory = Directory("10.1.0.1", 5);
   const auto partners = directory.EvidencePartners();
   LONGS_EQUAL(2, partners.size());
-  CHECK_TRUE(partners.front() == directory.LoadSource());
+  CHECK_TRUE(partners.front() == directory.LoadSource(kStart));
   for (int i = 0; i < 5; ++i) {
     if (Control(i) == partners.front()) continue;
     directory.OnUpdate(Control(i), {}, kStart + Seconds(2));
@@ -56,10 +57,33 @@
   ControlDirectory directory = Directory("10.1.0.1", 2);
   directory.OnUpdate(Control(0), {}, kStart + Seconds(2));
   LONGS_EQUAL(1, directory.Disconnect(kStart + Seconds(2)).size());
-  CHECK_TRUE(directory.LoadSource() == Control(0));
+  CHECK_TRUE(directory.LoadSource(kStart + Seconds(2)) == Control(0));
   LONGS_EQUAL(0, directory.Disconnect(kStart + Seconds(2)).size());
 }
 
+// A control instance lost power, and for two seconds the instances that took
+// loads from it placed streams at runners that others had filled.
+TEST(ControlDirectory, LoadsAreTakenFromOneThatWasHeardLately) {
+  ControlDirectory directory = Directory("10.1.0.1", 3);
+  const InstanceId source = directory.LoadSource(kStart);
+  const Time later = kStart + Milliseconds(970);
+  for (int i = 0; i < 3; ++i) {
+    if (Control(i) == source) continue;
+    directory.OnUpdate(Control(i), {.process = Incarnation(1)},
+                       kStart + Milliseconds(530));
+  }
+  CHECK_FALSE(directory.LoadSource(later) == source);
+  directory.OnUpdate(source, {.process = Incarnation(1)}, later);
+  CHECK_TRUE(directory.LoadSource(later) == source);
+}
+
+// A lost zone: none was heard lately.
+TEST(ControlDirectory, AConnectedOneIsBetterThanNone) {
+  const ControlDirectory directory = Directory("10.1.0.1", 3);
+  CHECK_TRUE(directory.LoadSource(kStart + Milliseconds(900)) ==
+             directory.LoadSource(kStart));
+}
+
 TEST(ControlDirectory, NumbersOfAnEarlierProcessAreNotAcknowledged) {
   ControlDirectory directory = Directory("10.1.0.1", 1);
   directory.OnMessage(Control(0), Incarnation(1), 7, 0);
