Place requests that wait by chance, as many as there is room for

While the pool is full, requests wait at most of the 295 instances and try each 30 ms. A runner that gets room, or comes back empty after a release or a crash, is seen by all of them within some ten milliseconds, and each places its request there: up to 17 streams within 50 ms.

Change: instances tell each other how many requests wait, by service, with Follow and Update. A request that can still wait is placed with the probability room / waiting requests of the others; the last try is made as before.

--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -366,6 +366,7 @@
   const int others = static_cast<int>(update.entry_instances()) - 1;
   if (from == load_source_) {
     pool_.SetOtherLoads(ReadLoads(update.loads()), std::max(0, others), now);
+    pool_.SetOtherWaiting(ReadWaiting(update.waiting()));
   }
   if (update.has_configuration()) {
     configuration_.OnDocument(update.configuration());
@@ -467,6 +468,7 @@
   follow->set_registry_revision(control.registry_revision);
   follow->set_last_received(control.last_received);
   WriteLoads(loads, follow->mutable_loads());
+  WriteWaiting(pool_.waiting(), follow->mutable_waiting());
   permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
   follow->set_wants_placements(to == load_source_);
   link_.Send(to, std::move(message));
--- a/main/node/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -31,6 +31,7 @@
   follower.wants_placements = follow.wants_placements();
   follower.awaits_update = true;
   loads_.OnReport(from, ReadLoads(follow.loads()), follower.wants_placements);
+  loads_.OnWaiting(from, ReadWaiting(follow.waiting()));
   if (follow.registry_epoch() == state_.incarnation) {
     follower.registry_revision = follow.registry_revision();
     follower.window.OnAcknowledged(follow.last_received());
@@ -95,6 +96,7 @@
   // one control instance only.
   if (follower.wants_placements) {
     WriteLoads(loads_.TotalWithout(to), update.mutable_loads());
+    WriteWaiting(loads_.WaitingWithout(to), update.mutable_waiting());
   }
   const std::uint64_t permit_term = state_.permits->IssuerTerm(now);
   update.set_permit_term(permit_term);
--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -153,7 +153,7 @@
       Log(LogLevel::kInfo, "request_waits",
           {{"request", caller_.id.value()},
            {"occupancy", wait->occupancy},
-           {"waiting", context_.pool->waiting()},
+           {"waiting", context_.pool->WaitingFor(facts_.service)},
            {"small_route", facts_.small_route},
            {"loads_age_ms",
             ToMilliseconds(context_.pool->LoadsAge(BootTimeNow()))}});
--- a/main/node/load_messages.cc
+++ b/main/node/load_messages.cc
@@ -32,4 +32,23 @@
   }
 }
 
+WaitingRequests ReadWaiting(const WaitingMessages& messages) {
+  // More would overflow a sum over all instances.
+  constexpr std::uint32_t kMaxRequests = 100000;
+  WaitingRequests waiting;
+  for (const proto::WaitingRequests& message : messages) {
+    waiting[ServiceId(message.service())] =
+        static_cast<int>(std::min(message.requests(), kMaxRequests));
+  }
+  return waiting;
+}
+
+void WriteWaiting(const WaitingRequests& waiting, WaitingMessages* messages) {
+  for (const auto& [service, requests] : waiting) {
+    proto::WaitingRequests* message = messages->Add();
+    message->set_service(service.value());
+    message->set_requests(static_cast<std::uint32_t>(requests));
+  }
+}
+
 }  // namespace cassiausher
--- a/main/node/load_messages.h
+++ b/main/node/load_messages.h
@@ -13,6 +13,12 @@
 EndpointLoads ReadLoads(const LoadMessages& messages);
 void WriteLoads(const EndpointLoads& loads, LoadMessages* messages);
 
+using WaitingMessages =
+    google::protobuf::RepeatedPtrField<proto::WaitingRequests>;
+
+WaitingRequests ReadWaiting(const WaitingMessages& messages);
+void WriteWaiting(const WaitingRequests& waiting, WaitingMessages* messages);
+
 }  // namespace cassiausher
 
 #endif  // MAIN_NODE_LOAD_MESSAGES_H_
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -277,6 +277,11 @@
     contested.occupancy += unseen;
     return contested;
   }
+  if (work.can_wait && !usable.empty() && !MayPlace(work, usable, now)) {
+    Placement contested = Place(*best, work, now);
+    contested.occupancy = std::max(contested.occupancy, kOverFull);
+    return contested;
+  }
   const bool is_model = work.role != EndpointRole::kPlain;
   if (is_model && usable.size() > 2) best = BetterOfTwo(usable, work, now);
   return Place(*best, work, now);
@@ -359,6 +364,35 @@
   return unseen / static_cast<double>(usable) * stream;
 }
 
+bool EndpointPool::MayPlace(const WorkSpec& work,
+                            const std::vector<const Entry*>& usable, Time now) {
+  const auto others = other_waiting_.find(work.service);
+  const bool contested = others != other_waiting_.end() &&
+                         work.kv_capacity.value() > 0 &&
+                         now - other_loads_at_ < kLoadLifetime;
+  if (!contested) return true;
+  const double stream = static_cast<double>(std::max<std::int64_t>(
+                            1, work.memory.Peak().value())) /
+                        static_cast<double>(work.kv_capacity.value());
+  double room = 0;
+  for (const Entry* entry : usable) {
+    const double left = work.full_occupancy - Occupancy(*entry, work, now);
+    room += 1 + std::floor(left / stream);
+  }
+  return random_.Unit() * others->second < room;
+}
+
+int EndpointPool::WaitingFor(const ServiceId& service) const {
+  const auto found = waiting_.find(service);
+  return found == waiting_.end() ? 0 : found->second;
+}
+
+void EndpointPool::ChangeWaiting(const ServiceId& service, int difference) {
+  int& waiting = waiting_[service];
+  waiting += difference;
+  if (waiting == 0) waiting_.erase(service);
+}
+
 EndpointLoads EndpointPool::OwnLoads() const {
   EndpointLoads loads;
   for (const auto& [id, entry] : entries_) {
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -73,6 +73,8 @@
   /// A runner whose streams all have had no event lately isn't the last resort:
   /// a sound one goes on soon.
   bool accepts_quiet = false;
+  /// The request can wait while others that wait are placed.
+  bool can_wait = false;
   /// The call is a stream whose first event has arrived.
   bool streaming = false;
   /// Incarnation of the endpoint that the call was placed at. Null for the
@@ -171,8 +173,13 @@
   Duration OpenFor(const EndpointId& id, Time now) const;
 
   /// Requests of this instance that wait for capacity.
-  int waiting() const { return waiting_; }
-  void ChangeWaiting(int difference) { waiting_ += difference; }
+  const WaitingRequests& waiting() const { return waiting_; }
+  int WaitingFor(const ServiceId& service) const;
+  void ChangeWaiting(const ServiceId& service, int difference);
+  /// Replaces the requests that wait at the other entry instances.
+  void SetOtherWaiting(WaitingRequests waiting) {
+    other_waiting_ = std::move(waiting);
+  }
 
   /// Time since the last SetOtherLoads().
   Duration LoadsAge(Time now) const { return now - other_loads_at_; }
@@ -252,6 +259,11 @@
   /// instance doesn't know yet, if it can choose among so many runners.
   double UnseenOccupancy(const WorkSpec& work, std::size_t usable,
                          Time now) const;
+  /// Whether the work may be placed now, although requests of other instances
+  /// wait for the same room and place themselves before this one knows of it:
+  /// by chance, so that as many are placed as there is room for.
+  bool MayPlace(const WorkSpec& work, const std::vector<const Entry*>& usable,
+                Time now);
   const Entry* BetterOfTwo(const std::vector<const Entry*>& candidates,
                            const WorkSpec& work, Time now);
 
@@ -272,7 +284,8 @@
   int other_instances_ = 0;
   /// Placements of other instances at decode runners, by service.
   std::map<ServiceId, PlacementRate> placement_rates_;
-  int waiting_ = 0;
+  WaitingRequests waiting_;
+  WaitingRequests other_waiting_;
   Random random_;
 };
 
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -117,7 +117,7 @@
 }
 
 void RequestForwarder::StopWaiting() {
-  if (std::exchange(waiting_, false)) pool_->ChangeWaiting(-1);
+  if (std::exchange(waiting_, false)) pool_->ChangeWaiting(facts_.service, -1);
 }
 
 void RequestForwarder::ReserveMemory(const EndpointId& endpoint,
@@ -135,7 +135,7 @@
 
 bool RequestForwarder::CanWaitForCapacity(Time now) const {
   // Rejects at once if the queue is long, so that the caller retries later.
-  const bool queue_is_long = pool_->waiting() >= kMaxWaiting;
+  const bool queue_is_long = pool_->WaitingFor(facts_.service) >= kMaxWaiting;
   if (!waiting_ && queue_is_long && !facts_.small_route) return false;
   return now - facts_.arrived + kPrefillTime < facts_.latency_target;
 }
@@ -409,6 +409,12 @@
   decode.reserved_at = ReleaseReservation();
   if (kv_source_.has_value()) decode.version = prefill_version_;
   decode.accepts_quiet = accepts_quiet_;
+  // A stream that has begun is resumed at any load: its caller has a part of
+  // it. After a failed prefill call, memory was reserved for the stream, and it
+  // is too late to refuse it.
+  const bool is_new = runs_ == 0 && prefill_failures_ == 0 && !facts_.begun_by;
+  decode.can_wait =
+      is_new && !kv_source_.has_value() && CanWaitForCapacity(now);
   auto runner = PickWithPermit(decode, now);
   if (awaited_.has_value()) return std::nullopt;
   if (!runner.has_value() && kv_source_.has_value()) {
@@ -419,19 +425,18 @@
   const double bonus = facts_.small_route ? kSmallRouteOccupancyBonus : 0;
   const double limit = std::min(1.0, decode.full_occupancy + bonus);
   const bool full = runner.has_value() && runner->occupancy > limit;
-  // A stream that has begun is resumed at any load: its caller has a part of
-  // it. After a failed prefill call, memory was reserved for the stream, and it
-  // is too late to refuse it.
-  const bool is_new = runs_ == 0 && prefill_failures_ == 0 && !facts_.begun_by;
   if (full && !kv_source_.has_value() && is_new) {
     ReturnPermits();
     if (CanWaitForCapacity(now)) {
-      if (!std::exchange(waiting_, true)) pool_->ChangeWaiting(1);
+      if (!std::exchange(waiting_, true)) {
+        pool_->ChangeWaiting(facts_.service, 1);
+      }
       return WaitForCapacity{now + kCapacityPollPeriod, runner->occupancy};
     }
     // Rather a runner that is silent for a moment than none.
     accepts_quiet_ = true;
     decode.accepts_quiet = true;
+    decode.can_wait = false;
     runner = PickWithPermit(decode, now);
     if (awaited_.has_value()) return std::nullopt;
     const bool has_room = runner.has_value() && runner->occupancy <= limit;
--- a/servers/loads/endpoint_loads.h
+++ b/servers/loads/endpoint_loads.h
@@ -17,6 +17,9 @@
 
 using EndpointLoads = std::map<EndpointId, EndpointLoad>;
 
+/// Requests that wait for capacity, by service.
+using WaitingRequests = std::map<ServiceId, int>;
+
 void AddLoads(const EndpointLoads& more, EndpointLoads* sum);
 /// `part` is included in `sum`. Endpoints that are left without requests are
 /// removed.
--- a/servers/loads/shared_loads.cc
+++ b/servers/loads/shared_loads.cc
@@ -4,6 +4,18 @@
 #include <utility>
 
 namespace cassiausher {
+namespace {
+
+void AddWaiting(const WaitingRequests& waiting, int factor,
+                WaitingRequests* sum) {
+  for (const auto& [service, requests] : waiting) {
+    int& total = (*sum)[service];
+    total += factor * requests;
+    if (total == 0) sum->erase(service);
+  }
+}
+
+}  // namespace
 
 void SharedLoads::OnReport(const InstanceId& instance,
                            const EndpointLoads& loads, bool wants_placements) {
@@ -12,7 +24,26 @@
   AddLoads(loads, &total_);
   receivers_ += static_cast<int>(wants_placements) -
                 static_cast<int>(known.wants_placements);
-  known = {.loads = loads, .wants_placements = wants_placements};
+  known.loads = loads;
+  known.wants_placements = wants_placements;
+}
+
+void SharedLoads::OnWaiting(const InstanceId& instance,
+                            WaitingRequests waiting) {
+  const auto found = instances_.find(instance);
+  if (found == instances_.end()) return;
+  AddWaiting(found->second.waiting, -1, &waiting_);
+  AddWaiting(waiting, 1, &waiting_);
+  found->second.waiting = std::move(waiting);
+}
+
+WaitingRequests SharedLoads::WaitingWithout(const InstanceId& instance) const {
+  WaitingRequests waiting = waiting_;
+  const auto found = instances_.find(instance);
+  if (found != instances_.end()) {
+    AddWaiting(found->second.waiting, -1, &waiting);
+  }
+  return waiting;
 }
 
 void SharedLoads::OnPlacements(const InstanceId& instance,
@@ -30,6 +61,7 @@
   const auto found = instances_.find(instance);
   if (found == instances_.end()) return;
   SubtractLoads(found->second.loads, &total_);
+  AddWaiting(found->second.waiting, -1, &waiting_);
   if (found->second.wants_placements) --receivers_;
   instances_.erase(found);
 }
--- a/servers/loads/shared_loads.h
+++ b/servers/loads/shared_loads.h
@@ -37,6 +37,8 @@
   /// All that the instance has in progress.
   void OnReport(const InstanceId& instance, const EndpointLoads& loads,
                 bool wants_placements);
+  /// Requests that wait at the instance. Ignored before its first report.
+  void OnWaiting(const InstanceId& instance, WaitingRequests waiting);
   /// What the instance placed since its last report. `lasting` is the part that
   /// is still in progress at its next report. Ignored before its first report.
   void OnPlacements(const InstanceId& instance, const EndpointLoads& placed,
@@ -46,6 +48,8 @@
   const EndpointLoads& Total() const { return total_; }
   /// Total() without the instance's own part.
   EndpointLoads TotalWithout(const InstanceId& instance) const;
+  /// Requests that wait at the other instances.
+  WaitingRequests WaitingWithout(const InstanceId& instance) const;
 
   /// Whether batches are due.
   bool IsDue(Time now) const { return now >= next_batch_; }
@@ -56,6 +60,7 @@
  private:
   struct Instance {
     EndpointLoads loads;
+    WaitingRequests waiting;
     bool wants_placements = false;
   };
 
@@ -65,6 +70,7 @@
   std::map<InstanceId, Instance> instances_;
   /// Sum over `instances_`.
   EndpointLoads total_;
+  WaitingRequests waiting_;
   /// Placements since the last batch: all, and each instance's own.
   EndpointLoads placed_;
   std::map<InstanceId, EndpointLoads> placed_by_;
--- a/tests/entry/placement_contention_test.cc
+++ b/tests/entry/placement_contention_test.cc
@@ -1,11 +1,13 @@
 // Many entry instances place streams at runners that are nearly full, by loads
 // that are some ten milliseconds old. Guards against instances that all go for
-// the same free memory, so that prompts are read and then rejected.
+// the same free memory, so that prompts are read and then rejected: what a
+// stream frees at a full pool, and a runner that comes back while many wait.
 #include <CppUTest/TestHarness.h>
 
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/random.h"
@@ -36,6 +38,7 @@
   Time next_step{};
   /// Where memory is reserved; empty while it waits.
   EndpointId runner;
+  bool waits = false;
   bool runs = false;
 };
 
@@ -65,6 +68,12 @@
     }
   }
 
+  /// A runner without any stream appears.
+  void AddRunner() {
+    for (const auto& pool : pools_) pool->Merge(Runner(runners_), now_);
+    ++runners_;
+  }
+
   int read = 0;
   int rejected = 0;
   int answered = 0;
@@ -95,7 +104,12 @@
             .memory = {stream.size, Tokens(0), Tokens(0)},
             .kv_capacity = kCapacity,
             .full_occupancy = 0.92,
-            .reserved_at = stream.runner};
+            .reserved_at = stream.runner,
+            .can_wait = stream.runner.empty() && CanWait(stream)};
+  }
+
+  bool CanWait(const Stream& stream) const {
+    return now_ - stream.arrived < kMaxWait;
   }
 
   void Arrive() {
@@ -136,9 +150,14 @@
 
   void Place(Stream& stream, EndpointPool& pool, const WorkSpec& work) {
     const auto placed = pool.Pick(work, now_);
-    if (placed->occupancy > work.full_occupancy) {
+    const bool full = placed->occupancy > work.full_occupancy;
+    if (full && work.can_wait) {
       stream.next_step = now_ + kPollPeriod;
-      if (now_ - stream.arrived < kMaxWait) return;
+      if (!std::exchange(stream.waits, true)) pool.ChangeWaiting(service, 1);
+      return;
+    }
+    if (std::exchange(stream.waits, false)) pool.ChangeWaiting(service, -1);
+    if (full) {
       ++refused;
       return End(stream);
     }
@@ -159,8 +178,10 @@
       const Duration phase = kStep * static_cast<int>(i);
       if ((since_start + phase) % kReportPeriod != Duration(0)) continue;
       loads_.OnReport(id, pools_[i]->OwnLoads(), true);
+      loads_.OnWaiting(id, pools_[i]->waiting());
       pools_[i]->SetOtherLoads(loads_.TotalWithout(id),
                                static_cast<int>(pools_.size()) - 1, now_);
+      pools_[i]->SetOtherWaiting(loads_.WaitingWithout(id));
     }
     if (!loads_.IsDue(now_)) return;
     for (const PlacementBatch& batch : loads_.TakeBatches(now_)) {
@@ -198,4 +219,19 @@
   CHECK_TRUE(burst.rejected <= kMaxWasted * burst.read);
 }
 
+// All instances saw the same empty runner, and each one that had a request
+// waiting placed it there.
+TEST(PlacementContention, ARunnerThatComesBackIsNotFilledBeyondItsMemory) {
+  Burst burst(295, 53, 130);
+  burst.RunFor(Seconds(10));
+  const int read = burst.read;
+  const int rejected = burst.rejected;
+  for (int i = 0; i < 10; ++i) {
+    burst.AddRunner();
+    burst.RunFor(Seconds(1));
+  }
+  CHECK_TRUE(burst.read - read > 500);
+  CHECK_TRUE(burst.rejected - rejected <= kMaxWasted * (burst.read - read));
+}
+
 }  // namespace cassiausher
--- a/tests/entry/request_forwarder_test.cc
+++ b/tests/entry/request_forwarder_test.cc
@@ -610,7 +610,7 @@
   CHECK_TRUE(waiting.size() < 10);
   // Requests that end leave the queue.
   waiting.clear();
-  LONGS_EQUAL(0, pool.waiting());
+  LONGS_EQUAL(0, pool.WaitingFor(ServiceId("s")));
 }
 
 // For any sequence of failures: a request that isn't retryable is never sent
--- a/tests/loads/shared_loads_test.cc
+++ b/tests/loads/shared_loads_test.cc
@@ -122,4 +122,17 @@
   }
 }
 
+TEST(SharedLoads, WaitingRequestsAreSummedOverTheOthers) {
+  SharedLoads loads({});
+  const ServiceId service("model");
+  for (int i = 1; i <= 3; ++i) {
+    loads.OnReport(Entry(i), {}, true);
+    loads.OnWaiting(Entry(i), {{service, i}});
+  }
+  LONGS_EQUAL(5, loads.WaitingWithout(Entry(1)).at(service));
+  loads.OnWaiting(Entry(2), {});
+  loads.Remove(Entry(3));
+  LONGS_EQUAL(0, loads.WaitingWithout(Entry(1)).size());
+}
+
 }  // namespace cassiausher
