Test that a second copy of an answer isn't the answer to the next request

The test sends every answer twice, with the id of one request, to a caller that keeps its connection: the request with that id gets its answer, the others 502.

--- a/tests/main/node/unframed_answer_test.cc
+++ b/tests/main/node/unframed_answer_test.cc
@@ -74,6 +74,24 @@
                                 Document(1, 1, kTimeoutMs), true));
 }
 
+// An endpoint sends its answer twice. The caller's next request, on the same
+// connection to this instance, must not get the second copy.
+TEST(UnframedAnswer, ASecondCopyIsNotTheAnswerToTheNextRequest) {
+  const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
+                             stamp + "X-Request-Id: r1\r\n\r\nhello";
+  // The request has no id, so that this answer is another one's.
+  LONGS_EQUAL(502, CallAnswered(answer + answer, Document(1, 1, kTimeoutMs)));
+  HttpCall call = MakeCall("GET", "/0/", "");
+  call.new_connection = false;
+  call.headers.emplace_back("X-Request-Id", "r1");
+  LONGS_EQUAL(200, Call(call));
+  STRCMP_EQUAL("hello", response.body.c_str());
+  call.headers.back().second = "r2";
+  LONGS_EQUAL(502, Call(call));
+  // Each call had a connection to the endpoint of its own.
+  LONGS_EQUAL(3, endpoint->connections());
+}
+
 TEST(UnframedAnswer, AStreamOfWholeEventsIsComplete) {
   LONGS_EQUAL(200, CallAnswered(stream_answer + "\r\n" + event + event,
                                 StreamDocument()));
