Leave endpoints aside that other instances found refusing connections

Change: crash evidence, which all instances share within some 100 ms, names runs that broke off calls and refuse connections. For 4 s from the crash they are the last resort, unless they answer a later call or another run has taken their place.

--- a/main/node/crash_client.cc
+++ b/main/node/crash_client.cc
@@ -6,6 +6,9 @@
 namespace {
 
 constexpr Duration kUpdatePeriod = Milliseconds(100);
+// An endpoint that crashed is left aside for this long. Control instances
+// report it as silent by then, unless it sends heartbeats.
+constexpr Duration kRefusalLifetime = Seconds(4);
 
 EndpointRun RunOf(const EndpointRecord& endpoint) {
   return {endpoint.id, endpoint.incarnation};
@@ -19,8 +22,7 @@
 }  // namespace
 
 CrashClient::CrashClient(Incarnation self, std::uint64_t random_seed,
-                         Metrics& metrics, const EndpointPool* pool,
-                         NodeLink* link)
+                         Metrics& metrics, EndpointPool* pool, NodeLink* link)
     : pool_(pool),
       broken_(metrics.counter("calls_broken_off_total")),
       active_(metrics.gauge("crash_verdicts")),
@@ -85,6 +87,7 @@
           ToMilliseconds(now - verdict.cause.last_crash_at)},
          {"retry_in_ms", ToMilliseconds(verdict.retry_at - now)}});
   }
+  pool_->SetRefusing(evidence_.RefusingSince(now - kRefusalLifetime));
   active_.Set(static_cast<std::int64_t>(guard_.verdicts().size()));
 }
 
--- a/main/node/crash_client.h
+++ b/main/node/crash_client.h
@@ -36,7 +36,7 @@
 class CrashClient {
  public:
   CrashClient(Incarnation self, std::uint64_t random_seed, Metrics& metrics,
-              const EndpointPool* pool, NodeLink* link);
+              EndpointPool* pool, NodeLink* link);
 
   CallGuard* guard() { return &guard_; }
 
@@ -70,7 +70,7 @@
   /// An endpoint that leaves may end with calls in progress.
   bool Leaves(const EndpointRecord& endpoint) const;
 
-  const EndpointPool* pool_;
+  EndpointPool* pool_;
   Counter& broken_;
   Gauge& active_;
   CrashEvidence evidence_;
--- a/servers/crashes/crash_evidence.cc
+++ b/servers/crashes/crash_evidence.cc
@@ -276,6 +276,16 @@
   return suspected;
 }
 
+std::set<EndpointRun> CrashEvidence::RefusingSince(Time since) const {
+  std::set<EndpointRun> refusing;
+  for (const auto& [run, crash] : crashes_) {
+    const std::optional<Time> crashed_at = CrashedAt(crash);
+    const bool recent = crashed_at.has_value() && *crashed_at >= since;
+    if (recent && crash.refuses_connections) refusing.insert(run);
+  }
+  return refusing;
+}
+
 std::vector<Cause> CrashEvidence::ActiveCauses() const {
   std::vector<Cause> active;
   for (const auto& [traits, cause] : causes_) {
--- a/servers/crashes/crash_evidence.h
+++ b/servers/crashes/crash_evidence.h
@@ -140,6 +140,9 @@
   const std::map<EndpointRun, Crash>& crashes() const { return crashes_; }
   /// Null if there is none.
   const TraitMark* FindMark(TraitId trait) const;
+  /// Runs that broke off calls at or after `since`, refuse connections and have
+  /// answered nothing since.
+  std::set<EndpointRun> RefusingSince(Time since) const;
   /// Those of the traits that may have caused a crash at `crashed_at`.
   CallTraits Suspected(const CallTraits& traits, Time crashed_at) const;
   /// Known causes, without the traits that were cleared since, and without
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -171,6 +171,17 @@
   return reported;
 }
 
+void EndpointPool::SetRefusing(const std::set<EndpointRun>& runs) {
+  refusing_.clear();
+  // In ascending order of the incarnations of an endpoint.
+  for (const EndpointRun& run : runs) refusing_[run.endpoint] = run.incarnation;
+}
+
+bool EndpointPool::IsRefusing(const EndpointRecord& record) const {
+  const auto found = refusing_.find(record.id);
+  return found != refusing_.end() && found->second == record.incarnation;
+}
+
 bool EndpointPool::HasExpired(const Entry& entry, Time now) const {
   return entry.record.expired && IsSilent(entry.record.id, now);
 }
@@ -230,8 +241,8 @@
 bool EndpointPool::IsLastResort(const Entry& entry, const WorkSpec& work,
                                 Time now) const {
   const bool is_quiet = !work.accepts_quiet && IsQuiet(entry, now);
-  return is_quiet || IsSilent(entry.record.id, now) ||
-         !entry.health.Admits(now);
+  return is_quiet || IsRefusing(entry.record) ||
+         IsSilent(entry.record.id, now) || !entry.health.Admits(now);
 }
 
 const EndpointPool::Entry* EndpointPool::BetterOfTwo(
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -17,6 +17,7 @@
 #include "core/time.h"
 #include "core/units.h"
 #include "servers/control/endpoint_record.h"
+#include "servers/crashes/crash_evidence.h"
 #include "servers/entry/endpoint_health.h"
 #include "servers/loads/endpoint_loads.h"
 #include "servers/loads/memory_forecast.h"
@@ -111,6 +112,10 @@
   /// Replaces the set of endpoints that `control` reports as silent.
   void SetSilent(const std::string& control, std::set<EndpointId> silent,
                  Time now);
+  /// Replaces the runs of endpoints that broke off calls lately and refuse
+  /// connections, as any instance observed. They are the last resort until
+  /// their heartbeats tell more.
+  void SetRefusing(const std::set<EndpointRun>& runs);
   /// An answer of this run of the endpoint says that it is about to end. It
   /// gets no more work, whatever control instances report.
   void OnLeaving(const EndpointId& id, Incarnation incarnation, Time now);
@@ -241,6 +246,7 @@
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
   bool IsSilent(const EndpointId& id, Time now) const;
+  bool IsRefusing(const EndpointRecord& record) const;
   /// Whether the record has expired and no control instance reports hearing the
   /// endpoint. The record of one that is cut off from it may expire while
   /// another instance receives its heartbeats and has no change to publish.
@@ -278,6 +284,8 @@
   std::map<ServiceId, VersionHistory> versions_;
   /// By control instance.
   std::map<std::string, SilentReport> silent_;
+  /// The latest run of each endpoint that refuses connections.
+  std::map<EndpointId, Incarnation> refusing_;
   EndpointLoads other_loads_;
   EndpointLoads placed_;
   Time other_loads_at_{};
--- a/tests/crashes/crash_evidence_test.cc
+++ b/tests/crashes/crash_evidence_test.cc
@@ -69,6 +69,17 @@
   }
 }
 
+TEST(CrashEvidence, ARunRefusesUntilItAnswersOrItsCrashIsOld) {
+  first.AddCall(Run(1), kService, {TraitId(1)}, kStart);
+  LONGS_EQUAL(0, first.RefusingSince(kStart).size());
+  first.OnRefusedConnection(Run(1));
+  second.Merge(first.ChangedSince(0, kNoLimit, EvidenceScope::kAll));
+  LONGS_EQUAL(1, second.RefusingSince(kStart).size());
+  LONGS_EQUAL(0, second.RefusingSince(kStart + Seconds(1)).size());
+  second.OnAlive(Run(1), kStart + Milliseconds(1));
+  LONGS_EQUAL(0, second.RefusingSince(kStart).size());
+}
+
 TEST(CrashEvidence, ChangesAreSentInPiecesUpToALimit) {
   for (int i = 0; i < 10; ++i) {
     first.AddCall(Run(i), kService, {TraitId(1), TraitId(2)}, kStart);
--- a/tests/entry/endpoint_pool_test.cc
+++ b/tests/entry/endpoint_pool_test.cc
@@ -560,6 +560,22 @@
   STRCMP_EQUAL("none", PickId(Lookup(), kStart).c_str());
 }
 
+// Each of many instances called each of the endpoints that had crashed, until
+// their heartbeats were missed.
+TEST(EndpointPool, AnEndpointThatOthersFoundRefusingIsTheLastResort) {
+  pool.Merge(Plain("a", "here"), kStart);
+  pool.Merge(Plain("b", "elsewhere"), kStart);
+  STRCMP_EQUAL("a", PickId(Lookup(), kStart).c_str());
+  pool.SetRefusing({{EndpointId("a"), Incarnation(1)}});
+  STRCMP_EQUAL("b", PickId(Lookup(), kStart).c_str());
+  // It has started again.
+  pool.SetRefusing({{EndpointId("a"), Incarnation(0)}});
+  STRCMP_EQUAL("a", PickId(Lookup(), kStart).c_str());
+  pool.SetRefusing(
+      {{EndpointId("a"), Incarnation(1)}, {EndpointId("b"), Incarnation(1)}});
+  CHECK_TRUE(pool.Pick(Lookup(), kStart)->last_resort);
+}
+
 // In a burst, an entry instance that counts only its own streams overfills
 // runners, which then preempt or reject streams.
 TEST(EndpointPool, StreamsArePlacedByFreeMemoryOverAllInstances) {
