Count the room for waiting requests in streams of the mean size

Cause: the chance of a waiting request was its room, counted in streams of its own size, over the number that wait.

Change: the mean memory of the streams in progress is the unit.

--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -382,9 +382,9 @@
                          work.kv_capacity.value() > 0 &&
                          now - other_loads_at_ < kLoadLifetime;
   if (!contested) return true;
-  const double stream = static_cast<double>(std::max<std::int64_t>(
-                            1, work.memory.Peak().value())) /
-                        static_cast<double>(work.kv_capacity.value());
+  // In streams of the mean size, so that those with a long prompt have the same
+  // chance.
+  const double stream = MeanStreamOccupancy(work, now);
   double room = 0;
   for (const Entry* entry : usable) {
     const double left = work.full_occupancy - Occupancy(*entry, work, now);
@@ -393,6 +393,20 @@
   return random_.Unit() * others->second < room;
 }
 
+double EndpointPool::MeanStreamOccupancy(const WorkSpec& work, Time now) const {
+  std::int64_t streams = 1;
+  std::int64_t tokens = std::max<std::int64_t>(1, work.memory.Peak().value());
+  for (const auto& [id, entry] : entries_) {
+    if (entry.record.service != work.service) continue;
+    if (entry.record.role != work.role) continue;
+    const EndpointLoad other = OtherLoad(entry, now);
+    streams += entry.in_flight + entry.reserved + other.requests;
+    tokens += entry.memory.Peak().value() + other.memory.Peak().value();
+  }
+  return static_cast<double>(tokens) / static_cast<double>(streams) /
+         static_cast<double>(work.kv_capacity.value());
+}
+
 int EndpointPool::WaitingFor(const ServiceId& service) const {
   const auto found = waiting_.find(service);
   return found == waiting_.end() ? 0 : found->second;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -270,6 +270,8 @@
   /// by chance, so that as many are placed as there is room for.
   bool MayPlace(const WorkSpec& work, const std::vector<const Entry*>& usable,
                 Time now);
+  /// Share of a runner's memory that a stream of the service takes on average.
+  double MeanStreamOccupancy(const WorkSpec& work, Time now) const;
   const Entry* BetterOfTwo(const std::vector<const Entry*>& candidates,
                            const WorkSpec& work, Time now);
 
