--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -372,7 +372,7 @@
     configuration_.OnDocument(update.configuration());
   }
   configuration_.OnNotice(from, update.notice(), now);
-  // The first control instance; the loads of the others are asked for.
+  // The first control instance is connected: asks it for the others' loads.
   if (load_source_.empty()) FollowControls(now);
 }
 
--- a/main/node/entry_node.h
+++ b/main/node/entry_node.h
@@ -84,7 +84,8 @@
   /// Tells the parts that depend on control instances which ones to use.
   void UseControls(Time now);
   void SetChangingEndpoints(const EndpointNames& names, Time now);
-  /// Makes a Follow to each control instance due.
+  /// Looks which control instances are connected and what each is used for, and
+  /// makes a Follow to each one due.
   void FollowControls(Time now);
   /// Sends each Follow that is due once there is a connection for it.
   void SendDueFollows(Time now);
--- a/main/node/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -73,6 +73,7 @@
  private:
   /// Whether the caller has a part of the stream already.
   bool TakesUp() const;
+  /// What the stream may be found by later, or is searched by now.
   StreamNames Names() const;
   /// Finds the software version that began the stream which the caller takes
   /// up, then begins; refuses if nobody knows it.
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -295,6 +295,7 @@
   /// Placements of other instances at decode runners, by service.
   std::map<ServiceId, PlacementRate> placement_rates_;
   WaitingRequests waiting_;
+  /// At the other entry instances, as old as `other_loads_`.
   WaitingRequests other_waiting_;
   Random random_;
 };
--- a/servers/loads/shared_loads.h
+++ b/servers/loads/shared_loads.h
@@ -70,6 +70,7 @@
   std::map<InstanceId, Instance> instances_;
   /// Sum over `instances_`.
   EndpointLoads total_;
+  /// The same for requests that wait.
   WaitingRequests waiting_;
   /// Placements since the last batch: all, and each instance's own.
   EndpointLoads placed_;
