--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -19,13 +19,14 @@
 
 @dataclasses.dataclass
 class Attempt:
-    """One request as a caller saw it; `status` is 0 without an answer."""
+    """One request as a caller saw it; `status` is 0 without an answer. `first`: not the repeat of a refused one."""
     request: str
     entry: str
     sent_at: float
     ended_at: float = 0.0
     status: int = 0
     body: str = ""
+    first: bool = True
 
 
 class Balancer:
@@ -94,12 +95,13 @@
         deadline = time.monotonic() + deadline_s
         path, method = self.random.choice((("/unsafe/", "POST"), ("/safe/", "GET")))
         entry = None
-        for _ in range(2):
+        for number in range(2):
             entry = self.choose_entry(avoided=entry)
             left = deadline - time.monotonic()
             if entry is None or left <= 0:
                 return
             attempt = self.new_attempt(entry)
+            attempt.first = number == 0
             retry_after = await self._send(attempt, entry, method, path, left)
             left = deadline - time.monotonic()
             came_back = attempt.status in REFUSED_STATUSES and retry_after <= left * RETRY_AFTER_SHARE
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -6,6 +6,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import time
@@ -30,6 +31,8 @@
         self.data_centre = data_centre
         self.folder = folder
         self.binary = None
+        # Added to the variables of its processes.
+        self.environment = {}
         self.process = None
         self.first_start = True
         self.frozen = False
@@ -95,7 +98,8 @@
         binary = instance.binary or self.binary
         with open(instance.folder / "log", "ab") as log:
             instance.process = await asyncio.create_subprocess_exec(
-                str(binary), instance.role, "--settings", str(settings), stdout=log, stderr=log)
+                str(binary), instance.role, "--settings", str(settings), stdout=log, stderr=log,
+                env=os.environ | instance.environment)
         instance.first_start = False
         instance.starts += 1
         instance.trouble()
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -188,6 +188,9 @@
             return web.json_response(body, headers=headers)
         return await self._stream(request, headers)
 
+    async def before_event(self, request):
+        """Called before each event of a stream; returns once it may be sent."""
+
     async def _change_stage(self, request, headers):
         order = await request.json()
         self.stage = order.get("stage", self.stage)
@@ -201,6 +204,7 @@
         await asyncio.sleep(self.event_period_s)
         await response.prepare(request)
         for number in range(first, last + 1):
+            await self.before_event(request)
             await response.write(f"id: {number}\ndata: {self.name} {self.version}\n\n".encode())
             await asyncio.sleep(self.event_period_s * self.random.uniform(0.5, 1.5))
         await response.write_eof()
