Relay requests to other entry instances while no endpoint is within reach

The instance knew after its first request that it reached nothing and had nobody to hand the request to; others placed work at the same endpoints all the while.

A trial connection each 300 ms ends it. Where nobody can serve, requests are refused at once.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -286,6 +286,7 @@
       call.new_connection || (!call.repeatable && call.method != "GET");
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, call.new_connection ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_CONNECT_ONLY, call.connect_only ? 1L : 0L);
 
   pending->request_body = call.body;
   const bool has_body = !call.body.empty() || call.method == "POST" ||
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -37,6 +37,8 @@
   std::int64_t max_body_bytes = 0;
   /// The call fails after this time; 0 for no limit.
   Duration timeout{};
+  /// Only opens a connection and closes it; nothing is sent.
+  bool connect_only = false;
   /// libcurl may resend the call when a pooled connection turns out to be
   /// closed. If false, every call but GET opens a new connection.
   bool repeatable = false;
--- a/drivers/http_exchange.cc
+++ b/drivers/http_exchange.cc
@@ -70,6 +70,12 @@
   server_->answers.SetLabel(message_.get(), label);
 }
 
+void HttpExchange::SetAnswerHeader(const char* name, const std::string& value) {
+  soup_message_headers_replace(
+      soup_server_message_get_response_headers(message_.get()), name,
+      value.c_str());
+}
+
 void HttpExchange::WatchClose(std::function<void()> on_closed) {
   on_closed_ = std::move(on_closed);
   if (watched_descriptor_ >= 0) return;
--- a/drivers/http_exchange.h
+++ b/drivers/http_exchange.h
@@ -59,6 +59,9 @@
   /// Names the answer in the log if it can't be sent in full.
   void SetLabel(std::string_view label);
 
+  /// Adds a header to the answer, whatever it will be, or replaces it.
+  void SetAnswerHeader(const char* name, const std::string& value);
+
   /// Calls `on_closed` once if the caller closes the connection before the
   /// response is complete. Calling it again replaces the callback.
   void WatchClose(std::function<void()> on_closed);
--- a/main/node/call_observer.cc
+++ b/main/node/call_observer.cc
@@ -6,6 +6,8 @@
 
 void CallObserver::OnAnswer(const ObservedCall& call, const WorkSpec& work,
                             const EndpointAnswer& answer, Time now) {
+  if (call.relayed) return;
+  OnConnected(call, now);
   ObserveRateLimit(call, answer, now);
   pool_->OnResponse(call.endpoint.id, work, now);
   // Another endpoint now has the address.
@@ -44,16 +46,19 @@
 
 void CallObserver::OnConnectionLost(const ObservedCall& call, bool sent,
                                     Time now) {
+  if (call.relayed) return;
   if (sent) {
+    OnConnected(call, now);
     crashes_->OnBroken(call, now);
   } else {
+    relays_->OnUnreachable(call.endpoint, now);
     crashes_->OnRefusedConnection(call.endpoint, now);
   }
 }
 
 void CallObserver::OnComplete(const ObservedCall& call,
                               const EndpointAnswer& answer, Time now) {
-  if (!answer.IsSuccess()) return;
+  if (call.relayed || !answer.IsSuccess()) return;
   crashes_->OnComplete(call, answer.ends_with_connection, now);
 }
 
--- a/main/node/call_observer.h
+++ b/main/node/call_observer.h
@@ -1,5 +1,7 @@
 // Passes on what the course of a request's call shows of its endpoint: to the
-// pool, to the permits of limited endpoints, and as evidence of crashes.
+// pool, to the permits of limited endpoints, as evidence of crashes, and of
+// whether endpoints are within reach. A call to another entry instance shows
+// nothing of an endpoint.
 #ifndef MAIN_NODE_CALL_OBSERVER_H_
 #define MAIN_NODE_CALL_OBSERVER_H_
 
@@ -8,6 +10,7 @@
 #include "core/time.h"
 #include "main/node/crash_client.h"
 #include "main/node/permit_client.h"
+#include "main/node/relay_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/endpoint_pool.h"
 
@@ -17,8 +20,23 @@
 class CallObserver {
  public:
   CallObserver(EndpointPool* pool, PermitClient* permits, CrashClient* crashes,
-               Metrics* metrics)
-      : pool_(pool), permits_(permits), crashes_(crashes), metrics_(metrics) {}
+               RelayClient* relays, Metrics* metrics)
+      : pool_(pool),
+        permits_(permits),
+        crashes_(crashes),
+        relays_(relays),
+        metrics_(metrics) {}
+
+  /// The connection is established, but no answer has begun.
+  void OnConnected(const ObservedCall& call, Time now) {
+    if (call.relayed) return;
+    relays_->OnConnected(call.endpoint, call.began, now);
+  }
+  /// No connection could be established in time.
+  void OnConnectTimeout(const ObservedCall& call, Time now) {
+    if (call.relayed) return;
+    relays_->OnUnreachable(call.endpoint, now);
+  }
 
   /// The head of an answer has arrived.
   void OnAnswer(const ObservedCall& call, const WorkSpec& work,
@@ -28,11 +46,11 @@
   void OnConnectionLost(const ObservedCall& call, bool sent, Time now);
   /// The instance ended the call.
   void OnGivenUp(const ObservedCall& call, Time now) {
-    crashes_->OnGivenUp(call, now);
+    if (!call.relayed) crashes_->OnGivenUp(call, now);
   }
   /// The answer has been arriving for kSoundAnswerTime. Call it once.
   void OnLongAnswer(const ObservedCall& call, Time now) {
-    crashes_->OnLongAnswer(call, now);
+    if (!call.relayed) crashes_->OnLongAnswer(call, now);
   }
   /// A run of the request was answered completely.
   void OnComplete(const ObservedCall& call, const EndpointAnswer& answer,
@@ -47,6 +65,7 @@
   EndpointPool* pool_;
   PermitClient* permits_;
   CrashClient* crashes_;
+  RelayClient* relays_;
   Metrics* metrics_;
 };
 
--- a/main/node/crash_client.h
+++ b/main/node/crash_client.h
@@ -27,6 +27,8 @@
   RequestId request;
   EndpointRecord endpoint;
   CallTraits traits;
+  /// Another entry instance serves the request; `endpoint` is that instance.
+  bool relayed = false;
   Time began{};
   /// When the first part of the answer arrived; null before.
   std::optional<Time> answering_since;
--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -48,6 +48,10 @@
 // The same for the bodies of requests that are being read.
 constexpr std::int64_t kMaxReadingBytes = 12 << 20;
 
+// Requests in progress that an instance takes from others, so that these can't
+// use up its memory and descriptors.
+constexpr int kMaxTakenForOthers = 200;
+
 constexpr const char* kJson = "application/json";
 
 CallTraits TraitsOf(const CallerHeaders& caller, std::string_view body) {
@@ -79,7 +83,9 @@
       permits_(static_cast<std::uint64_t>(g_get_real_time()), metrics, &link_),
       origins_(settings_, metrics, &link_),
       crashes_(incarnation_, incarnation_.value(), metrics, &pool_, &link_),
-      observer_(&pool_, &permits_, &crashes_, &metrics_),
+      relays_(static_cast<std::uint64_t>(g_get_real_time()), &pool_, &client_,
+              metrics),
+      observer_(&pool_, &permits_, &crashes_, &relays_, &metrics_),
       controls_({.self = InstanceId(settings_.ip)}),
       bytes_(kMaxUnfinishedBytes),
       received_(metrics.counter("caller_requests_total")),
@@ -117,6 +123,16 @@
       },
       format_error_body);
   if (auto error = readiness_->Listen(context_); !error.empty()) return error;
+  if (settings_.relay.has_value()) {
+    relay_server_ = std::make_unique<RelayServer>(
+        *settings_.relay, RelayToken(random_.engine()()), metrics_,
+        [this](HttpExchangePtr exchange, const RelayRequest& relay) {
+          OnRelayedRequest(std::move(exchange), relay);
+        });
+    if (auto error = relay_server_->Listen(context_); !error.empty()) {
+      return error;
+    }
+  }
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
   batch_timer_ = AddTimer(context_, kBatchPeriod, [this] {
     SendDueFollows(BootTimeNow());
@@ -125,6 +141,8 @@
     permits_.Tick(BootTimeNow());
     origins_.Tick(BootTimeNow());
     crashes_.Tick(BootTimeNow());
+    relays_.Tick(BootTimeNow());
+    if (relays_.TakeChanged()) FollowControls(BootTimeNow());
   });
   FollowControls(BootTimeNow());
   return {};
@@ -168,6 +186,9 @@
   if (configuration_.freshness().IsOverdue(now)) {
     return "a newer configuration is in force";
   }
+  if (relays_.HasShownNewer(configuration_.version(), now)) {
+    return "a helper has applied a newer configuration";
+  }
   return {};
 }
 
@@ -212,6 +233,35 @@
     Refuse(*exchange, caller.id, reason);
     return;
   }
+  Forward(std::move(exchange), std::move(caller), nullptr, now);
+}
+
+void EntryNode::OnRelayedRequest(HttpExchangePtr exchange,
+                                 const RelayRequest& relay) {
+  const Time now = BootTimeNow();
+  CallerHeaders caller = ReadCallerHeaders(*exchange);
+  exchange->SetLabel(caller.id.value());
+  std::string_view reason = RefusalReason(now);
+  if (taken_for_others_ >= kMaxTakenForOthers) {
+    reason = "too many requests of other instances";
+  }
+  // The instance that relays it has shown its callers a newer one.
+  if (relay.configuration > configuration_.version()) {
+    reason = "the configuration here is older";
+  }
+  if (!reason.empty()) {
+    Refuse(*exchange, caller.id, reason);
+    return;
+  }
+  Forward(std::move(exchange), std::move(caller), &relay, now);
+}
+
+bool EntryNode::TakesRequestsOfOthers(Time now) const {
+  return relay_server_ != nullptr && !on_done_ && RefusalReason(now).empty();
+}
+
+void EntryNode::Forward(HttpExchangePtr exchange, CallerHeaders caller,
+                        const RelayRequest* relay, Time now) {
   const std::shared_ptr<const RouteTable> routes = configuration_.routes();
   const Route* route = routes->Find(caller.host, exchange->path());
   if (route == nullptr) {
@@ -238,6 +288,11 @@
                      .deadline = now + timeout,
                      .gap_target = route->gap_target,
                      .traits = TraitsOf(caller, exchange->body())};
+  if (relay != nullptr) {
+    facts.relayed = true;
+    facts.attempts = std::min(facts.attempts, relay->attempts);
+    facts.begun_by = relay->begun_by;
+  }
   if (spec.engine) {
     facts.handle_lifetime = spec.engine->handle_lifetime;
     facts.kv_capacity = spec.engine->kv_capacity;
@@ -256,6 +311,7 @@
                                   .origins = &origins_,
                                   .observer = &observer_,
                                   .guard = crashes_.guard(),
+                                  .relays = &relays_,
                                   .answers = &answers_[service],
                                   .completion = &completions_[service],
                                   .bytes = &bytes_,
@@ -267,7 +323,10 @@
   const std::uint64_t number = next_request_++;
   requests_[number] = request;
   open_.Set(static_cast<std::int64_t>(requests_.size()));
-  request->Start([this, number] {
+  const int taken = relay == nullptr ? 0 : 1;
+  taken_for_others_ += taken;
+  request->Start([this, number, taken] {
+    taken_for_others_ -= taken;
     requests_.erase(number);
     open_.Set(static_cast<std::int64_t>(requests_.size()));
   });
@@ -353,6 +412,7 @@
     controls_.Learn(InstanceId(ip), now);
   }
   permits_.OnRateLimits(update.rate_limits(), now);
+  relays_.OnUpdate(from, update, now);
   UseControls(now);
   MergeRecords(from, update.records(), now);
   if (!update.registry_incomplete()) {
@@ -471,6 +531,11 @@
   WriteWaiting(pool_.waiting(), follow->mutable_waiting());
   permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
   follow->set_wants_placements(to == load_source_);
+  follow->set_data_centre(settings_.data_centre.value());
+  relays_.WriteReach(follow);
+  if (TakesRequestsOfOthers(now)) {
+    relay_server_->WriteOffer(follow->mutable_relay_offer());
+  }
   link_.Send(to, std::move(message));
 }
 
@@ -506,12 +571,16 @@
   shutdown_started_ = BootTimeNow();
   callers_->BeginDrain();
   readiness_->BeginDrain();
+  if (relay_server_) relay_server_->BeginDrain();
+  // Tells control instances that this one is no helper any more.
+  FollowControls(shutdown_started_);
   shutdown_timer_ = AddTimer(context_, kShutdownPollPeriod,
                              [this] { AdvanceShutdown(BootTimeNow()); });
 }
 
 bool EntryNode::Drained() const {
-  return requests_.empty() && callers_->Drained() && readiness_->Drained();
+  return requests_.empty() && callers_->Drained() && readiness_->Drained() &&
+         (!relay_server_ || relay_server_->Drained());
 }
 
 void EntryNode::AdvanceShutdown(Time now) {
@@ -520,6 +589,7 @@
   if (listening_ && elapsed >= std::min(kBalancerDelay, limit)) {
     callers_->StopListening();
     readiness_->StopListening();
+    if (relay_server_) relay_server_->StopListening();
     listening_ = false;
   }
   if (!cut_ && elapsed >= limit) CutRequests();
@@ -534,6 +604,9 @@
   answers.insert(answers.end(), cut_streams_.begin(), cut_streams_.end());
   LogCutAnswers(answers, "callers", metrics_);
   LogCutAnswers(readiness_->UnsentAnswers(), "readiness", metrics_);
+  if (relay_server_) {
+    LogCutAnswers(relay_server_->UnsentAnswers(), "relay", metrics_);
+  }
 }
 
 void EntryNode::CutRequests() {
--- a/main/node/entry_node.h
+++ b/main/node/entry_node.h
@@ -25,6 +25,8 @@
 #include "main/node/node_settings.h"
 #include "main/node/origin_client.h"
 #include "main/node/permit_client.h"
+#include "main/node/relay_client.h"
+#include "main/node/relay_server.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/completion_time.h"
@@ -64,8 +66,15 @@
   void SendPlacements();
 
   void OnCallerRequest(HttpExchangePtr exchange);
+  /// A request that another entry instance relays.
+  void OnRelayedRequest(HttpExchangePtr exchange, const RelayRequest& relay);
+  /// `relay`: what came with a relayed request; null for one of a caller.
+  void Forward(HttpExchangePtr exchange, CallerHeaders caller,
+               const RelayRequest* relay, Time now);
   /// The reason to refuse every request for now; empty if there is none.
   std::string_view RefusalReason(Time now) const;
+  /// Whether other instances may relay requests to this one.
+  bool TakesRequestsOfOthers(Time now) const;
   /// Whether answers of the service are complete before the process ends.
   bool CanComplete(const ServiceId& service, Time now) const;
   void Refuse(HttpExchange& exchange, const RequestId& id,
@@ -111,6 +120,7 @@
   PermitClient permits_;
   OriginClient origins_;
   CrashClient crashes_;
+  RelayClient relays_;
   CallObserver observer_;
   ControlDirectory controls_;
   /// Of unfinished answers; the requests refer to it.
@@ -127,6 +137,10 @@
   Gauge& open_;
   std::unique_ptr<HttpServer> callers_;
   std::unique_ptr<HttpServer> readiness_;
+  /// Null if the settings name no listener for other instances.
+  std::unique_ptr<RelayServer> relay_server_;
+  /// Requests in progress that other instances relayed.
+  int taken_for_others_ = 0;
   GSourcePtr timer_;
   GSourcePtr batch_timer_;
   InstanceId load_source_;
--- a/main/node/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -15,6 +15,22 @@
 // follower must have them.
 constexpr int kMaxChangeMessagesPerSecond = 2000;
 
+RelayReport ReadReport(const proto::Follow& follow) {
+  RelayReport report{.data_centre = DataCentreId(follow.data_centre())};
+  if (follow.has_relay_offer()) {
+    report.offer =
+        RelayHelper{.address = follow.relay_offer().address(),
+                    .token = RelayToken(follow.relay_offer().token())};
+  }
+  for (const std::string& service : follow.doubtful_services()) {
+    report.doubtful.insert(ServiceId(service));
+  }
+  for (const std::string& service : follow.services_out_of_reach()) {
+    report.out_of_reach.insert(ServiceId(service));
+  }
+  return report;
+}
+
 }  // namespace
 
 void FollowerUpdates::OnFollow(const InstanceId& from, Incarnation incarnation,
@@ -32,6 +48,7 @@
   follower.awaits_update = true;
   loads_.OnReport(from, ReadLoads(follow.loads()), follower.wants_placements);
   loads_.OnWaiting(from, ReadWaiting(follow.waiting()));
+  relays_.OnReport(from, ReadReport(follow), now);
   if (follow.registry_epoch() == state_.incarnation) {
     follower.registry_revision = follow.registry_revision();
     follower.window.OnAcknowledged(follow.last_received());
@@ -106,9 +123,25 @@
     state_.permits->WriteLimits(now, update.mutable_rate_limits());
   }
   update.set_entry_instances(static_cast<std::uint32_t>(followers_.size()));
+  WriteHelpers(to, now, &update);
   return update;
 }
 
+void FollowerUpdates::WriteHelpers(const InstanceId& to, Time now,
+                                   proto::Update* update) const {
+  for (const ServiceId& service : relays_.OutOfReach(to)) {
+    proto::RelayHelpers* message = update->add_relay_helpers();
+    message->set_service(service.value());
+    message->set_cut_off(
+        static_cast<std::uint32_t>(relays_.CutOff(service, now)));
+    for (const RelayHelper& helper : relays_.HelpersFor(to, service, now)) {
+      proto::RelayOffer* offer = message->add_helpers();
+      offer->set_address(helper.address);
+      offer->set_token(helper.token.value());
+    }
+  }
+}
+
 void FollowerUpdates::SetNotice(Time now,
                                 proto::ConfigurationNotice* notice) const {
   WriteNotice(*state_.newest, state_.log->current().version, now, notice);
@@ -215,6 +248,7 @@
     Log(LogLevel::kWarning, "follower_lost", {{"from", item.first.value()}});
     link_->Disconnect(item.first);
     loads_.Remove(item.first);
+    relays_.Remove(item.first);
     return true;
   });
 }
--- a/main/node/follower_updates.h
+++ b/main/node/follower_updates.h
@@ -27,6 +27,7 @@
 #include "servers/control/newest_version.h"
 #include "servers/control/send_window.h"
 #include "servers/loads/shared_loads.h"
+#include "servers/relay/relay_directory.h"
 
 namespace cassiausher {
 
@@ -98,6 +99,8 @@
                            Time now) const;
   void SendUpdate(const InstanceId& to, Follower& follower,
                   proto::Update update, Time now);
+  void WriteHelpers(const InstanceId& to, Time now,
+                    proto::Update* update) const;
   void SetNotice(Time now, proto::ConfigurationNotice* notice) const;
   /// A follower of an earlier build, which doesn't know Changes, gets an Update
   /// without the document.
@@ -111,6 +114,7 @@
   Counter& withheld_;
   std::map<InstanceId, Follower> followers_;
   SharedLoads loads_{SharedLoadsOptions{.min_batch_period = kBatchPeriod}};
+  RelayDirectory relays_{RelayDirectoryOptions{}};
   /// Something has changed since the last Changes.
   bool changed_ = false;
   /// A rate limit has appeared since the last Changes.
--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -10,6 +10,7 @@
 #include "drivers/task.h"
 #include "main/error_body.h"
 #include "main/node/handle_release.h"
+#include "main/node/relay_server.h"
 
 namespace cassiausher {
 namespace {
@@ -52,6 +53,18 @@
 
 constexpr const char* kJson = "application/json";
 
+std::string_view Name(CallKind kind) {
+  switch (kind) {
+    case CallKind::kPrefill:
+      return "prefill";
+    case CallKind::kRun:
+      return "run";
+    case CallKind::kRelay:
+      return "relay";
+  }
+  return "run";
+}
+
 constexpr int kOk = 200;
 constexpr int kServerError = 500;
 constexpr int kGatewayTimeout = 504;
@@ -87,7 +100,9 @@
   exchange_->WatchSent([weak] {
     if (const auto self = weak.lock()) self->ControlFlow();
   });
-  if (TakesUp()) return StartTakenUp();
+  MarkAnswer(RelayOutcome::kServed);
+  // The instance that relays a stream names the version that began it.
+  if (TakesUp() && !facts_.begun_by.has_value()) return StartTakenUp();
   StartForwarding();
 }
 
@@ -107,7 +122,8 @@
                      ForwarderResources{.pool = context_.pool,
                                         .budget = context_.budget,
                                         .permits = context_.permits->permits(),
-                                        .guard = context_.guard});
+                                        .guard = context_.guard,
+                                        .relays = context_.relays->planner()});
   Execute(forwarder_->Start(BootTimeNow()));
 }
 
@@ -167,7 +183,9 @@
     return;
   }
   if (const auto* refuse = std::get_if<Refuse>(&step)) {
-    RespondRefused(refuse->reason, refuse->retry_after);
+    RespondRefused(
+        refuse->reason, refuse->retry_after,
+        refuse->out_of_reach ? RelayOutcome::kUnable : RelayOutcome::kRefused);
     return;
   }
   if (const auto* fail = std::get_if<Fail>(&step)) {
@@ -198,12 +216,30 @@
 }
 
 void ForwardedRequest::RespondRefused(std::string_view reason,
-                                      Duration retry_after) {
+                                      Duration retry_after,
+                                      RelayOutcome outcome) {
+  MarkAnswer(outcome);
   exchange_->Respond(503, kJson, RefusalBody(reason, retry_after),
                      {RetryAfterHeader(retry_after)});
   End("refused", 503, reason);
 }
 
+void ForwardedRequest::MarkAnswer(RelayOutcome outcome) {
+  if (!facts_.relayed) return;
+  std::optional<SoftwareVersion> version;
+  if (forwarder_.has_value()) version = forwarder_->CurrentVersion();
+  RelayServer::Mark(*exchange_, {.outcome = outcome,
+                                 .configuration = configuration_,
+                                 .version = version});
+}
+
+HttpCall ForwardedRequest::MakeCall(const CallPlan& plan) const {
+  if (!call_->relay.has_value()) return BuildCall(*exchange_, plan);
+  RelayRequest relay = *call_->relay;
+  relay.configuration = configuration_;
+  return BuildRelayCall(*exchange_, plan, relay);
+}
+
 void ForwardedRequest::BeginCall(const StartCall& call) {
   const Time now = BootTimeNow();
   call_ = call;
@@ -216,9 +252,10 @@
     progress_deadline_ = now + call.answer_timeout;
   }
   answer_.reset();
+  relay_answer_.reset();
   body_.Clear();
   excessive_ = false;
-  const bool resumes = call.kind == CallKind::kRun && begun_.has_value();
+  const bool resumes = call.kind != CallKind::kPrefill && begun_.has_value();
   // An incomplete event of the previous run is not part of the next one.
   events_ = EventSplitter(events_.last_id());
   CallPlan plan{.kind = call.kind,
@@ -227,11 +264,12 @@
                 .kv_source = call.kv_source};
   if (resumes) plan.resume_after = events_.last_id();
   context_.pool->OnStart(call.endpoint.id, call.work, now);
+  if (call.relay.has_value()) context_.relays->OnStart(call.endpoint.address);
   ++calls_;
   Log(LogLevel::kInfo, "call_started",
       {{"request", caller_.id.value()},
        {"call", calls_},
-       {"kind", call.kind == CallKind::kPrefill ? "prefill" : "run"},
+       {"kind", Name(call.kind)},
        {"endpoint", call.endpoint.id.value()},
        {"endpoint_sequence", call.endpoint.sequence},
        {"version",
@@ -249,23 +287,62 @@
     if (self == nullptr) return;
     self->FailCall(CallFailure::kExcessive, "too many unfinished answers");
   });
-  call_id_ = context_.client->Start(BuildCall(*exchange_, plan), this);
+  call_id_ = context_.client->Start(MakeCall(plan), this);
   ArmTimer();
 }
 
 void ForwardedRequest::OnHeaders(int status, SoupMessageHeaders* headers) {
   answer_ = ReadAnswer(status, headers, caller_.id, call_->endpoint.id);
+  if (call_->kind == CallKind::kRelay) {
+    const char* header = soup_message_headers_get_one(headers, kRelayHeader);
+    if (!AcceptRelayAnswer(header == nullptr ? "" : header)) return;
+  } else if (!AcceptEndpointAnswer()) {
+    return;
+  }
+  CheckAnswer();
+}
+
+bool ForwardedRequest::AcceptEndpointAnswer() {
+  const int status = answer_->status;
   context_.observer->OnAnswer(Observed(), call_->work, *answer_, BootTimeNow());
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
              fmt::format("status {}, not executed", status));
-    return;
+    return false;
   }
-  if (call_->kind == CallKind::kPrefill) {
-    if (status != kOk) FailCall(CallFailure::kBroken, "prefill failed");
-    return;
+  if (call_->kind != CallKind::kPrefill) return true;
+  if (status != kOk) FailCall(CallFailure::kBroken, "prefill failed");
+  return false;
+}
+
+bool ForwardedRequest::AcceptRelayAnswer(std::string_view header) {
+  relay_answer_ = ReadRelayAnswer(header);
+  if (!relay_answer_.has_value()) {
+    FailCall(CallFailure::kBroken, "the answer isn't that of a helper");
+    return false;
+  }
+  context_.relays->OnHelperConfiguration(relay_answer_->configuration,
+                                         BootTimeNow());
+  const bool refused = relay_answer_->outcome == RelayOutcome::kRefused;
+  // A refusal would be untrue of a request that may have run before.
+  const bool untrue = refused && forwarder_->MayHaveRun();
+  if (relay_answer_->outcome == RelayOutcome::kUnable || untrue) {
+    FailCall(CallFailure::kNotExecuted, "the helper can't serve it");
+    return false;
   }
+  if (refused) return true;
+  forwarder_->OnRelayed(relay_answer_->version);
+  const std::optional<SoftwareVersion>& fixed = forwarder_->FixedVersion();
+  const bool other_version = fixed.has_value() && answer_->event_stream &&
+                             relay_answer_->version != fixed;
+  if (!other_version) return true;
+  FailCall(CallFailure::kBroken, "the helper uses another version");
+  return false;
+}
+
+void ForwardedRequest::CheckAnswer() {
+  const int status = answer_->status;
   if (answer_->other_request) {
     FailCall(CallFailure::kBroken, "the answer belongs to another request");
     return;
@@ -275,7 +352,8 @@
     FailCall(CallFailure::kBroken, "the answer has no server stamp");
     return;
   }
-  const bool failed = status >= kServerError;
+  // A helper has retried it already.
+  const bool failed = status >= kServerError && call_->kind != CallKind::kRelay;
   if (failed && !begun_.has_value() &&
       forwarder_->TakeServerErrorRetry(BootTimeNow())) {
     FailCall(CallFailure::kServerError, fmt::format("status {}", status));
@@ -292,6 +370,7 @@
   return {.request = caller_.id,
           .endpoint = call_->endpoint,
           .traits = facts_.traits,
+          .relayed = call_->kind == CallKind::kRelay,
           .began = call_started_,
           .answering_since = call_first_event_at_};
 }
@@ -313,7 +392,7 @@
 }
 
 void ForwardedRequest::OnBody(std::string_view bytes) {
-  const bool relays_events = call_->kind == CallKind::kRun && is_stream_ &&
+  const bool relays_events = call_->kind != CallKind::kPrefill && is_stream_ &&
                              answer_->status == kOk && answer_->event_stream;
   if (relays_events) {
     OnEvents(bytes);
@@ -420,8 +499,10 @@
   begun_ = answer_;
   forwarder_->OnBegun();
   const std::optional<SoftwareVersion>& version = forwarder_->CurrentVersion();
-  const bool can_be_taken_up =
-      facts_.resumable && !TakesUp() && version.has_value();
+  // A helper stores the origins of the streams that it begins.
+  const bool can_be_taken_up = facts_.resumable && !TakesUp() &&
+                               version.has_value() &&
+                               call_->kind != CallKind::kRelay;
   holding_ = true;
   if (!can_be_taken_up) return ReleaseHeldEvents();
   const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
@@ -437,6 +518,7 @@
 
 void ForwardedRequest::ReleaseHeldEvents() {
   holding_ = false;
+  MarkAnswer(RelayOutcome::kServed);
   exchange_->StartStream(begun_->status, "", begun_->headers);
   if (!held_events_.empty()) exchange_->Write(std::exchange(held_events_, {}));
   if (complete_) return EndStream();
@@ -502,6 +584,9 @@
   if (!long_answer_observed_) {
     context_.observer->OnComplete(Observed(), *answer_, BootTimeNow());
   }
+  const bool refused = relay_answer_.has_value() &&
+                       relay_answer_->outcome == RelayOutcome::kRefused;
+  EndRelay(RelayEnd::kAnswered);
   FinishCall(server_error ? WorkOutcome::kServerError : WorkOutcome::kDone);
   if (begun_.has_value()) {
     context_.answers->Observe(Tokens(relayed_events_ * facts_.tokens_per_event),
@@ -512,6 +597,7 @@
     return;
   }
   RespondBuffered();
+  if (refused) return End("refused", status, "by its helper");
   End(server_error ? "endpoint_error" : "answered", status, "");
 }
 
@@ -524,6 +610,7 @@
   if (!call_.has_value()) return;
   const std::string text(reason);
   const EndpointId endpoint = call_->endpoint.id;
+  EndRelay(RelayEnd::kUnable);
   FinishCall(OutcomeOf(failure));
   const Time now = BootTimeNow();
   Log(LogLevel::kWarning, "call_failed",
@@ -543,6 +630,11 @@
   Execute(forwarder_->OnCallFailed(failure, BootTimeNow()));
 }
 
+void ForwardedRequest::EndRelay(RelayEnd end) {
+  if (call_->kind != CallKind::kRelay) return;
+  context_.relays->OnEnd(call_->endpoint.address, end, BootTimeNow());
+}
+
 void ForwardedRequest::FinishCall(WorkOutcome outcome) {
   const Time now = BootTimeNow();
   const Time first_event_or_end = call_first_event_at_.value_or(now);
@@ -559,6 +651,7 @@
   if (context_.client->WasSent(call_id_)) {
     context_.observer->OnGivenUp(Observed(), BootTimeNow());
   }
+  EndRelay(RelayEnd::kAbandoned);
   FinishCall(outcome);
 }
 
@@ -575,13 +668,13 @@
     return false;
   }
   constexpr std::string_view kReason = "the instance stops";
-  const bool runs = call_.has_value() && call_->kind == CallKind::kRun &&
+  const bool runs = call_.has_value() && call_->kind != CallKind::kPrefill &&
                     context_.client->WasSent(call_id_);
   const bool may_have_run =
       runs || (forwarder_.has_value() && forwarder_->MayHaveRun());
   if (call_.has_value()) GiveUpCall(WorkOutcome::kAbandoned);
   if (!may_have_run) {
-    RespondRefused(kReason, kUnknownRetryAfter);
+    RespondRefused(kReason, kUnknownRetryAfter, RelayOutcome::kUnable);
     return false;
   }
   if (exchange_->streaming()) {
@@ -630,7 +723,9 @@
     return;
   }
   const bool sent = context_.client->WasSent(call_id_);
+  if (sent) context_.observer->OnConnected(Observed(), now);
   if (!sent && now >= connect_deadline_) {
+    context_.observer->OnConnectTimeout(Observed(), now);
     FailCall(CallFailure::kNotSent, "no connection");
     return;
   }
--- a/main/node/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -18,6 +18,7 @@
 #include "main/node/call_observer.h"
 #include "main/node/origin_client.h"
 #include "main/node/permit_client.h"
+#include "main/node/relay_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
 #include "servers/entry/byte_account.h"
@@ -38,6 +39,7 @@
   OriginClient* origins = nullptr;
   CallObserver* observer = nullptr;
   CallGuard* guard = nullptr;
+  RelayClient* relays = nullptr;
   AnswerEstimate* answers = nullptr;
   CompletionTime* completion = nullptr;
   /// Of unfinished answers.
@@ -85,12 +87,26 @@
   void AbortBegunStream(std::string_view reason);
   /// Logs which verdict a call was withheld for, if any was.
   void LogWithheld();
-  void RespondRefused(std::string_view reason, Duration retry_after);
+  /// `outcome`: what an instance that relayed the request is told.
+  void RespondRefused(std::string_view reason, Duration retry_after,
+                      RelayOutcome outcome = RelayOutcome::kRefused);
+  /// Tells the instance that relayed the request, if one did.
+  void MarkAnswer(RelayOutcome outcome);
   void BeginCall(const StartCall& call);
   void FailCall(CallFailure failure, std::string_view reason);
   void FinishCall(WorkOutcome outcome);
   /// Ends the call in progress, as its request ends.
   void GiveUpCall(WorkOutcome outcome);
+  HttpCall MakeCall(const CallPlan& plan) const;
+  /// Looks at the head of a helper's answer. Returns whether it can be passed
+  /// on.
+  bool AcceptRelayAnswer(std::string_view header);
+  /// Looks at the head of an endpoint's answer, as above.
+  bool AcceptEndpointAnswer();
+  /// What holds for the head of any answer to a run.
+  void CheckAnswer();
+  /// The relayed call ends.
+  void EndRelay(RelayEnd end);
   void OnAnswerComplete();
   void OnPrefillComplete();
   /// The call in progress.
@@ -151,6 +167,8 @@
   /// The call counts as broken if no event or answer arrives by then.
   std::optional<Time> progress_deadline_;
   std::optional<EndpointAnswer> answer_;
+  /// What the helper says of its answer to a relayed call.
+  std::optional<RelayAnswer> relay_answer_;
   AnswerBody body_;
   EventSplitter events_;
   int calls_ = 0;
--- a/main/node/node_settings.cc
+++ b/main/node/node_settings.cc
@@ -77,6 +77,7 @@
     ReadAddress(listen, "callers", &settings.callers);
     ReadAddress(listen, "readiness", &settings.readiness);
     ReadAddress(listen, "control", &settings.control);
+    ReadAddress(listen, "relay", &settings.relay);
   });
   std::int64_t port = 0;
   reader.Read("peer_port", &port, 1, 65535);
--- a/main/node/node_settings.h
+++ b/main/node/node_settings.h
@@ -30,6 +30,9 @@
   std::optional<SocketAddress> callers;
   std::optional<SocketAddress> readiness;
   std::optional<SocketAddress> control;
+  /// For requests of other entry instances; only instances may reach it.
+  /// Without it the instance serves none of these.
+  std::optional<SocketAddress> relay;
   /// Port of the messages between instances, the same on each.
   std::uint16_t peer_port = 0;
   /// Control instances known when the settings were written.
--- a/servers/entry/endpoint_pool.cc
+++ b/servers/entry/endpoint_pool.cc
@@ -566,6 +566,18 @@
   return versions;
 }
 
+std::vector<const EndpointRecord*> EndpointPool::ReadyEndpoints(
+    const ServiceId& service, std::optional<EndpointRole> role) const {
+  std::vector<const EndpointRecord*> endpoints;
+  for (const auto& [id, entry] : entries_) {
+    const EndpointRecord& record = entry.record;
+    if (record.service != service || record.expired) continue;
+    if (role && record.role != *role) continue;
+    if (record.state == EndpointLifecycle::kReady) endpoints.push_back(&record);
+  }
+  return endpoints;
+}
+
 const EndpointRecord* EndpointPool::Find(const EndpointId& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second.record;
--- a/servers/entry/endpoint_pool.h
+++ b/servers/entry/endpoint_pool.h
@@ -127,6 +127,9 @@
   /// work again; null if all do.
   std::optional<Time> BackoffEnd(const ServiceId& service, EndpointRole role,
                                  Time now) const;
+  /// Whether every control instance that reported lately hasn't heard of the
+  /// endpoint for a while.
+  bool IsSilent(const EndpointId& id, Time now) const;
   /// The runner is changing its role and takes no work until `until`.
   void SetChanging(const EndpointId& id, Time until);
   /// Replaces the combined load of the `others` other entry instances, as of
@@ -202,6 +205,11 @@
   /// Software versions of the ready endpoints of the service with this role.
   std::set<SoftwareVersion> ReadyVersions(const ServiceId& service,
                                           EndpointRole role) const;
+  /// Ready endpoints of the service that haven't expired, silent or not.
+  /// `role`: only those with this role; null for all. The pointers are valid
+  /// until the next change of the pool.
+  std::vector<const EndpointRecord*> ReadyEndpoints(
+      const ServiceId& service, std::optional<EndpointRole> role) const;
   const EndpointRecord* Find(const EndpointId& id) const;
 
  private:
@@ -245,7 +253,6 @@
                         Time now) const;
   /// Expected time plus penalties, in microseconds; the lowest is the best.
   double Score(const Entry& entry, const WorkSpec& work, Time now) const;
-  bool IsSilent(const EndpointId& id, Time now) const;
   bool IsRefusing(const EndpointRecord& record) const;
   /// Whether the record has expired and no control instance reports hearing the
   /// endpoint. The record of one that is cut off from it may expire while
--- a/servers/entry/request_forwarder.cc
+++ b/servers/entry/request_forwarder.cc
@@ -56,6 +56,15 @@
 constexpr Duration kModelRetryAfter = Milliseconds(3000);
 constexpr Duration kModelRetrySpread = Milliseconds(1500);
 constexpr std::string_view kTurnedAway = "endpoints turn requests away";
+constexpr std::string_view kOutOfReach =
+    "no endpoint is within reach of this instance, and no other one can help";
+// Helpers that a request is relayed to, one after another, while none runs it.
+constexpr std::size_t kMaxHelpers = 3;
+// Helpers are named some tens of milliseconds after they are asked for.
+constexpr Duration kHelperPollPeriod = Milliseconds(10);
+// A helper fails over to another endpoint by itself, so that it is given this
+// much longer than an endpoint.
+constexpr Duration kHelperMargin = Milliseconds(500);
 // While a request can wait, capacity is freed for only a few requests of an
 // instance.
 constexpr int kMaxWaiting = 3;
@@ -141,7 +150,7 @@
 }
 
 ForwardStep RequestForwarder::Start(Time now) {
-  budget_->OnRequest(now);
+  if (!facts_.relayed) budget_->OnRequest(now);
   return Next(now);
 }
 
@@ -160,8 +169,12 @@
     silent_endpoints_.insert(current_endpoint_);
   }
   // The endpoint got nothing, so the retry is still to be made.
-  const bool unused_retry = failure == CallFailure::kNotSent && is_retry_;
+  const bool relayed_in_vain =
+      current_ == CallKind::kRelay && failure == CallFailure::kNotExecuted;
+  const bool unused_retry =
+      (failure == CallFailure::kNotSent || relayed_in_vain) && is_retry_;
   if (unused_retry) ++reserved_retries_;
+  if (relayed_in_vain) return Next(now);
   if (current_ == CallKind::kPrefill) {
     ++prefill_failures_;
     if (failure != CallFailure::kNotSent) ++failed_calls_sent_;
@@ -249,7 +262,9 @@
   ReturnPermits();
   if (begun_) return AbortStream{reason};
   if (runs_ > 0) return Fail{502, reason};
-  return Refuse{reason, RetryAfter(now)};
+  return Refuse{.reason = reason,
+                .retry_after = RetryAfter(now),
+                .out_of_reach = ServiceReach() == Reach::kNone};
 }
 
 // Jittered by arrival time, so that callers don't retry at the same time.
@@ -280,6 +295,7 @@
 std::string_view RequestForwarder::NoEndpointReason(Time now) const {
   if (room_at_.has_value()) return "every endpoint is at its rate limit";
   if (BackoffEnd(now)) return kTurnedAway;
+  if (!failed_endpoints_.empty()) return "no endpoint took the request";
   if (version_) return "no endpoint runs the version that began the stream";
   return "no endpoint is known";
 }
@@ -287,8 +303,9 @@
 ForwardStep RequestForwarder::Next(Time now) {
   if (facts_.deadline - now < kMinUsefulTime)
     return GiveUp("no time left", now);
-  if (calls_ >= kMaxCalls) return GiveUp("no endpoint took the request", now);
   if (auto withheld = Withhold(now)) return *withheld;
+  if (auto relay = ChooseRelay(now)) return *relay;
+  if (calls_ >= kMaxCalls) return GiveUp("no endpoint took the request", now);
   if (kv_source_.has_value() && !HandleIsFresh(now)) kv_source_.reset();
   std::optional<ForwardStep> step = ChooseCall(now);
   const bool exhausted = !step.has_value() && !awaited_.has_value();
@@ -313,6 +330,63 @@
   return GiveUp("such calls make endpoints crash", now);
 }
 
+Reach RequestForwarder::ServiceReach() const {
+  if (relays_ == nullptr) return Reach::kReached;
+  return relays_->reach().Of(facts_.service);
+}
+
+std::optional<ForwardStep> RequestForwarder::ChooseRelay(Time now) {
+  const Reach reach = ServiceReach();
+  if (reach == Reach::kReached) return std::nullopt;
+  const bool must_relay = reach == Reach::kNone;
+  // One hop at most, so that two instances that are cut off don't relay to each
+  // other.
+  if (facts_.relayed && must_relay) return GiveUp(kOutOfReach, now);
+  if (facts_.relayed) return std::nullopt;
+  // Its prompt needn't be prefilled any more.
+  if (!must_relay && kv_source_.has_value()) return std::nullopt;
+  if (tried_helpers_.size() < kMaxHelpers) {
+    const auto helper = relays_->Pick(facts_.service, tried_helpers_, now);
+    if (helper.has_value()) return Relay(*helper, now);
+    if (must_relay && relays_->AwaitsHelpers(facts_.service, now)) {
+      return WaitForCapacity{.until = now + kHelperPollPeriod};
+    }
+  }
+  // Of many endpoints only some were tried.
+  if (!must_relay || relays_->reach().HasUntried(facts_.service)) {
+    return std::nullopt;
+  }
+  return GiveUp(kOutOfReach, now);
+}
+
+ForwardStep RequestForwarder::Relay(const RelayHelper& helper, Time now) {
+  tried_helpers_.insert(helper.address);
+  ReleaseReservation();
+  ReturnPermits();
+  StopWaiting();
+  StartCall call{
+      .kind = CallKind::kRelay,
+      .endpoint = {.id = EndpointId(helper.address), .address = helper.address},
+      .relay = RelayRequest{.token = helper.token,
+                            .attempts = facts_.attempts - runs_,
+                            .begun_by = version_}};
+  call.silence_limit =
+      facts_.has_engine
+          ? kFirstEventTimeout + kHelperMargin
+          : std::max(kMinAnswerTimeout, (facts_.deadline - now) / 2);
+  if (IsRetryable() && runs_ + 1 < facts_.attempts) {
+    call.answer_timeout = call.silence_limit;
+    call.gap_timeout = GapTimeout() + kHelperMargin;
+  }
+  return Issue(std::move(call), now);
+}
+
+Duration RequestForwarder::GapTimeout() const {
+  // The caller would be cut off if the second run failed, so the first one is
+  // kept for as long as its runner may be sound.
+  return std::max(kToleratedSilence, kGapTimeoutFactor * facts_.gap_target);
+}
+
 std::optional<ForwardStep> RequestForwarder::ChooseCall(Time now) {
   return facts_.has_engine ? ChooseModelCall(now) : ChoosePlainCall(now);
 }
@@ -374,6 +448,10 @@
 }
 
 bool RequestForwarder::HasRoomForRetry(bool may_ask, Time now) {
+  if (ServiceReach() == Reach::kNone) {
+    return !facts_.relayed &&
+           relays_->Pick(facts_.service, tried_helpers_, now).has_value();
+  }
   const EndpointRole role =
       facts_.has_engine ? EndpointRole::kDecode : EndpointRole::kPlain;
   WorkSpec work = MakeWorkSpec(role);
@@ -478,10 +556,7 @@
                  .silence_limit = first_event_timeout};
   if (IsRetryable() && runs_ + 1 < facts_.attempts) {
     call.answer_timeout = first_event_timeout;
-    // The caller would be cut off if the second run failed, so the first one is
-    // kept for as long as its runner may be sound.
-    call.gap_timeout =
-        std::max(kToleratedSilence, kGapTimeoutFactor * facts_.gap_target);
+    call.gap_timeout = GapTimeout();
   }
   return call;
 }
--- a/servers/entry/request_forwarder.h
+++ b/servers/entry/request_forwarder.h
@@ -20,6 +20,8 @@
 #include "servers/entry/call_failure.h"
 #include "servers/entry/call_permits.h"
 #include "servers/entry/endpoint_pool.h"
+#include "servers/entry/relay_planner.h"
+#include "servers/relay/relay_messages.h"
 #include "servers/routing/retry_budget.h"
 
 namespace cassiausher {
@@ -61,11 +63,14 @@
   /// Software version that began the stream, if its caller takes it up; null
   /// for a new one.
   std::optional<SoftwareVersion> begun_by;
+  /// Another entry instance, which counts it, relayed the request to this one.
+  bool relayed = false;
 };
 
 enum class CallKind {
   kPrefill,  ///< Only prefills the prompt; doesn't run the request.
   kRun,      ///< Runs the request.
+  kRelay,    ///< Another entry instance serves the request.
 };
 
 /// A prompt's KV cache on the runner that prefilled it.
@@ -77,6 +82,7 @@
 
 struct StartCall {
   CallKind kind = CallKind::kRun;
+  /// Of a relayed request, only with the address of the helper, also as id.
   EndpointRecord endpoint;
   WorkSpec work;
   /// Runner that decodes the stream: `endpoint`, or the one that is reserved
@@ -92,6 +98,8 @@
   Duration silence_limit{};
   /// Maximum time between two events; zero for the deadline only.
   Duration gap_timeout{};
+  /// What the helper of a relayed request is told, but for the configuration.
+  std::optional<RelayRequest> relay;
 };
 
 /// No runner has free capacity; call OnWaitElapsed() at `until`.
@@ -111,6 +119,8 @@
 struct Refuse {
   std::string_view reason;
   Duration retry_after{};
+  /// This instance doesn't reach the service; another one may.
+  bool out_of_reach = false;
 };
 
 /// The request may have been executed, or its deadline has passed.
@@ -133,6 +143,8 @@
   RetryBudget* budget = nullptr;
   CallPermits* permits = nullptr;
   CallGuard* guard = nullptr;
+  /// Null if requests are never relayed.
+  RelayPlanner* relays = nullptr;
 };
 
 /// Forwards one request. Not thread safe; the resources must outlive it.
@@ -144,6 +156,7 @@
         budget_(resources.budget),
         permits_(resources.permits),
         guard_(resources.guard),
+        relays_(resources.relays),
         version_(facts_.begun_by) {}
   ~RequestForwarder() {
     StopWaiting();
@@ -169,6 +182,15 @@
   /// The first event of the stream arrived from the current endpoint. From now
   /// on only endpoints with its software version can continue the stream.
   void OnBegun();
+  /// Software version of the endpoint at which the helper runs the request;
+  /// null if unknown.
+  void OnRelayed(const std::optional<SoftwareVersion>& version) {
+    current_version_ = version;
+  }
+  /// Software version that the stream must stay at; null if it hasn't begun.
+  const std::optional<SoftwareVersion>& FixedVersion() const {
+    return version_;
+  }
   /// Software version of the current endpoint; null if unknown.
   const std::optional<SoftwareVersion>& CurrentVersion() const {
     return current_version_;
@@ -217,6 +239,11 @@
   /// The end of the request if its next call would make the endpoint crash;
   /// null if it may be made.
   std::optional<ForwardStep> Withhold(Time now);
+  Reach ServiceReach() const;
+  /// How the request goes on while its endpoints are out of reach; null if it
+  /// is to be sent to an endpoint.
+  std::optional<ForwardStep> ChooseRelay(Time now);
+  ForwardStep Relay(const RelayHelper& helper, Time now);
   /// The next call; null if no endpoint can take it.
   std::optional<ForwardStep> ChooseCall(Time now);
   /// Admits the endpoints that may be sound although a call to them was given
@@ -262,12 +289,15 @@
   ForwardStep Issue(StartCall call, Time now);
   ForwardStep GiveUp(std::string_view reason, Time now);
   WorkSpec MakeWorkSpec(EndpointRole role) const;
+  /// How long a stream that can fail over may pause.
+  Duration GapTimeout() const;
 
   RequestFacts facts_;
   EndpointPool* pool_;
   RetryBudget* budget_;
   CallPermits* permits_;
   CallGuard* guard_;
+  RelayPlanner* relays_;
 
   CallKind current_ = CallKind::kRun;
   EndpointId current_endpoint_;
@@ -291,6 +321,8 @@
   /// takes a retry from the budget.
   int failed_calls_sent_ = 0;
   int calls_ = 0;
+  /// Addresses of the helpers that the request was relayed to.
+  std::set<std::string> tried_helpers_;
   /// The current call took a retry.
   bool is_retry_ = false;
   /// Taken from the budget and not used yet.
--- a/tests/main/node/node_fixture.h
+++ b/tests/main/node/node_fixture.h
@@ -20,12 +20,14 @@
 #include "main/node/entry_node.h"
 #include "main/node/node_link.h"
 #include "platform/configuration_document.h"
+#include "servers/relay/relay_messages.h"
 
 namespace cassiausher {
 
 inline constexpr std::uint16_t kPeerPort = 21930;
 inline constexpr std::uint16_t kHttpPort = 21931;
 inline constexpr std::uint16_t kReadinessPort = 21932;
+inline constexpr std::uint16_t kRelayPort = 21933;
 // Depend on the process, so that runs of several builds don't meet.
 inline const std::string ip_prefix =
     "127." + std::to_string(16 + getpid() % 200) + ".20.";
@@ -79,6 +81,8 @@
     status = code;
     const char* value = soup_message_headers_get_one(headers, "Retry-After");
     if (value != nullptr) retry_after = value;
+    value = soup_message_headers_get_one(headers, kRelayHeader);
+    if (value != nullptr) relay = value;
   }
   void OnBody(std::string_view bytes) override { body.append(bytes); }
   void OnDone(std::string_view reason, bool was_sent) override {
@@ -89,6 +93,8 @@
 
   int status = 0;
   std::string retry_after;
+  /// What the answer tells an instance that relayed the request.
+  std::string relay;
   std::string body;
   /// Why the answer isn't whole; empty if it is.
   std::string error;
@@ -187,6 +193,7 @@
     NodeSettings settings = SettingsOf(node_ip);
     settings.callers = SocketAddress{node_ip, kHttpPort};
     settings.readiness = SocketAddress{node_ip, kReadinessPort};
+    settings.relay = SocketAddress{node_ip, kRelayPort};
     settings.seeds = {SocketAddress{peer_ip, kHttpPort}};
     settings.shutdown_grace = shutdown_grace;
     entry = std::make_unique<EntryNode>(settings, codec, metrics, context);
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -15,6 +15,7 @@
 CONTROL_PORT = 7661
 CALLER_PORT = 7662
 READINESS_PORT = 7663
+RELAY_PORT = 7664
 RESTART_DELAY_S = 0.3
 SHUTDOWN_GRACE_S = 8
 MAIN_POLL_S = 0.01
@@ -113,6 +114,9 @@
         listen = {"control": f"{instance.ip}:{CONTROL_PORT}"}
         if instance.role == "entry":
             listen = {"callers": f"{instance.ip}:{CALLER_PORT}", "readiness": f"{instance.ip}:{READINESS_PORT}"}
+            # Earlier builds don't know this listener.
+            if instance.binary is None:
+                listen["relay"] = f"{instance.ip}:{RELAY_PORT}"
         data_folder = str(instance.folder / "data") if instance.role == "control" else ""
         return {
             "instance": instance.name, "address": instance.ip, "data_centre": instance.data_centre, "listen": listen,
