Don't believe a refusal that belongs to another request

Calls to endpoints use a connection each, so that a late copy can't arrive on one; but the id in the answer was looked at only after X-Not-Executed. Such a call is now broken: its request may have run.

UnframedAnswer.ARefusalOfAnotherRequestIsNotBelieved fails on (503 in place of 502) and passes now.

--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -305,6 +305,11 @@
 bool ForwardedRequest::AcceptEndpointAnswer() {
   const int status = answer_->status;
   context_.observer->OnAnswer(Observed(), call_->work, *answer_, BootTimeNow());
+  // What it says of another request isn't true of this one.
+  if (answer_->other_request) {
+    FailCall(CallFailure::kBroken, "the answer belongs to another request");
+    return false;
+  }
   if (answer_->not_executed) {
     FailCall(answer_->other_endpoint ? CallFailure::kMisplaced
                                      : CallFailure::kNotExecuted,
--- a/tests/main/node/broken_stream_test.cc
+++ b/tests/main/node/broken_stream_test.cc
@@ -84,3 +84,18 @@
   CHECK_TRUE(RunUntil([&] { return response.done; }));
   LONGS_EQUAL(504, response.status);
 }
+
+// Callers found the text of an error in the middle of their stream.
+TEST(BrokenStream, AnErrorOfTheNextEndpointIsNotPartOfTheStream) {
+  for (const char* type : {kEventStream, "application/json"}) {
+    StartWithTwoEndpoints();
+    response = {};
+    BreakOffStream();
+    held[1]->Respond(500, type, "id: 2\ndata: internal error\n\n", Stamp());
+    CHECK_TRUE(RunUntil([&] { return response.done; }));
+    CHECK_FALSE(response.error.empty());
+    STRCMP_EQUAL(event.c_str(), response.body.c_str());
+    held.clear();
+    entry.reset();
+  }
+}
--- a/tests/main/node/unframed_answer_test.cc
+++ b/tests/main/node/unframed_answer_test.cc
@@ -62,6 +62,15 @@
   }
 };
 
+// An endpoint that wrote the refusal of an earlier request once more: this one
+// may have run, so that its caller mustn't be told that it didn't.
+TEST(UnframedAnswer, ARefusalOfAnotherRequestIsNotBelieved) {
+  const std::string refusal =
+      "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Request-Id: other\r\n"
+      "Content-Length: 0\r\n\r\n";
+  LONGS_EQUAL(502, CallAnswered(refusal, Document(1, 1, kTimeoutMs)));
+}
+
 TEST(UnframedAnswer, AWholeAnswerIsPassedOn) {
   LONGS_EQUAL(200, CallAnswered(whole_answer + "\r\nhello",
                                 Document(1, 1, kTimeoutMs)));
