Take a version for the only one only if control instances have confirmed it

Nobody knew the stream's origin there, and the instance took the one version that it knew for the one that began the stream. By reading: an instance that has known a service for a minute never asked whether what it knew was current.

A Follow is numbered, the Update names the last one it answers, and the version is taken only once most of the known control instances have told their state after the caller came; else the request is refused and its caller goes elsewhere. Messages read after a standstill count as of the Follow that they answer.

ControlDirectory.AnUpdateIsAsOldAsTheFollowThatItAnswers and MostControlInstancesMustHaveToldTheirState (new functions, so they couldn't fail before); TakenUpStream.* pass (56 of 56 node_roles_tests, 208 of 208 entry_tests).

--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -309,6 +309,7 @@
                                   .budget = &BudgetOf(service),
                                   .permits = &permits_,
                                   .origins = &origins_,
+                                  .controls = &controls_,
                                   .observer = &observer_,
                                   .guard = crashes_.guard(),
                                   .relays = &relays_,
@@ -401,7 +402,8 @@
        .entry_instances = update.entry_instances(),
        .permit_term = update.permit_term(),
        .data_centre = DataCentreId(update.notice().data_centre()),
-       .keeps_origins = update.keeps_origins()},
+       .keeps_origins = update.keeps_origins(),
+       .follow_number = update.follow_number()},
       now);
   if (connected) {
     Log(LogLevel::kInfo, "control_connected", {{"control", from.value()}});
@@ -532,6 +534,7 @@
   permits_.WriteOwnLimits(now, follow->mutable_rate_limits());
   follow->set_wants_placements(to == load_source_);
   follow->set_data_centre(settings_.data_centre.value());
+  follow->set_number(controls_.OnFollow(to, now));
   relays_.WriteReach(follow);
   if (TakesRequestsOfOthers(now)) {
     relay_server_->WriteOffer(follow->mutable_relay_offer());
--- a/main/node/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -44,6 +44,7 @@
   }
   follower.configuration = Revision(follow.configuration_version());
   follower.fetches_configuration = follow.fetches_configuration();
+  follower.follow_number = follow.number();
   follower.wants_placements = follow.wants_placements();
   follower.awaits_update = true;
   loads_.OnReport(from, ReadLoads(follow.loads()), follower.wants_placements);
@@ -95,6 +96,7 @@
   proto::Update update;
   update.set_registry_epoch(state_.incarnation);
   update.set_registry_revision(state_.registry->revision());
+  update.set_follow_number(follower.follow_number);
   for (const EndpointRecord& record :
        state_.registry->ChangedSince(follower.registry_revision)) {
     *update.add_records() = cassiausher::ToProto(record);
--- a/main/node/follower_updates.h
+++ b/main/node/follower_updates.h
@@ -86,6 +86,7 @@
     Revision configuration{0};
     bool fetches_configuration = false;
     std::uint64_t registry_revision = 0;
+    std::uint64_t follow_number = 0;
     bool wants_placements = false;
     /// Its last Follow isn't answered.
     bool awaits_update = false;
--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -25,6 +25,10 @@
 // A stream may be taken up until its caller's deadline, which the caller counts
 // from a moment before this instance does.
 constexpr Duration kOriginMargin = Seconds(2);
+// A search for the origin of a stream takes up to 1.5 s, and control instances
+// tell their state at least twice a second.
+constexpr Duration kMaxSoleVersionWait = Milliseconds(2500);
+constexpr Duration kSoleVersionPollPeriod = Milliseconds(25);
 // Another instance may be in touch with one that knows the stream.
 constexpr Duration kUnknownRetryAfter = Milliseconds(300);
 // Limit of an answer that isn't streamed: it is held in memory until complete.
@@ -141,17 +145,35 @@
 }
 
 void ForwardedRequest::OnOrigin(const std::optional<StreamOrigin>& origin) {
-  if (origin.has_value()) {
-    facts_.begun_by = origin->version;
-  } else {
-    facts_.begun_by = context_.pool->SoleVersion(
-        facts_.service, max_stream_age_, BootTimeNow());
+  if (origin.has_value()) return BeginTakenUp(origin->version, true);
+  awaits_sole_version_ = true;
+  AwaitSoleVersion();
+}
+
+void ForwardedRequest::AwaitSoleVersion() {
+  const Time now = BootTimeNow();
+  // An instance that was out of touch may not know a version that appeared
+  // meanwhile, so that control instances must have told their state since.
+  if (!context_.controls->IsCurrentSince(facts_.arrived)) {
+    if (now - facts_.arrived >= kMaxSoleVersionWait) {
+      return BeginTakenUp(std::nullopt, false);
+    }
+    wait_deadline_ = now + kSoleVersionPollPeriod;
+    return ArmTimer();
   }
+  BeginTakenUp(context_.pool->SoleVersion(facts_.service, max_stream_age_, now),
+               false);
+}
+
+void ForwardedRequest::BeginTakenUp(
+    const std::optional<SoftwareVersion>& version, bool found) {
+  awaits_sole_version_ = false;
+  facts_.begun_by = version;
   Log(LogLevel::kInfo, "stream_taken_up",
       {{"request", caller_.id.value()},
        {"begun_as", caller_.resumes.value()},
        {"after_event", caller_.last_event_id.value_or(0)},
-       {"found", origin.has_value()},
+       {"found", found},
        {"version",
         facts_.begun_by.value_or(SoftwareVersion("unknown")).value()}});
   if (facts_.begun_by.has_value()) return StartForwarding();
@@ -722,6 +744,7 @@
     Execute(forwarder_->OnDeadline());
     return;
   }
+  if (awaits_sole_version_) return AwaitSoleVersion();
   if (!call_.has_value()) {
     if (now < wait_deadline_ || holding_) return ArmTimer();
     Execute(forwarder_->OnWaitElapsed(now));
--- a/main/node/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -37,6 +37,7 @@
   RetryBudget* budget = nullptr;
   PermitClient* permits = nullptr;
   OriginClient* origins = nullptr;
+  const ControlDirectory* controls = nullptr;
   CallObserver* observer = nullptr;
   CallGuard* guard = nullptr;
   RelayClient* relays = nullptr;
@@ -82,6 +83,10 @@
   void StartTakenUp();
   void StartForwarding();
   void OnOrigin(const std::optional<StreamOrigin>& origin);
+  /// Begins if the service has one software version only, as soon as that is
+  /// known for certain; refuses otherwise.
+  void AwaitSoleVersion();
+  void BeginTakenUp(const std::optional<SoftwareVersion>& version, bool found);
   void Execute(ForwardStep step);
   /// Ends a stream that has begun and can't go on.
   void AbortBegunStream(std::string_view reason);
@@ -156,6 +161,8 @@
   std::optional<StartCall> call_;
   HttpClient::CallId call_id_ = 0;
   ByteAccount::HolderId bytes_id_ = 0;
+  /// Nobody knows the origin of the stream that the caller takes up.
+  bool awaits_sole_version_ = false;
   /// The endpoint isn't read from, so it can't make progress.
   bool paused_ = false;
   /// The answer of the call exceeds a limit.
--- a/servers/entry/control_directory.cc
+++ b/servers/entry/control_directory.cc
@@ -1,6 +1,7 @@
 #include "servers/entry/control_directory.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/hash.h"
@@ -23,9 +24,30 @@
   control.permit_term = status.permit_term;
   control.data_centre = status.data_centre;
   control.keeps_origins = status.keeps_origins;
+  const auto answered = control.unanswered_follows.find(status.follow_number);
+  if (answered != control.unanswered_follows.end()) {
+    control.current_as_of = answered->second;
+    control.unanswered_follows.erase(control.unanswered_follows.begin(),
+                                     std::next(answered));
+  }
   return !std::exchange(control.connected, true);
 }
 
+std::uint64_t ControlDirectory::OnFollow(const InstanceId& to, Time now) {
+  constexpr std::size_t kMaxUnanswered = 16;
+  auto& unanswered = controls_[to].unanswered_follows;
+  if (unanswered.size() >= kMaxUnanswered) unanswered.erase(unanswered.begin());
+  unanswered[++follows_] = now;
+  return follows_;
+}
+
+bool ControlDirectory::IsCurrentSince(Time since) const {
+  const auto current = std::count_if(
+      controls_.begin(), controls_.end(),
+      [&](const auto& item) { return item.second.current_as_of >= since; });
+  return 2 * static_cast<std::size_t>(current) > controls_.size();
+}
+
 void ControlDirectory::OnMessage(const InstanceId& from, Incarnation process,
                                  std::uint64_t number,
                                  std::uint64_t permit_term) {
--- a/servers/entry/control_directory.h
+++ b/servers/entry/control_directory.h
@@ -47,6 +47,8 @@
   DataCentreId data_centre;
   /// It keeps origins of streams.
   bool keeps_origins = false;
+  /// Number of the Follow that the Update answers; 0 if it doesn't say.
+  std::uint64_t follow_number = 0;
 };
 
 /// Not thread safe.
@@ -64,6 +66,10 @@
     DataCentreId data_centre;
     bool keeps_origins = false;
     bool connected = false;
+    /// What it last told held at this time or later.
+    Time current_as_of{};
+    /// When each Follow was sent that isn't answered, by number; bounded.
+    std::map<std::uint64_t, Time> unanswered_follows;
   };
 
   explicit ControlDirectory(ControlDirectoryOptions options)
@@ -73,6 +79,12 @@
   void Learn(const InstanceId& control, Time now);
   /// Returns whether the control instance was disconnected before.
   bool OnUpdate(const InstanceId& from, const ControlStatus& status, Time now);
+  /// A Follow is being sent. Returns its number.
+  std::uint64_t OnFollow(const InstanceId& to, Time now);
+  /// Whether most of the known control instances have told their state since.
+  /// Time during which this instance stood still doesn't count, as messages
+  /// that it didn't read are of before.
+  bool IsCurrentSince(Time since) const;
   /// A message between two updates arrived from this process.
   void OnMessage(const InstanceId& from, Incarnation process,
                  std::uint64_t number, std::uint64_t permit_term);
@@ -102,6 +114,7 @@
 
   ControlDirectoryOptions options_;
   std::map<InstanceId, Control> controls_;
+  std::uint64_t follows_ = 0;
 };
 
 }  // namespace cassiausher
--- a/tests/entry/control_directory_test.cc
+++ b/tests/entry/control_directory_test.cc
@@ -92,6 +92,33 @@
   LONGS_EQUAL(7, directory.controls().at(Control(0)).last_received);
 }
 
+// An instance that stood still reads updates of before it first, and may not
+// know a software version that appeared meanwhile.
+TEST(ControlDirectory, AnUpdateIsAsOldAsTheFollowThatItAnswers) {
+  ControlDirectory directory = Directory("10.1.0.1", 1);
+  const std::uint64_t before = directory.OnFollow(Control(0), kStart);
+  const Time thawed = kStart + Seconds(5);
+  const std::uint64_t after = directory.OnFollow(Control(0), thawed);
+  directory.OnUpdate(Control(0), {.follow_number = before}, thawed);
+  CHECK_FALSE(directory.IsCurrentSince(thawed));
+  directory.OnUpdate(Control(0), {.follow_number = after}, thawed);
+  CHECK_TRUE(directory.IsCurrentSince(thawed));
+  CHECK_FALSE(directory.IsCurrentSince(thawed + Milliseconds(1)));
+}
+
+TEST(ControlDirectory, MostControlInstancesMustHaveToldTheirState) {
+  ControlDirectory directory = Directory("10.1.0.1", 3);
+  CHECK_FALSE(directory.IsCurrentSince(kStart));
+  for (const int control : {0, 1}) {
+    CHECK_FALSE(directory.IsCurrentSince(kStart));
+    directory.OnUpdate(
+        Control(control),
+        {.follow_number = directory.OnFollow(Control(control), kStart)},
+        kStart);
+  }
+  CHECK_TRUE(directory.IsCurrentSince(kStart));
+}
+
 TEST(ControlDirectory, AControlInstanceNobodyNamesIsDropped) {
   ControlDirectory directory = Directory("10.1.0.1", 2);
   directory.Learn(Control(1), kStart + Seconds(50));
--- a/tests/main/node/taken_up_stream_test.cc
+++ b/tests/main/node/taken_up_stream_test.cc
@@ -50,6 +50,7 @@
     } else if (message.has_follow()) {
       connected |= message.follow().configuration_version() == 1;
       WriteUpdate(answer.mutable_update());
+      answer.mutable_update()->set_follow_number(message.follow().number());
     } else {
       return;
     }
