--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -286,7 +286,9 @@
                 .kv_source = call.kv_source};
   if (resumes) plan.resume_after = events_.last_id();
   context_.pool->OnStart(call.endpoint.id, call.work, now);
-  if (call.relay.has_value()) context_.relays->OnStart(call.endpoint.address);
+  if (call.relay.has_value()) {
+    context_.relays->planner()->OnStart(call.endpoint.address, now);
+  }
   ++calls_;
   Log(LogLevel::kInfo, "call_started",
       {{"request", caller_.id.value()},
@@ -349,8 +351,9 @@
     FailCall(CallFailure::kBroken, "the answer isn't that of a helper");
     return false;
   }
-  context_.relays->OnHelperConfiguration(relay_answer_->configuration,
-                                         BootTimeNow());
+  const Time now = BootTimeNow();
+  context_.relays->planner()->OnAnswer(call_->endpoint.address, now);
+  context_.relays->OnHelperConfiguration(relay_answer_->configuration, now);
   const bool refused = relay_answer_->outcome == RelayOutcome::kRefused;
   // A refusal would be untrue of a request that may have run before.
   const bool untrue = refused && forwarder_->MayHaveRun();
@@ -659,7 +662,8 @@
 
 void ForwardedRequest::EndRelay(RelayEnd end) {
   if (call_->kind != CallKind::kRelay) return;
-  context_.relays->OnEnd(call_->endpoint.address, end, BootTimeNow());
+  context_.relays->OnEnd(call_->endpoint.address, end,
+                         relay_answer_.has_value(), BootTimeNow());
 }
 
 void ForwardedRequest::FinishCall(WorkOutcome outcome) {
--- a/main/node/relay_client.cc
+++ b/main/node/relay_client.cc
@@ -151,12 +151,9 @@
   }
 }
 
-void RelayClient::OnStart(const std::string& helper) {
-  planner_.OnStart(helper);
-}
-
-void RelayClient::OnEnd(const std::string& helper, RelayEnd end, Time now) {
-  planner_.OnEnd(helper, end, now);
+void RelayClient::OnEnd(const std::string& helper, RelayEnd end, bool answered,
+                        Time now) {
+  planner_.OnEnd(helper, end, answered, now);
   metrics_
       .counter(fmt::format("relayed_requests_total{{end=\"{}\"}}", Name(end)))
       .Add();
--- a/main/node/relay_client.h
+++ b/main/node/relay_client.h
@@ -38,9 +38,8 @@
   /// Whether control instances should be told at once of a change. Clears it.
   bool TakeChanged() { return std::exchange(changed_, false); }
 
-  /// A relayed request began and ended.
-  void OnStart(const std::string& helper);
-  void OnEnd(const std::string& helper, RelayEnd end, Time now);
+  /// Counts the end of a relayed request and tells the planner.
+  void OnEnd(const std::string& helper, RelayEnd end, bool answered, Time now);
 
   /// A helper has served a request by this configuration.
   void OnHelperConfiguration(Revision version, Time now);
--- a/servers/entry/relay_planner.cc
+++ b/servers/entry/relay_planner.cc
@@ -32,9 +32,14 @@
   return usable;
 }
 
-int RelayPlanner::InProgress(const RelayHelper& helper) const {
-  const auto found = in_progress_.find(helper.address);
-  return found == in_progress_.end() ? 0 : found->second;
+std::pair<bool, int> RelayPlanner::Rank(const RelayHelper& helper,
+                                        Time now) const {
+  const auto found = work_.find(helper.address);
+  if (found == work_.end()) return {false, 0};
+  const Work& work = found->second;
+  const bool is_quiet =
+      work.unanswered > 0 && now - work.unanswered_since >= options_.quiet_time;
+  return {is_quiet, work.requests};
 }
 
 std::optional<RelayHelper> RelayPlanner::Pick(
@@ -43,8 +48,8 @@
   if (usable.empty()) return std::nullopt;
   std::shuffle(usable.begin(), usable.end(), random_.engine());
   return *std::min_element(usable.begin(), usable.end(),
-                           [this](const RelayHelper& a, const RelayHelper& b) {
-                             return InProgress(a) < InProgress(b);
+                           [&](const RelayHelper& a, const RelayHelper& b) {
+                             return Rank(a, now) < Rank(b, now);
                            });
 }
 
@@ -66,15 +71,24 @@
   return cut_off;
 }
 
-void RelayPlanner::OnStart(const std::string& helper) {
-  ++in_progress_[helper];
+void RelayPlanner::OnStart(const std::string& helper, Time now) {
+  Work& work = work_[helper];
+  if (work.unanswered == 0) work.unanswered_since = now;
+  ++work.requests;
+  ++work.unanswered;
 }
 
-void RelayPlanner::OnEnd(const std::string& helper, RelayEnd end, Time now) {
-  const auto found = in_progress_.find(helper);
-  if (found != in_progress_.end() && --found->second == 0) {
-    in_progress_.erase(found);
-  }
+void RelayPlanner::OnAnswer(const std::string& helper, Time now) {
+  Work& work = work_[helper];
+  --work.unanswered;
+  work.unanswered_since = now;
+}
+
+void RelayPlanner::OnEnd(const std::string& helper, RelayEnd end, bool answered,
+                         Time now) {
+  Work& work = work_[helper];
+  if (!answered) --work.unanswered;
+  if (--work.requests <= 0) work_.erase(helper);
   std::erase_if(avoided_until_,
                 [&](const auto& item) { return now >= item.second; });
   if (end == RelayEnd::kUnable) {
--- a/servers/entry/relay_planner.h
+++ b/servers/entry/relay_planner.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/ids.h"
@@ -23,6 +24,9 @@
   Duration helper_lifetime = Seconds(3);
   /// A helper that couldn't serve a request gets none for this long.
   Duration helper_backoff = Seconds(1);
+  /// A helper that has answered nothing for this long while requests wait for
+  /// it gets further ones only if there is no other: it may stand still.
+  Duration quiet_time = Milliseconds(250);
   /// For this long after a service got out of reach, requests wait for helpers.
   /// Those that are named first may be cut off too and not know it yet.
   Duration answer_timeout = Milliseconds(300);
@@ -66,8 +70,11 @@
   std::uint32_t CutOff(const ServiceId& service) const;
 
   /// A request is being relayed to the helper with this address.
-  void OnStart(const std::string& helper);
-  void OnEnd(const std::string& helper, RelayEnd end, Time now);
+  void OnStart(const std::string& helper, Time now);
+  /// Its answer has begun.
+  void OnAnswer(const std::string& helper, Time now);
+  /// `answered`: OnAnswer() was called for it.
+  void OnEnd(const std::string& helper, RelayEnd end, bool answered, Time now);
 
  private:
   struct Naming {
@@ -78,13 +85,22 @@
   std::vector<RelayHelper> Usable(const ServiceId& service,
                                   const std::set<std::string>& excluded,
                                   Time now) const;
-  int InProgress(const RelayHelper& helper) const;
+  /// What the choice among helpers goes by; the lowest is the best.
+  std::pair<bool, int> Rank(const RelayHelper& helper, Time now) const;
 
   RelayPlannerOptions options_;
   EndpointReach reach_;
   std::map<ServiceId, std::map<InstanceId, Naming>> named_;
-  /// Relayed requests in progress, by helper; none with 0.
-  std::map<std::string, int> in_progress_;
+  /// Relayed requests in progress at one helper.
+  struct Work {
+    int requests = 0;
+    /// The part of `requests` whose answer hasn't begun.
+    int unanswered = 0;
+    /// Since when requests have been waiting without any answer.
+    Time unanswered_since{};
+  };
+  /// By address; none without requests.
+  std::map<std::string, Work> work_;
   /// Helpers that couldn't serve a request, until when they get none.
   std::map<std::string, Time> avoided_until_;
   Random random_;
