--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -10,7 +10,6 @@
 #include "drivers/task.h"
 #include "main/error_body.h"
 #include "main/node/handle_release.h"
-#include "main/node/relay_server.h"
 
 namespace cassiausher {
 namespace {
@@ -25,11 +24,7 @@
 // A stream may be taken up until its caller's deadline, which the caller counts
 // from a moment before this instance does.
 constexpr Duration kOriginMargin = Seconds(2);
-// A search for the origin of a stream takes up to 1.5 s, and control instances
-// tell their state at least twice a second.
-constexpr Duration kMaxSoleVersionWait = Milliseconds(2500);
-constexpr Duration kSoleVersionPollPeriod = Milliseconds(25);
-// Another instance may be in touch with one that knows the stream.
+// After a refusal that says nothing of the load here.
 constexpr Duration kUnknownRetryAfter = Milliseconds(300);
 // Limit of an answer that isn't streamed: it is held in memory until complete.
 constexpr std::int64_t kMaxBufferedBytes = 16 << 20;
@@ -110,17 +105,6 @@
   StartForwarding();
 }
 
-bool ForwardedRequest::TakesUp() const {
-  const bool has_part =
-      !caller_.resumes.empty() || caller_.last_event_id.has_value();
-  return facts_.resumable && has_part;
-}
-
-StreamNames ForwardedRequest::Names() const {
-  return NamesOf(TakesUp() ? caller_.resumes : caller_.id,
-                 CallerRequestTrait(caller_.content, exchange_->body()));
-}
-
 void ForwardedRequest::StartForwarding() {
   forwarder_.emplace(facts_,
                      ForwarderResources{.pool = context_.pool,
@@ -131,56 +115,6 @@
   Execute(forwarder_->Start(BootTimeNow()));
 }
 
-void ForwardedRequest::StartTakenUp() {
-  wait_deadline_ = facts_.deadline;
-  ArmTimer();
-  const std::weak_ptr<ForwardedRequest> weak = weak_from_this();
-  context_.origins->Find(
-      Names(),
-      [weak](const std::optional<StreamOrigin>& origin) {
-        const auto self = weak.lock();
-        if (self != nullptr && !self->ended_) self->OnOrigin(origin);
-      },
-      BootTimeNow());
-}
-
-void ForwardedRequest::OnOrigin(const std::optional<StreamOrigin>& origin) {
-  if (origin.has_value()) return BeginTakenUp(origin->version, true);
-  awaits_sole_version_ = true;
-  AwaitSoleVersion();
-}
-
-void ForwardedRequest::AwaitSoleVersion() {
-  const Time now = BootTimeNow();
-  // An instance that was out of touch may not know a version that appeared
-  // meanwhile, so that control instances must have told their state since.
-  if (!context_.controls->IsCurrentSince(facts_.arrived)) {
-    if (now - facts_.arrived >= kMaxSoleVersionWait) {
-      return BeginTakenUp(std::nullopt, false);
-    }
-    wait_deadline_ = now + kSoleVersionPollPeriod;
-    return ArmTimer();
-  }
-  BeginTakenUp(context_.pool->SoleVersion(facts_.service, max_stream_age_, now),
-               false);
-}
-
-void ForwardedRequest::BeginTakenUp(
-    const std::optional<SoftwareVersion>& version, bool found) {
-  awaits_sole_version_ = false;
-  facts_.begun_by = version;
-  Log(LogLevel::kInfo, "stream_taken_up",
-      {{"request", caller_.id.value()},
-       {"begun_as", caller_.resumes.value()},
-       {"after_event", caller_.last_event_id.value_or(0)},
-       {"found", found},
-       {"version",
-        facts_.begun_by.value_or(SoftwareVersion("unknown")).value()}});
-  if (facts_.begun_by.has_value()) return StartForwarding();
-  RespondRefused("the version that began the stream is unknown",
-                 kUnknownRetryAfter);
-}
-
 void ForwardedRequest::Execute(ForwardStep step) {
   if (const auto* call = std::get_if<StartCall>(&step)) {
     BeginCall(*call);
@@ -246,22 +180,6 @@
   End("refused", 503, reason);
 }
 
-void ForwardedRequest::MarkAnswer(RelayOutcome outcome) {
-  if (!facts_.relayed) return;
-  std::optional<SoftwareVersion> version;
-  if (forwarder_.has_value()) version = forwarder_->CurrentVersion();
-  RelayServer::Mark(*exchange_, {.outcome = outcome,
-                                 .configuration = configuration_,
-                                 .version = version});
-}
-
-HttpCall ForwardedRequest::MakeCall(const CallPlan& plan) const {
-  if (!call_->relay.has_value()) return BuildCall(*exchange_, plan);
-  RelayRequest relay = *call_->relay;
-  relay.configuration = configuration_;
-  return BuildRelayCall(*exchange_, plan, relay);
-}
-
 void ForwardedRequest::BeginCall(const StartCall& call) {
   const Time now = BootTimeNow();
   call_ = call;
@@ -345,32 +263,6 @@
   return false;
 }
 
-bool ForwardedRequest::AcceptRelayAnswer(std::string_view header) {
-  relay_answer_ = ReadRelayAnswer(header);
-  if (!relay_answer_.has_value()) {
-    FailCall(CallFailure::kBroken, "the answer isn't that of a helper");
-    return false;
-  }
-  const Time now = BootTimeNow();
-  context_.relays->planner()->OnAnswer(call_->endpoint.address, now);
-  context_.relays->OnHelperConfiguration(relay_answer_->configuration, now);
-  const bool refused = relay_answer_->outcome == RelayOutcome::kRefused;
-  // A refusal would be untrue of a request that may have run before.
-  const bool untrue = refused && forwarder_->MayHaveRun();
-  if (relay_answer_->outcome == RelayOutcome::kUnable || untrue) {
-    FailCall(CallFailure::kNotExecuted, "the helper can't serve it");
-    return false;
-  }
-  if (refused) return true;
-  forwarder_->OnRelayed(relay_answer_->version);
-  const std::optional<SoftwareVersion>& fixed = forwarder_->FixedVersion();
-  const bool other_version = fixed.has_value() && answer_->event_stream &&
-                             relay_answer_->version != fixed;
-  if (!other_version) return true;
-  FailCall(CallFailure::kBroken, "the helper uses another version");
-  return false;
-}
-
 void ForwardedRequest::CheckAnswer() {
   const int status = answer_->status;
   if (answer_->other_request) {
@@ -660,12 +552,6 @@
   Execute(forwarder_->OnCallFailed(failure, BootTimeNow()));
 }
 
-void ForwardedRequest::EndRelay(RelayEnd end) {
-  if (call_->kind != CallKind::kRelay) return;
-  context_.relays->OnEnd(call_->endpoint.address, end,
-                         relay_answer_.has_value(), BootTimeNow());
-}
-
 void ForwardedRequest::FinishCall(WorkOutcome outcome) {
   const Time now = BootTimeNow();
   const Time first_event_or_end = call_first_event_at_.value_or(now);
--- a/tests/entry/relay_simulation_test.cc
+++ b/tests/entry/relay_simulation_test.cc
@@ -267,7 +267,7 @@
       instance.tries_connections = false;
       return;
     }
-    const EndpointRecord endpoint =
+    const EndpointRecord& endpoint =
         endpoints[instance.random.Below(endpoints.size())];
     const Time began = now_;
     const bool reached = !instance.cut;
