--- a/tests/main/node/relay_test.cc
+++ b/tests/main/node/relay_test.cc
@@ -110,6 +110,8 @@
 /// helper, which holds what is relayed to it.
 TEST_GROUP_BASE(RelayAsking, NodeFixture) {
   std::vector<HttpExchangePtr> relayed;
+  /// The entry instance has its configuration.
+  bool applied = false;
 
   void teardown() override {
     relayed.clear();
@@ -120,16 +122,15 @@
       relayed.push_back(std::move(exchange));
     });
     StartEntry();
-    bool applied = false;
-    peer->on_message = [this, port, has_helper,
-                        &applied](const proto::NodeMessage& message) {
+    peer->on_message = [this, port,
+                        has_helper](const proto::NodeMessage& message) {
       if (!message.has_follow()) return;
       applied |= message.follow().configuration_version() == 1;
       proto::NodeMessage answer;
       WriteUpdate(message.follow(), has_helper, port, answer.mutable_update());
       peer->link.Send(InstanceId(node_ip), answer);
     };
-    CHECK_TRUE(RunUntil([&applied] { return applied; }));
+    CHECK_TRUE(RunUntil([this] { return applied; }));
   }
   static void WriteUpdate(const proto::Follow& follow, bool has_helper,
                           std::uint16_t port, proto::Update* update) {
