--- a/main/node/relay_client.cc
+++ b/main/node/relay_client.cc
@@ -107,8 +107,7 @@
   for (const EndpointRecord* ready : endpoints) {
     if (!pool_->IsSilent(ready->id, now)) ++heard;
   }
-  Log(after == Reach::kReached ? LogLevel::kInfo : LogLevel::kWarning,
-      "reach_changed",
+  Log(LogLevel::kWarning, "reach_changed",
       {{"service", endpoint.service.value()},
        {"reach", Name(after)},
        {"before", Name(before)},
