--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -356,6 +356,8 @@
     record = Record(pathlib.Path(sys.argv[0]).resolve().parent / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record.say(f"TROUBLE={int(trouble)}")
+    # Ends the processes as any other end does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
 
     async def limited():
         async with asyncio.timeout(110):
