Read nothing of an answer that has no sound head

Cause: HttpClient took an answer as begun from status 200 on only, while libcurl takes 101, and any status below 100, as final and delivers what follows as its body. OnBody then read an std::optional that OnHeaders never filled. The same gap let an answer that ended inside its head look like a whole answer with status 0: cassiausherd recorded it as the completed answer of a plain service. A length in an informational answer was applied to the final one, which cut its body.

The new tests on the old client: UnframedAnswer.BytesWithoutASoundHeadAreNotPassedOn ends the test program with SIGSEGV (139), HttpClient.BytesWithoutASoundHead... gets the body of a 101, HttpClient.AHeadThatEndsMidwayIsAnError gets no error, and ActiveRequest.BytesWithoutASoundHead... finds the answer recorded as completed.

Change: AnswerHead reads the heads line by line and refuses what is none: 101, statuses outside 100 to 599, heads without a status line, lines that are no headers, two lengths, informational answers with a body. HttpClient delivers a body only after such a head, and ends a call without one with an error, so that all readers are served: streams, plain answers, prefill, relays, orders, releases and cassiausherd.

--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 
+#include "drivers/answer_head.h"
 #include "drivers/bytes_read.h"
 
 namespace cassiausher {
@@ -19,7 +20,6 @@
 constexpr long kIdleTimeoutSeconds = 20;
 // Size of the read buffer, of which each open call has one.
 constexpr long kReadBufferBytes = 8 << 10;
-constexpr int kFirstFinalStatus = 200;
 // Limits of the header lines of one call, over all its informational answers
 // and the final one. Each line takes more memory than its text.
 constexpr std::int64_t kMaxHeaderBytes = 32 << 10;
@@ -35,30 +35,11 @@
 // libcurl reports longer trailer lines as a malformed body.
 constexpr std::int64_t kMaxTrailerLineBytes = 4 << 10;
 
-struct SoupHeadersUnref {
-  void operator()(SoupMessageHeaders* headers) const {
-    soup_message_headers_unref(headers);
-  }
-};
-using SoupHeadersPtr = std::unique_ptr<SoupMessageHeaders, SoupHeadersUnref>;
-
 struct SlistFree {
   void operator()(curl_slist* list) const { curl_slist_free_all(list); }
 };
 using SlistPtr = std::unique_ptr<curl_slist, SlistFree>;
 
-SoupHeadersPtr NewHeaders() {
-  return SoupHeadersPtr(
-      soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE));
-}
-
-std::string_view Trimmed(std::string_view text) {
-  const char* blanks = " \t\r\n";
-  const std::size_t first = text.find_first_not_of(blanks);
-  if (first == std::string_view::npos) return {};
-  return text.substr(first, text.find_last_not_of(blanks) - first + 1);
-}
-
 GSourcePtr AttachSource(GSource* source, GMainContext* context) {
   g_source_attach(source, context);
   return GSourcePtr(source);
@@ -77,9 +58,7 @@
 
   // Received but not yet delivered. Sinks may start or cancel calls, which
   // isn't allowed in libcurl's callbacks, so they are called afterwards.
-  int status = 0;
-  SoupHeadersPtr headers = NewHeaders();
-  bool headers_complete = false;
+  AnswerHead head;
   bool headers_delivered = false;
   std::string body;
   bool done = false;
@@ -99,6 +78,7 @@
   std::int64_t content_bytes = 0;
   /// The limit that the answer exceeds; empty if none.
   std::string_view excess;
+  bool connect_only = false;
 
   ~Pending() {
     if (easy == nullptr) return;
@@ -146,18 +126,29 @@
 
   /// Looks at the connection, since libcurl doesn't tell of incomplete lines.
   bool HeadIsWithinLimit() {
-    if (headers_complete) return excess.empty();
+    if (head.complete()) return excess.empty();
     if (new_socket == CURL_SOCKET_BAD) return excess.empty();
     const std::int64_t read = BytesRead(new_socket).value_or(0);
     if (read > kMaxBytesBeforeBody) excess = "too many headers";
     return excess.empty();
   }
 
+  // Called by libcurl. They return the number of bytes taken, or 0 to end the
+  // transfer.
+  std::size_t OnHeaderLine(std::string_view line);
+  std::size_t OnContent(std::string_view bytes);
+
   void OnTransferEnd(CURLcode result) {
     done = true;
     sent = Sent();
-    if (result == CURLE_OK) return;
+    if (result == CURLE_OK) {
+      // libcurl takes a connection that ends inside the head for the end of an
+      // empty body.
+      if (!head.complete() && !connect_only) error = "the answer has no head";
+      return;
+    }
     error = curl_easy_strerror(result);
+    if (!head.fault().empty()) error = head.fault();
     // libcurl ends a header line of 100 KiB so.
     if (result == CURLE_OUT_OF_MEMORY) excess = "a header line is too long";
     if (result == CURLE_RECV_ERROR && FramingBytes() > kMaxTrailerLineBytes) {
@@ -245,6 +236,21 @@
   }
 };
 
+std::size_t HttpClient::Pending::OnHeaderLine(std::string_view line) {
+  if (!CountHeaderLine(line.size())) return 0;
+  const bool was_complete = head.complete();
+  if (!head.Add(line)) return 0;
+  if (head.complete() && !was_complete) loop->ready.push_back(id);
+  return line.size();
+}
+
+std::size_t HttpClient::Pending::OnContent(std::string_view bytes) {
+  if (!head.complete() || !CountContent(bytes.size())) return 0;
+  body.append(bytes);
+  loop->ready.push_back(id);
+  return bytes.size();
+}
+
 HttpClient::HttpClient() = default;
 
 HttpClient::~HttpClient() { pending_.clear(); }
@@ -279,6 +285,7 @@
   curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReadBufferBytes);
   curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, kIdleTimeoutSeconds);
   pending->max_body_bytes = call.max_body_bytes;
+  pending->connect_only = call.connect_only;
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
                    static_cast<long>(ToMilliseconds(call.timeout)));
   // libcurl resends a call when a pooled connection turns out to be closed.
@@ -323,31 +330,7 @@
   const curl_write_callback on_header = [](char* data, std::size_t size,
                                            std::size_t count,
                                            void* user) -> std::size_t {
-    auto* self = static_cast<Pending*>(user);
-    const std::string_view line(data, size * count);
-    if (!self->CountHeaderLine(line.size())) return 0;
-    // Header lines after the body are trailers.
-    if (self->headers_complete) return line.size();
-    if (line.substr(0, 5) == "HTTP/") {
-      self->headers = NewHeaders();
-      long status = 0;
-      curl_easy_getinfo(self->easy, CURLINFO_RESPONSE_CODE, &status);
-      self->status = static_cast<int>(status);
-      return line.size();
-    }
-    const std::size_t colon = line.find(':');
-    if (colon != std::string_view::npos) {
-      const std::string name(Trimmed(line.substr(0, colon)));
-      const std::string value(Trimmed(line.substr(colon + 1)));
-      soup_message_headers_append(self->headers.get(), name.c_str(),
-                                  value.c_str());
-      return line.size();
-    }
-    if (Trimmed(line).empty() && self->status >= kFirstFinalStatus) {
-      self->headers_complete = true;
-      self->loop->ready.push_back(self->id);
-    }
-    return line.size();
+    return static_cast<Pending*>(user)->OnHeaderLine({data, size * count});
   };
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, pending);
@@ -355,11 +338,7 @@
   const curl_write_callback on_body = [](char* data, std::size_t size,
                                          std::size_t count,
                                          void* user) -> std::size_t {
-    auto* self = static_cast<Pending*>(user);
-    if (!self->CountContent(size * count)) return 0;
-    self->body.append(data, size * count);
-    self->loop->ready.push_back(self->id);
-    return size * count;
+    return static_cast<Pending*>(user)->OnContent({data, size * count});
   };
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, pending);
@@ -432,14 +411,15 @@
   auto found = pending_.find(id);
   if (found == pending_.end()) return;
   Pending* pending = found->second.get();
-  if (pending->headers_complete && !pending->headers_delivered) {
+  if (pending->head.complete() && !pending->headers_delivered) {
     pending->headers_delivered = true;
     // Keeps the headers alive if the sink cancels the call.
     const SoupHeadersPtr headers(
-        soup_message_headers_ref(pending->headers.get()));
-    pending->sink->OnHeaders(pending->status, headers.get());
+        soup_message_headers_ref(pending->head.headers().get()));
+    pending->sink->OnHeaders(pending->head.status(), headers.get());
     if (!pending_.contains(id)) return;
   }
+  // Invariant: what follows belongs to an answer that has begun.
   if (!pending->body.empty()) {
     const std::string body = std::exchange(pending->body, {});
     pending->sink->OnBody(body);
--- a/drivers/http_client.h
+++ b/drivers/http_client.h
@@ -44,7 +44,10 @@
   bool repeatable = false;
 };
 
-/// Receives the response to one call, on the client's task.
+/// Receives the response to one call, on the client's task. The calls come in
+/// this order: OnHeaders at most once, with the status of a final answer (200
+/// to 599); only after it OnBody; OnDone. A call that is answered by bytes
+/// without a sound head, or by 101, ends with an error and without OnHeaders.
 class HttpCallSink {
  public:
   virtual ~HttpCallSink() = default;
@@ -54,7 +57,8 @@
   /// answer may have. OnDone follows with an error; the call isn't cancelled in
   /// between.
   virtual void OnExcess(std::string_view /*what*/) {}
-  /// Called last. `error` is empty if the body is complete. `sent` is false if
+  /// Called last. `error` is empty only if the head and the body are complete,
+  /// or for a `connect_only` call if it connected. `sent` is false if
   /// no connection could be established, so that the remote end got nothing.
   virtual void OnDone(std::string_view error, bool sent) = 0;
 };
--- a/tests/drivers/canned_server.h
+++ b/tests/drivers/canned_server.h
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <utility>
@@ -36,6 +37,11 @@
     return "http://127.0.0.1:" + std::to_string(port_) + "/a/../b?q=%20";
   }
   int connections() const { return connections_; }
+  /// Sends these bytes on later connections.
+  void AnswerWith(std::string response) {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    response_ = std::move(response);
+  }
   /// First line of the last request.
   std::string request_line() const { return request_line_; }
 
@@ -57,12 +63,18 @@
       }
       GOutputStream* output =
           g_io_stream_get_output_stream(G_IO_STREAM(connection.get()));
-      g_output_stream_write_all(output, response_.data(), response_.size(),
+      const std::string response = Response();
+      g_output_stream_write_all(output, response.data(), response.size(),
                                 nullptr, stop_.get(), nullptr);
       if (resets_) Reset(connection.get());
     }
   }
 
+  std::string Response() {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    return response_;
+  }
+
   // Leaves the receiver time to read the bytes, which a reset discards.
   static void Reset(GSocketConnection* connection) {
     constexpr gulong kReadTimeUs = 50000;
@@ -73,6 +85,8 @@
     setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
   }
 
+  std::mutex mutex_;
+  /// Guarded by `mutex_`.
   std::string response_;
   bool resets_ = false;
   GObjectPtr<GSocketListener> listener_;
--- a/tests/drivers/http_client_test.cc
+++ b/tests/drivers/http_client_test.cc
@@ -99,6 +99,50 @@
   LONGS_EQUAL(0, sink.status);
 }
 
+// An endpoint that answers with another status in place of 200: the sink read
+// the body of an answer that it had no head of.
+TEST(HttpClient, BytesWithoutASoundHeadAreNoAnswer) {
+  for (const char* head :
+       {"HTTP/1.1 101 OK", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 101 OK",
+        "HTTP/1.1 099 OK", "HTTP/1.1 000 OK", "HTTP/1.1 600 OK",
+        "HTTP/1.1 999 OK", "HTTP/1.1 200 OK\r\nno header",
+        "HTTP/1.1 103 Hints\r\nContent-Length: 2\r\n\r\nHTTP/1.1 200 OK"}) {
+    CannedServer server(std::string(head) +
+                        "\r\nContent-Length: 5\r\n\r\nhello");
+    sink = Sink();
+    Call(server.url());
+    LONGS_EQUAL_TEXT(0, sink.status, head);
+    STRCMP_EQUAL_TEXT("", sink.body.c_str(), head);
+    CHECK_TRUE_TEXT(!sink.error.empty(), head);
+    CHECK_TRUE_TEXT(sink.sent, head);
+  }
+}
+
+TEST(HttpClient, InformationalAnswersAreSkipped) {
+  CannedServer server(
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
+      "HTTP/1.1 102 Processing\r\n\r\n"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+  Call(server.url());
+  LONGS_EQUAL(200, sink.status);
+  STRCMP_EQUAL("hello", sink.body.c_str());
+  STRCMP_EQUAL("", sink.error.c_str());
+}
+
+// The connection ends inside the head: libcurl reports an empty body.
+TEST(HttpClient, AHeadThatEndsMidwayIsAnError) {
+  const std::string head =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nA: b\r\n\r\n";
+  for (std::size_t length = 0; length < head.size(); ++length) {
+    const std::string text = head.substr(0, length);
+    CannedServer server(text);
+    sink = Sink();
+    Call(server.url());
+    LONGS_EQUAL_TEXT(0, sink.status, text.c_str());
+    CHECK_TRUE_TEXT(!sink.error.empty(), text.c_str());
+  }
+}
+
 // A resent call would count twice against the retry budget.
 TEST(HttpClient, CallAnswered421IsNotResent) {
   CannedServer server(
--- a/tests/main/daemon/active_request_test.cc
+++ b/tests/main/daemon/active_request_test.cc
@@ -5,12 +5,15 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "drivers/clock.h"
 #include "main/daemon/cancel_queue.h"
 #include "modules/openai_endpoint/openai_driver.h"
+#include "tests/drivers/canned_server.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
@@ -19,13 +22,14 @@
 constexpr std::int64_t kMaxUnsentBytes = 4096;
 
 struct Answer : HttpCallSink {
-  void OnHeaders(int, SoupMessageHeaders*) override {}
+  void OnHeaders(int code, SoupMessageHeaders*) override { status = code; }
   void OnBody(std::string_view bytes) override { body.append(bytes); }
   void OnDone(std::string_view text, bool) override {
     error = text;
     done = true;
   }
 
+  int status = 0;
   std::string body;
   std::string error;
   bool done = false;
@@ -53,6 +57,8 @@
   std::unique_ptr<ActiveRequest> request;
   // A member, since a failed check doesn't destroy the locals of a test.
   Answer answer;
+  /// The last one that was reported.
+  std::optional<RecordState> outcome;
 
   void setup() override {
     context = g_main_context_new();
@@ -60,12 +66,15 @@
     settings.limits.unsent_bytes = kMaxUnsentBytes;
     serving_metrics = std::make_unique<ServingMetrics>(metrics);
     http = std::make_unique<HttpClient>();
-    serving = std::make_unique<ServingContext>(
-        ServingContext{.settings = settings,
-                       .http = *http,
-                       .driver = driver,
-                       .metrics = *serving_metrics,
-                       .to_control = [](const ControlMessage&) {}});
+    serving = std::make_unique<ServingContext>(ServingContext{
+        .settings = settings,
+        .http = *http,
+        .driver = driver,
+        .metrics = *serving_metrics,
+        .to_control = [this](const ControlMessage& message) {
+          const auto* reported = std::get_if<OutcomeReported>(&message);
+          if (reported != nullptr) outcome = reported->result.state;
+        }});
     cancels = std::make_unique<CancelQueue>(*serving);
     serving->cancels = cancels.get();
     callers = Listen(&from_caller);
@@ -104,24 +113,29 @@
     return true;
   }
 
-  /// Places the caller's request at the endpoint.
-  void StartStream() {
+  /// Places the caller's request at the endpoint with that URL.
+  void Place(bool plain, const std::string& url) {
     CHECK(RunUntil([this] { return from_caller != nullptr; }));
     CallerRequest call;
     call.id = RequestId("r");
     call.service = ServiceId("m");
-    call.stream = true;
+    call.stream = !plain;
+    call.idempotent = !plain;
     call.body = "{}";
     const Time now = MonotonicNow();
-    request = std::make_unique<ActiveRequest>(*serving, call, false, false,
+    request = std::make_unique<ActiveRequest>(*serving, call, plain, true,
                                               from_caller, now);
     request->Start(now);
     Grant grant;
     grant.decode = EndpointId("e");
-    grant.decode_url = Url(*endpoint);
+    grant.decode_url = url;
     grant.first_token_timeout = Seconds(60);
     grant.between_tokens_timeout = Seconds(60);
     request->OnGranted({.grant = grant}, now);
+  }
+
+  void StartStream() {
+    Place(false, Url(*endpoint));
     CHECK(RunUntil([this] { return to_endpoint != nullptr; }));
     to_endpoint->StartStream(200, "text/event-stream");
   }
@@ -151,3 +165,23 @@
   // The endpoint doesn't go on for nobody.
   CHECK(RunUntil([&] { return endpoint_is_left; }));
 }
+
+// The answer of a plain service was taken for complete, with status 0 and an
+// empty body, and recorded as the answer to later tries.
+TEST(ActiveRequest, BytesWithoutASoundHeadAreNoAnswerOfAPlainService) {
+  for (const char* bytes :
+       {"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n",
+        "HTTP/1.1 101 OK\r\nContent-Length: 5\r\n\r\nhello"}) {
+    const CannedServer faulty(bytes);
+    answer = Answer();
+    request.reset();
+    from_caller.reset();
+    http->Start({.url = Url(*callers), .body = "{}", .new_connection = true},
+                &answer);
+    Place(true, faulty.url());
+    CHECK_TEXT(RunUntil([&] { return answer.done; }), bytes);
+    CHECK_TEXT(answer.status >= 500, bytes);
+    CHECK_TEXT(outcome == RecordState::kUnknown, bytes);
+    LONGS_EQUAL_TEXT(1, faulty.connections(), bytes);
+  }
+}
--- a/tests/main/node/unframed_answer_test.cc
+++ b/tests/main/node/unframed_answer_test.cc
@@ -83,6 +83,36 @@
                                 Document(1, 1, kTimeoutMs), true));
 }
 
+// The instance passed on the headers of an earlier request, or crashed. This
+// one may have run, so that it isn't sent again.
+TEST(UnframedAnswer, BytesWithoutASoundHeadAreNotPassedOn) {
+  for (const bool is_stream : {true, false}) {
+    const std::string type = is_stream ? "event-stream" : "plain";
+    const std::string document =
+        is_stream ? StreamDocument() : Document(1, 1, kTimeoutMs);
+    const std::string rest =
+        "Content-Type: text/" + type + "\r\n" + stamp + "\r\n" + event;
+    LONGS_EQUAL(200, CallAnswered("HTTP/1.1 200 OK\r\n" + rest, document));
+    int connections = 1;
+    for (const char* status : {"101 OK", "100 Continue\r\n\r\nHTTP/1.1 101 OK",
+                               "099 OK", "600 OK"}) {
+      endpoint->AnswerWith("HTTP/1.1 " + std::string(status) + "\r\n" + rest);
+      LONGS_EQUAL_TEXT(502, Call("GET", "/0/", ""), status);
+      LONGS_EQUAL_TEXT(++connections, endpoint->connections(), status);
+    }
+    teardown();
+    setup();
+  }
+}
+
+// Callers of other routers got a whole answer with an empty body.
+TEST(UnframedAnswer, AHeadThatEndsMidwayIsNotPassedOn) {
+  LONGS_EQUAL(502, CallAnswered(whole_answer, Document(1, 1, kTimeoutMs)));
+  endpoint->AnswerWith(stream_answer);
+  LONGS_EQUAL(502, Call("GET", "/0/", ""));
+  LONGS_EQUAL(2, endpoint->connections());
+}
+
 // An endpoint sends its answer twice. The caller's next request, on the same
 // connection to this instance, must not get the second copy.
 TEST(UnframedAnswer, ASecondCopyIsNotTheAnswerToTheNextRequest) {
