Pass on the departure of an endpoint that a control instance doesn't know

Cause: a control instance that starts has an empty registry. EndpointRegistry::MarkDeparted returned false for an id that it lacked, so that OnDeparture told nobody and answered 200 all the same. Entry instances kept the endpoint from before the restart, and no control instance reported it as silent.

Change: the departure of an unknown id becomes a record without an address, in an incarnation that covers every one which may have begun by now, and goes to the entry and the other control instances like any other. Merged with what they know, it changes the incarnation and the state. An id that no heartbeat may have is answered 400, and 503 if there is no room for it, as heartbeats are.

--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -41,6 +41,11 @@
 // by their heartbeats.
 constexpr Duration kRegistrySyncTime = Seconds(4);
 
+// Every incarnation of an endpoint that may have begun by now.
+Incarnation NewestIncarnation() {
+  return Incarnation(static_cast<std::uint64_t>(g_get_real_time()) / 1000);
+}
+
 }  // namespace
 
 ControlNode::ControlNode(NodeSettings settings, const ConfigurationCodec& codec,
@@ -173,15 +178,7 @@
                             .code = "heartbeat",
                             .message = ToString(findings)});
   }
-  if (!registry_.HasRoomFor(id)) {
-    return RefuseHeartbeat(id, exchange,
-                           {.status = 503,
-                            .type = "unavailable",
-                            .code = "endpoints",
-                            .message = "too many endpoints are known",
-                            .not_run = true,
-                            .retry_after = kRegistryFullRetryAfter});
-  }
+  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, exchange);
   const Time now = BootTimeNow();
   const bool changed = registry_.Update(*record, now);
   if (changed) PublishRegistryChange(*registry_.Find(id));
@@ -191,6 +188,17 @@
   exchange.Respond(200, kJson, "{}");
 }
 
+void ControlNode::RefuseForWantOfRoom(const EndpointId& id,
+                                      HttpExchange& exchange) {
+  RefuseHeartbeat(id, exchange,
+                  {.status = 503,
+                   .type = "unavailable",
+                   .code = "endpoints",
+                   .message = "too many endpoints are known",
+                   .not_run = true,
+                   .retry_after = kRegistryFullRetryAfter});
+}
+
 void ControlNode::RefuseHeartbeat(const EndpointId& id, HttpExchange& exchange,
                                   const ErrorAnswer& error) {
   refused_heartbeats_.Add();
@@ -200,7 +208,16 @@
 }
 
 void ControlNode::OnDeparture(const EndpointId& id, HttpExchange& exchange) {
-  if (registry_.MarkDeparted(id, BootTimeNow())) {
+  Findings findings;
+  if (!CheckEndpointId(id, &findings)) {
+    return RefuseHeartbeat(id, exchange,
+                           {.status = 400,
+                            .type = "invalid_request",
+                            .code = "departure",
+                            .message = ToString(findings)});
+  }
+  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, exchange);
+  if (registry_.MarkDeparted(id, NewestIncarnation(), BootTimeNow())) {
     PublishRegistryChange(*registry_.Find(id));
   }
   exchange.Respond(200, kJson, "{}");
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -76,6 +76,7 @@
   void RefuseHeartbeat(const EndpointId& id, HttpExchange& exchange,
                        const ErrorAnswer& error);
   void OnDeparture(const EndpointId& id, HttpExchange& exchange);
+  void RefuseForWantOfRoom(const EndpointId& id, HttpExchange& exchange);
   void OnPut(HttpExchangePtr exchange);
 
   // Messages between instances.
--- a/servers/control/endpoint_record.cc
+++ b/servers/control/endpoint_record.cc
@@ -7,7 +7,10 @@
 bool Merge(const EndpointRecord& received, EndpointRecord* known) {
   if (received.incarnation < known->incarnation) return false;
   EndpointRecord merged = *known;
-  if (received.incarnation > known->incarnation) {
+  if (received.address.empty()) {
+    merged.incarnation = received.incarnation;
+    merged.state = received.state;
+  } else if (received.incarnation > known->incarnation) {
     merged = received;
   } else {
     if (received.sequence > known->sequence) merged = received;
@@ -24,6 +27,13 @@
   return changed;
 }
 
+EndpointRecord DepartureOf(const EndpointId& id, Incarnation latest) {
+  return {.id = id,
+          .state = EndpointLifecycle::kDeparted,
+          .version = std::nullopt,
+          .incarnation = latest};
+}
+
 bool IsGone(const EndpointRecord& record) {
   return record.expired || record.state == EndpointLifecycle::kDeparted;
 }
@@ -70,9 +80,10 @@
 
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record) {
   if (message.id().empty() || message.born_ms() == 0) return false;
-  if (message.address().empty()) return false;
   if (!proto::EndpointRole_IsValid(message.role())) return false;
   if (!proto::EndpointLifecycle_IsValid(message.state())) return false;
+  const bool departed = message.state() == proto::ENDPOINT_LIFECYCLE_DEPARTED;
+  if (message.address().empty() && !departed) return false;
   *record = {.id = EndpointId(message.id()),
              .service = ServiceId(message.service()),
              .address = message.address(),
--- a/servers/control/endpoint_record.h
+++ b/servers/control/endpoint_record.h
@@ -22,7 +22,8 @@
 struct EndpointRecord {
   EndpointId id;
   ServiceId service;
-  std::string address;  ///< "IP:PORT".
+  /// "IP:PORT". Empty if all that is known of the endpoint is its departure.
+  std::string address;
   DataCentreId data_centre;
   EndpointRole role = EndpointRole::kPlain;
   EndpointLifecycle state = EndpointLifecycle::kReady;
@@ -46,10 +47,15 @@
 /// Within an incarnation, the record with the higher sequence number supplies
 /// the fields, but the later state is kept, so that a delayed heartbeat never
 /// makes a departing endpoint ready again, and so is a known software version.
-/// With equal sequence numbers the result is expired if either record is.
+/// With equal sequence numbers the result is expired if either record is. A
+/// record without an address changes only the incarnation and the state.
 /// Returns whether anything but the sequence number changed.
 bool Merge(const EndpointRecord& received, EndpointRecord* known);
 
+/// The record of an endpoint of which nothing is known but that it departed, in
+/// an incarnation up to `latest`.
+EndpointRecord DepartureOf(const EndpointId& id, Incarnation latest);
+
 /// Whether the endpoint has departed or expired.
 bool IsGone(const EndpointRecord& record);
 
@@ -58,8 +64,8 @@
 std::string_view Name(EndpointRole role);
 
 proto::EndpointRecord ToProto(const EndpointRecord& record);
-/// Returns false if the message lacks an id, an address or an incarnation, or
-/// if its role or state is unknown.
+/// Returns false if the message lacks an id, an incarnation or, unless the
+/// endpoint departed, an address, or if its role or state is unknown.
 bool FromProto(const proto::EndpointRecord& message, EndpointRecord* record);
 
 }  // namespace cassiausher
--- a/servers/control/endpoint_registry.cc
+++ b/servers/control/endpoint_registry.cc
@@ -70,9 +70,10 @@
   return entries_.size() < options_.max_records || entries_.contains(id);
 }
 
-bool EndpointRegistry::MarkDeparted(const EndpointId& id, Time now) {
+bool EndpointRegistry::MarkDeparted(const EndpointId& id, Incarnation latest,
+                                    Time now) {
   const auto found = entries_.find(id);
-  if (found == entries_.end()) return false;
+  if (found == entries_.end()) return Update(DepartureOf(id, latest), now);
   Entry& entry = found->second;
   if (entry.record.state == EndpointLifecycle::kDeparted) return false;
   entry.record.state = EndpointLifecycle::kDeparted;
--- a/servers/control/endpoint_registry.h
+++ b/servers/control/endpoint_registry.h
@@ -43,9 +43,11 @@
   std::vector<EndpointRecord> ExpireReplaced(const EndpointId& by, Time now);
   /// Whether the id is known or a new one is within `max_records`.
   bool HasRoomFor(const EndpointId& id) const;
-  /// Marks an endpoint that announced its departure. Returns whether its state
-  /// changed; false for an unknown id.
-  bool MarkDeparted(const EndpointId& id, Time now);
+  /// Marks an endpoint that announced its departure. One that isn't known, for
+  /// example since this instance has just started, departed in an incarnation
+  /// up to `latest`: others may know it and use it. Returns whether anything
+  /// changed; false for a new id that there is no room for.
+  bool MarkDeparted(const EndpointId& id, Incarnation latest, Time now);
   /// Marks endpoints whose last heartbeat is `expire_after` ago as expired, and
   /// removes those that expired or departed as long ago. Returns the records
   /// that expired now, which followers and the other control instances must be
--- a/tests/control/endpoint_registry_test.cc
+++ b/tests/control/endpoint_registry_test.cc
@@ -61,8 +61,8 @@
 
 TEST(EndpointRegistry, DepartureIsFinalWithinAnIncarnation) {
   registry.Update(Runner(7, 5), kStart);
-  CHECK_TRUE(registry.MarkDeparted(EndpointId("r1"), kStart));
-  CHECK_FALSE(registry.MarkDeparted(EndpointId("r1"), kStart));
+  CHECK_TRUE(registry.MarkDeparted(EndpointId("r1"), Incarnation(9), kStart));
+  CHECK_FALSE(registry.MarkDeparted(EndpointId("r1"), Incarnation(9), kStart));
   registry.Update(Runner(7, 6), kStart);
   CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
              EndpointLifecycle::kDeparted);
@@ -114,10 +114,32 @@
   CHECK_FALSE(FromProto(message, &decoded));
 }
 
+// The departure is all that this instance hears of the endpoint, which others
+// still use.
+TEST(EndpointRegistry, DepartureOfAnUnknownEndpointIsKept) {
+  CHECK_TRUE(registry.MarkDeparted(EndpointId("r1"), Incarnation(9), kStart));
+  const EndpointRecord departed = *registry.Find(EndpointId("r1"));
+  EndpointRegistry other{EndpointRegistryOptions{}};
+  other.Update(Runner(7, 5), kStart);
+  EndpointRecord received;
+  CHECK_TRUE(FromProto(ToProto(departed), &received));
+  CHECK_TRUE(other.Update(received, kStart));
+  for (EndpointRegistry* each : {&registry, &other}) {
+    each->Update(Runner(7, 6), kStart);
+    each->Update(Runner(8, 1), kStart);
+    CHECK_TRUE(each->Find(EndpointId("r1"))->state ==
+               EndpointLifecycle::kDeparted);
+    CHECK_EQUAL(0u, each->Ready(ServiceId("model")).size());
+    // A later run of the endpoint.
+    CHECK_TRUE(each->Update(Runner(10, 1), kStart));
+    CHECK_EQUAL(1u, each->Ready(ServiceId("model")).size());
+  }
+}
+
 // A runner may restart under the same id; its sequence numbers start again.
 TEST(EndpointRegistry, LaterIncarnationReplacesADepartedOne) {
   registry.Update(Runner(7, 50), kStart);
-  registry.MarkDeparted(EndpointId("r1"), kStart);
+  registry.MarkDeparted(EndpointId("r1"), Incarnation(9), kStart);
   CHECK_TRUE(registry.Update(Runner(8, 1), kStart));
   CHECK_TRUE(registry.Find(EndpointId("r1"))->state ==
              EndpointLifecycle::kReady);
--- a/tests/main/node/node_roles_test.cc
+++ b/tests/main/node/node_roles_test.cc
@@ -17,53 +17,14 @@
 #include "core/compression.h"
 #include "main/node/control_node.h"
 #include "modules/file_log/register_types.h"
-#include "tests/main/node/node_fixture.h"
+#include "tests/main/node/control_fixture.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
-namespace {
-
-std::string Heartbeat(int host, int sequence = 1) {
-  return R"({"service":"s","address":"10.9.0.)" + std::to_string(host) +
-         R"(:80","zone":"dc1","slots":4,"state":"ready","seq":)" +
-         std::to_string(sequence) + "}";
-}
-
-}  // namespace
-
-TEST_GROUP_BASE(NodeRoles, NodeFixture) {
-  std::string folder;
-  std::unique_ptr<ControlNode> control;
+TEST_GROUP_BASE(NodeRoles, ControlFixture) {
   /// Of the log, as the control node reports them.
   proto::Members members;
 
-  void setup() override {
-    NodeFixture::setup();
-    char name[] = "/tmp/cassiausher-node-XXXXXX";
-    folder = mkdtemp(name);
-  }
-
-  void teardown() override {
-    control.reset();
-    NodeFixture::teardown();
-    std::filesystem::remove_all(folder);
-  }
-
-  /// `seeds` bootstrap the log; with several, the control node has no leader.
-  void StartControl(const std::vector<std::string>& seeds = {node_ip}) {
-    static const bool registered = (RegisterFileLog(), true);
-    CHECK_TRUE(registered);
-    NodeSettings settings = SettingsOf(node_ip);
-    settings.control = SocketAddress{node_ip, kHttpPort};
-    for (const std::string& seed : seeds) {
-      settings.seeds.push_back({seed, kHttpPort});
-    }
-    settings.first_start = true;
-    settings.data_folder = folder;
-    control = std::make_unique<ControlNode>(settings, codec, metrics, context);
-    STRCMP_EQUAL("", control->Start().c_str());
-  }
-
   void SendMembers() {
     proto::NodeMessage message;
     auto* sync = message.mutable_sync();
@@ -83,22 +44,6 @@
     }));
     peer->on_message = nullptr;
   }
-  /// The control node's next Update, for the peer as a follower.
-  proto::Update AwaitUpdate() {
-    std::optional<proto::Update> update;
-    peer->on_message = [&](const proto::NodeMessage& message) {
-      if (message.has_update()) update = message.update();
-    };
-    CHECK_TRUE(RunUntil([&] {
-      proto::NodeMessage follow;
-      follow.mutable_follow();
-      peer->link.Send(InstanceId(node_ip), follow);
-      RunFor(Milliseconds(50));
-      return update.has_value();
-    }));
-    peer->on_message = nullptr;
-    return update.value_or(proto::Update());
-  }
   /// Puts the peer in the place of the control node.
   void ReplaceVoter() {
     members.set_commit(members.commit() + 1);
