Compact the log only when all entries of a batch are applied

What could be lost: an acknowledged configuration. After a restart of all control instances, an older one was in force and was read back.

Cause: RaftHost hands over committed entries in batches, and Raft counts all of a batch as delivered when it is handed over. ConfigurationLog compacted inside the callback of one entry, at the index of the batch's last one, with the state after the entry at hand. Memory had them, which hid it until a restart.

Found while departures were made durable: a burst of them makes batches common.

Change: compaction waits for OnDispatched(), when nothing handed over is left, as the daemon's host does.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -202,7 +202,6 @@
       delegate_.OnSubmitted(waiter.origin, waiter.id);
     }
   }
-  Compact();
 }
 
 void ConfigurationLog::Apply(VersionedDocument document) {
@@ -213,7 +212,11 @@
   delegate_.OnConfiguration(register_.current());
 }
 
-void ConfigurationLog::Compact() {
+// Not earlier: the replica counts the entries of a batch as applied before the
+// first of them is.
+void ConfigurationLog::OnDispatched() { CompactIfDue(); }
+
+void ConfigurationLog::CompactIfDue() {
   const bool due = entries_since_compaction_ >= kEntriesPerSnapshot ||
                    bytes_since_compaction_ >= kBytesPerSnapshot;
   if (!due) return;
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -93,6 +93,7 @@
   void OnCommitted(const LogEntry& entry) override;
   void OnRead(const ReadResult& read) override;
   void OnRoleChanged() override;
+  void OnDispatched() override;
 
   std::string StartReplica(bool may_bootstrap);
   /// Replaces the replica by one with an empty log. Without a working disk
@@ -100,7 +101,7 @@
   void ResetReplica();
   void Apply(VersionedDocument document);
   void AdvanceVoters(Time now);
-  void Compact();
+  void CompactIfDue();
 
   const NodeSettings& settings_;
   Metrics& metrics_;
--- a/tests/main/node/node_roles_test.cc
+++ b/tests/main/node/node_roles_test.cc
@@ -5,6 +5,7 @@
 #include <sys/inotify.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 #include <fstream>
@@ -196,6 +197,29 @@
   CHECK_TRUE(Decompress(compressed, document.size()) == document);
 }
 
+// A snapshot that was made between two entries of a batch counted as the state
+// after all of them: a restart brought an older configuration back.
+TEST(NodeRoles, ABurstOfChangesOutlastsARestart) {
+  constexpr int kChanges = 100;
+  StartControl();
+  CHECK_TRUE(RunUntil(
+      [&] { return Call("PUT", "/api/config", Document(1, 1)) == 200; }));
+  std::vector<Response> answers(kChanges);
+  for (int i = 0; i < kChanges; ++i) {
+    client->Start(MakeCall("PUT", "/api/config", Document(i + 2, 1)),
+                  &answers[i]);
+  }
+  CHECK_TRUE(RunUntil([&] {
+    return std::all_of(answers.begin(), answers.end(),
+                       [](const Response& answer) { return answer.done; });
+  }));
+  LONGS_EQUAL(200, answers.back().status);
+  control.reset();
+  StartControl({node_ip}, false);
+  CHECK_TRUE(RunUntil([&] { return Call("GET", "/api/config", "") == 200; }));
+  STRCMP_EQUAL(Document(kChanges + 1, 1).c_str(), response.body.c_str());
+}
+
 // A voter whose disk was full was replaced, and crashed when it couldn't start
 // its replica anew: found by a day of large configurations and a full disk.
 TEST(NodeRoles, ReplacedReplicaWaitsForItsDisk) {
