Keep acknowledged departures and drains in the replicated log

Cause: what an endpoint had announced was memory of the control instances. One that started took any heartbeat of an unknown id as it was, so that one that had been held up made the endpoint ready again; an entry instance that had started at the same time had no record against it.

A control process that starts tells entry instances of no endpoint that is ready until it knows all departures: as a leader whose term has a committed entry, or from the whole registry of an instance that knows them; after 6 s without either it goes on and logs `departures_unknown`. New log lines: departure_acknowledged, departures_known, departures_unknown.

Versions: an entry of departures is a document of version 0 to earlier builds, which ignore it; a leader of an earlier build acknowledges it without keeping it. The promise holds once all control instances run this build.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -1,5 +1,6 @@
 #include "main/node/configuration_log.h"
 
+#include <algorithm>
 #include <filesystem>
 #include <set>
 #include <utility>
@@ -46,6 +47,9 @@
 ConfigurationLog::~ConfigurationLog() = default;
 
 std::string ConfigurationLog::Start() {
+  std::error_code error;
+  is_new_ = settings_.first_start &&
+            !std::filesystem::exists(LogFolder(settings_), error);
   return StartReplica(settings_.first_start);
 }
 
@@ -92,6 +96,7 @@
     ResetReplica();
   }
   if (now - members_received_ >= kMembersExpiry) members_sender_ = {};
+  has_forgotten_ |= leaving_.Expire(now);
   if (host_ == nullptr) return;
   host_->Tick();
   if (leading()) AdvanceVoters(now);
@@ -135,26 +140,35 @@
   return known.empty() ? members_sender_ : known;
 }
 
+bool ConfigurationLog::Holds(const LogCommand& command) const {
+  if (command.document.version > register_.current().version) return false;
+  return std::all_of(command.leaving.begin(), command.leaving.end(),
+                     [this](const LeavingEndpoint& leaving) {
+                       return leaving_.Covers(leaving.record);
+                     });
+}
+
 void ConfigurationLog::Submit(const InstanceId& origin,
                               std::uint64_t submission,
-                              const VersionedDocument& document, Time now) {
-  if (document.version <= register_.current().version) {
+                              const LogCommand& command, Time now) {
+  if (Holds(command)) {
     delegate_.OnSubmitted(origin, submission);
     return;
   }
   for (auto& [index, proposal] : proposals_) {
-    if (proposal.document != document) continue;
+    if (proposal.command != command) continue;
     proposal.waiters.push_back({origin, submission});
     return;
   }
-  const ProposeResult result = host_->raft().Propose(Encode(document), now);
+  const ProposeResult result = host_->raft().Propose(Encode(command), now);
   if (!result.accepted()) {
     Log(LogLevel::kWarning, "proposal_refused",
-        {{"version", document.version.value()},
+        {{"version", command.document.version.value()},
+         {"leaving", command.leaving.size()},
          {"reason", static_cast<int>(result.refusal)}});
     return;
   }
-  proposals_[result.index] = {result.term, document, {{origin, submission}}};
+  proposals_[result.index] = {result.term, command, {{origin, submission}}};
   host_->Drain();
 }
 
@@ -172,24 +186,25 @@
 }
 
 void ConfigurationLog::OnInstall(const Snapshot& snapshot) {
-  VersionedDocument document;
+  LogCommand command;
   if (snapshot.data.empty()) return;
-  if (!Decode(snapshot.data, &document)) {
+  if (!Decode(snapshot.data, &command)) {
     Log(LogLevel::kError, "snapshot_malformed", {{"index", snapshot.index}});
     return;
   }
-  Apply(std::move(document));
+  Apply(std::move(command), BootTimeNow());
 }
 
 void ConfigurationLog::OnCommitted(const LogEntry& entry) {
   ++entries_since_compaction_;
   bytes_since_compaction_ += entry.data.size();
-  VersionedDocument document;
-  const bool has_document = entry.kind == EntryKind::kData;
-  if (has_document && !Decode(entry.data, &document)) {
+  const Time now = BootTimeNow();
+  LogCommand command;
+  const bool has_command = entry.kind == EntryKind::kData;
+  if (has_command && !Decode(entry.data, &command)) {
     Log(LogLevel::kError, "log_entry_malformed", {{"index", entry.index}});
-  } else if (has_document) {
-    Apply(std::move(document));
+  } else if (has_command) {
+    Apply(std::move(command), now);
   }
   const auto found = proposals_.find(entry.index);
   if (found != proposals_.end()) {
@@ -204,7 +219,14 @@
   }
 }
 
-void ConfigurationLog::Apply(VersionedDocument document) {
+void ConfigurationLog::Apply(LogCommand command, Time now) {
+  for (const LeavingEndpoint& leaving : command.leaving) {
+    if (leaving_.Apply(leaving, now)) delegate_.OnLeaving(leaving);
+  }
+  ApplyDocument(std::move(command.document));
+}
+
+void ConfigurationLog::ApplyDocument(VersionedDocument document) {
   const Revision version = document.version;
   if (!register_.Apply(std::move(document))) return;
   Log(LogLevel::kInfo, "configuration_committed",
@@ -214,16 +236,21 @@
 
 // Not earlier: the replica counts the entries of a batch as applied before the
 // first of them is.
-void ConfigurationLog::OnDispatched() { CompactIfDue(); }
+void ConfigurationLog::OnDispatched() { CompactIfDue(BootTimeNow()); }
 
-void ConfigurationLog::CompactIfDue() {
+void ConfigurationLog::CompactIfDue(Time now) {
+  if (entries_since_compaction_ == 0) return;
+  const bool forgets = has_forgotten_ && now >= next_forgetting_;
   const bool due = entries_since_compaction_ >= kEntriesPerSnapshot ||
-                   bytes_since_compaction_ >= kBytesPerSnapshot;
+                   bytes_since_compaction_ >= kBytesPerSnapshot || forgets;
   if (!due) return;
   entries_since_compaction_ = 0;
   bytes_since_compaction_ = 0;
+  has_forgotten_ = false;
+  next_forgetting_ = now + leaving_.lifetime();
   host_->raft().Compact(host_->raft().applied_index(),
-                        Encode(register_.current()));
+                        Encode(LogCommand{.document = register_.current(),
+                                          .leaving = leaving_.All(now)}));
 }
 
 void ConfigurationLog::OnRead(const ReadResult& read) {
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -1,5 +1,6 @@
-// The replicated configuration of the control instances: Raft, the register
-// that it drives, and the automatic replacement of lost voters.
+// What the control instances replicate: the configuration and the endpoints
+// that announced that they leave. Raft, the state that it drives, and the
+// automatic replacement of lost voters.
 #ifndef MAIN_NODE_CONFIGURATION_LOG_H_
 #define MAIN_NODE_CONFIGURATION_LOG_H_
 
@@ -17,6 +18,8 @@
 #include "main/raft_host.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/configuration_register.h"
+#include "servers/control/leaving_endpoints.h"
+#include "servers/control/log_command.h"
 #include "servers/control/voter_planner.h"
 
 namespace cassiausher {
@@ -29,7 +32,10 @@
                           const proto::NodeMessage& message) = 0;
   /// A newer configuration is committed.
   virtual void OnConfiguration(const VersionedDocument& document) = 0;
-  /// The submitted version, or a higher one, is committed.
+  /// An endpoint's announcement that it leaves is committed, or read back from
+  /// disk.
+  virtual void OnLeaving(const LeavingEndpoint& leaving) = 0;
+  /// The submitted command, or one that says more, is committed.
   virtual void OnSubmitted(const InstanceId& origin,
                            std::uint64_t submission) = 0;
   /// `served`: current() is at least as new as the configuration in force when
@@ -46,6 +52,8 @@
 
   /// Returns an error message, empty on success.
   std::string Start();
+  /// The deployment starts for the first time: nothing was acknowledged before.
+  bool is_new() const { return is_new_; }
   void OnRaft(const std::string& bytes);
   void Tick(Time now);
   void TransferLeadership(Time now);
@@ -57,6 +65,8 @@
   /// members that it sends.
   InstanceId leader() const;
   const VersionedDocument& current() const { return register_.current(); }
+  /// Whether the log is known to hold all that the command says.
+  bool Holds(const LogCommand& command) const;
   /// When a quorum last confirmed that this leader's current() was the newest;
   /// empty if this instance doesn't lead.
   std::optional<Time> ConfirmedAt() const;
@@ -64,7 +74,7 @@
   /// Leader only. Answered by OnSubmitted(); not at all if the proposal is
   /// refused or leadership is lost.
   void Submit(const InstanceId& origin, std::uint64_t submission,
-              const VersionedDocument& document, Time now);
+              const LogCommand& command, Time now);
   /// Leader only. Answered by OnCurrentRead().
   void ReadCurrent(const InstanceId& origin, std::uint64_t read, Time now);
 
@@ -83,7 +93,7 @@
   };
   struct Proposal {
     Term term = 0;
-    VersionedDocument document;
+    LogCommand command;
     std::vector<Waiter> waiters;
   };
 
@@ -99,9 +109,10 @@
   /// Replaces the replica by one with an empty log. Without a working disk
   /// there is no replica afterwards, and the reset stays due.
   void ResetReplica();
-  void Apply(VersionedDocument document);
+  void Apply(LogCommand command, Time now);
+  void ApplyDocument(VersionedDocument document);
   void AdvanceVoters(Time now);
-  void CompactIfDue();
+  void CompactIfDue(Time now);
 
   const NodeSettings& settings_;
   Metrics& metrics_;
@@ -110,6 +121,12 @@
   /// Null while the replica can't be started anew.
   std::unique_ptr<RaftHost> host_;
   ConfigurationRegister register_;
+  LeavingEndpoints leaving_{LeavingEndpointsOptions{}};
+  bool is_new_ = false;
+  /// The log on disk has departures that are forgotten here. A restart would
+  /// bring them back.
+  bool has_forgotten_ = false;
+  Time next_forgetting_{};
   /// By log index.
   std::map<LogIndex, Proposal> proposals_;
   std::map<std::uint64_t, Waiter> reads_;
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -40,6 +40,11 @@
 // An instance that has received no other's registry by then knows the endpoints
 // by their heartbeats.
 constexpr Duration kRegistrySyncTime = Seconds(4);
+// An instance that has found neither a leader nor an instance that knows the
+// departures by then goes on without them: the control instances have no
+// quorum, and entry instances that start would have no endpoints at all.
+// Elections that succeed take less.
+constexpr Duration kDeparturesTime = Seconds(6);
 
 // Every incarnation of an endpoint that may have begun by now.
 Incarnation NewestIncarnation() {
@@ -86,6 +91,7 @@
   Reload(settings_);
   if (auto error = link_.Listen(context_); !error.empty()) return error;
   if (auto error = log_.Start(); !error.empty()) return error;
+  if (log_.is_new()) OnDeparturesKnown("first_start", started_at_);
   server_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.control->ip,
                         .port = settings_.control->port,
@@ -151,9 +157,9 @@
   exchange->SetLabel(exchange->path());
   switch (call.kind) {
     case ControlCallKind::kHeartbeat:
-      return OnHeartbeat(call.endpoint, *exchange);
+      return OnHeartbeat(call.endpoint, std::move(exchange));
     case ControlCallKind::kDeparture:
-      return OnDeparture(call.endpoint, *exchange);
+      return OnDeparture(call.endpoint, std::move(exchange));
     case ControlCallKind::kPutConfiguration:
       return OnPut(std::move(exchange));
     case ControlCallKind::kReadConfiguration:
@@ -167,25 +173,28 @@
   }
 }
 
-void ControlNode::OnHeartbeat(const EndpointId& id, HttpExchange& exchange) {
+void ControlNode::OnHeartbeat(const EndpointId& id, HttpExchangePtr exchange) {
   heartbeats_.Add();
   Findings findings;
-  const auto record = ReadHeartbeat(id, exchange.body(), &findings);
+  const auto record = ReadHeartbeat(id, exchange->body(), &findings);
   if (!record.has_value()) {
-    return RefuseHeartbeat(id, exchange,
+    return RefuseHeartbeat(id, *exchange,
                            {.status = 400,
                             .type = "invalid_request",
                             .code = "heartbeat",
                             .message = ToString(findings)});
   }
-  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, exchange);
+  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, *exchange);
   const Time now = BootTimeNow();
   const bool changed = registry_.Update(*record, now);
   if (changed) PublishRegistryChange(*registry_.Find(id));
   for (const EndpointRecord& replaced : registry_.ExpireReplaced(id, now)) {
     PublishRegistryChange(replaced);
   }
-  exchange.Respond(200, kJson, "{}");
+  if (record->state == EndpointLifecycle::kReady) {
+    return exchange->Respond(200, kJson, "{}");
+  }
+  operator_calls_.SubmitLeaving(std::move(exchange), *record, now);
 }
 
 void ControlNode::RefuseForWantOfRoom(const EndpointId& id,
@@ -207,23 +216,32 @@
   RespondError(exchange, error);
 }
 
-void ControlNode::OnDeparture(const EndpointId& id, HttpExchange& exchange) {
+void ControlNode::OnDeparture(const EndpointId& id, HttpExchangePtr exchange) {
   Findings findings;
   if (!CheckEndpointId(id, &findings)) {
-    return RefuseHeartbeat(id, exchange,
+    return RefuseHeartbeat(id, *exchange,
                            {.status = 400,
                             .type = "invalid_request",
                             .code = "departure",
                             .message = ToString(findings)});
   }
-  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, exchange);
-  if (registry_.MarkDeparted(id, NewestIncarnation(), BootTimeNow())) {
+  if (!registry_.HasRoomFor(id)) return RefuseForWantOfRoom(id, *exchange);
+  const Time now = BootTimeNow();
+  if (registry_.MarkDeparted(id, NewestIncarnation(), now)) {
     PublishRegistryChange(*registry_.Find(id));
   }
-  exchange.Respond(200, kJson, "{}");
+  operator_calls_.SubmitLeaving(std::move(exchange), *registry_.Find(id), now);
 }
 
 void ControlNode::PublishRegistryChange(const EndpointRecord& record) {
+  LogChange(record);
+  proto::Sync sync;
+  AddRecord(record, BootTimeNow(), &sync);
+  for (const InstanceId& control : KnownControls()) SendSync(control, sync);
+  followers_.OnChange(BootTimeNow());
+}
+
+void ControlNode::LogChange(const EndpointRecord& record) {
   Log(LogLevel::kInfo, "endpoint_changed",
       {{"endpoint", record.id.value()},
        {"service", record.service.value()},
@@ -234,10 +252,6 @@
        {"role", Name(record.role)},
        {"born", record.incarnation.value()},
        {"sequence", record.sequence}});
-  proto::Sync sync;
-  AddRecord(record, BootTimeNow(), &sync);
-  for (const InstanceId& control : KnownControls()) SendSync(control, sync);
-  followers_.OnChange(BootTimeNow());
 }
 
 void ControlNode::OnPut(HttpExchangePtr exchange) {
@@ -271,6 +285,14 @@
   followers_.OnChange(BootTimeNow());
 }
 
+void ControlNode::OnLeaving(const LeavingEndpoint& leaving) {
+  const Time now = BootTimeNow();
+  // The other control instances have it from the log as well.
+  if (!registry_.Update(leaving.record, now - leaving.age)) return;
+  LogChange(leaving.record);
+  followers_.OnChange(now);
+}
+
 void ControlNode::OnSubmitted(const InstanceId& origin,
                               std::uint64_t submission) {
   if (origin.value() == settings_.ip) {
@@ -356,9 +378,7 @@
       break;
     }
     case proto::NodeMessage::kSubmitDocument:
-      if (!log_.leading()) break;
-      log_.Submit(from, message.submit_document().submission(),
-                  FromProto(message.submit_document().document()), now);
+      OnSubmit(from, message.submit_document(), now);
       break;
     case proto::NodeMessage::kSubmitResult:
       operator_calls_.OnSubmitted(message.submit_result().submission());
@@ -375,6 +395,17 @@
   }
 }
 
+void ControlNode::OnSubmit(const InstanceId& from,
+                           const proto::SubmitDocument& submit, Time now) {
+  if (!log_.leading()) return;
+  LogCommand command;
+  if (!cassiausher::FromProto(submit.document(), &command)) {
+    Log(LogLevel::kWarning, "record_malformed", {{"from", from.value()}});
+    return;
+  }
+  log_.Submit(from, submit.submission(), command, now);
+}
+
 void ControlNode::OnRateLimits(const RateLimitMessages& limits, Time now) {
   if (permits_.Observe(limits, now)) followers_.OnRateLimitAppeared(now);
 }
@@ -474,14 +505,42 @@
   if (sync.whole_registry()) {
     synced_with_.insert(from);
     followers_.OnRegistryComplete();
+    if (sync.departures_known()) OnDeparturesKnown(from.value(), now);
   }
-  if (!sync.wants_registry()) return;
+  if (sync.wants_registry()) SendRegistry(from, now);
+}
+
+void ControlNode::SendRegistry(const InstanceId& to, Time now) {
   proto::Sync whole;
   whole.set_whole_registry(true);
+  whole.set_departures_known(departures_known_);
   for (const EndpointRecord& record : registry_.ChangedSince(0)) {
     AddRecord(record, now, &whole);
   }
-  SendSync(from, whole);
+  SendSync(to, whole);
+}
+
+void ControlNode::CheckDepartures(Time now) {
+  if (departures_known_) return;
+  // A leader has applied all that was committed before its term.
+  if (log_.ConfirmedAt().has_value()) {
+    OnDeparturesKnown("log", now);
+    for (const InstanceId& control : KnownControls()) {
+      SendRegistry(control, now);
+    }
+    return;
+  }
+  if (now - started_at_ < kDeparturesTime) return;
+  Log(LogLevel::kWarning, "departures_unknown",
+      {{"leader", log_.leader().value()}});
+  OnDeparturesKnown("none", now);
+}
+
+void ControlNode::OnDeparturesKnown(std::string_view source, Time now) {
+  if (std::exchange(departures_known_, true)) return;
+  Log(LogLevel::kInfo, "departures_known",
+      {{"source", source}, {"endpoints", registry_.size()}});
+  followers_.OnDeparturesKnown(now);
 }
 
 void ControlNode::SyncControls(Time now) {
@@ -502,7 +561,8 @@
   for (const InstanceId& control : KnownControls()) {
     // Asked for here only: with each change, the whole registry would be sent
     // again and again while the answer is on its way.
-    sync.set_wants_registry(!synced_with_.contains(control));
+    sync.set_wants_registry(!departures_known_ ||
+                            !synced_with_.contains(control));
     SendSync(control, sync);
   }
   last_sync_ = now;
@@ -529,6 +589,7 @@
   newest_.Learn(log_.current().version, log_.ConfirmedAt());
   operator_calls_.Retry(now);
   if (permits_.Tick(now)) followers_.OnChange(now);
+  CheckDepartures(now);
   if (now < next_sync_) return;
   next_sync_ = now + kSyncPeriod;
   if (now - started_at_ >= kRegistrySyncTime) followers_.OnRegistryComplete();
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -65,23 +65,26 @@
   void SendToNode(const InstanceId& to,
                   const proto::NodeMessage& message) override;
   void OnConfiguration(const VersionedDocument& document) override;
+  void OnLeaving(const LeavingEndpoint& leaving) override;
   void OnSubmitted(const InstanceId& origin, std::uint64_t submission) override;
   void OnCurrentRead(const InstanceId& origin, std::uint64_t read,
                      bool served) override;
 
   // HTTP calls.
   void OnCall(HttpExchangePtr exchange);
-  void OnHeartbeat(const EndpointId& id, HttpExchange& exchange);
+  void OnHeartbeat(const EndpointId& id, HttpExchangePtr exchange);
   /// Counts, logs and answers a heartbeat that isn't used.
   void RefuseHeartbeat(const EndpointId& id, HttpExchange& exchange,
                        const ErrorAnswer& error);
-  void OnDeparture(const EndpointId& id, HttpExchange& exchange);
+  void OnDeparture(const EndpointId& id, HttpExchangePtr exchange);
   void RefuseForWantOfRoom(const EndpointId& id, HttpExchange& exchange);
   void OnPut(HttpExchangePtr exchange);
 
   // Messages between instances.
   void OnMessage(const InstanceId& from, const proto::NodeMessage& message);
   void OnFetch(const InstanceId& from, const proto::FetchConfiguration& fetch);
+  void OnSubmit(const InstanceId& from, const proto::SubmitDocument& submit,
+                Time now);
   void OnSync(const InstanceId& from, const proto::Sync& sync);
   void OnNotice(const proto::ConfigurationNotice& notice, Time now);
   void OnRateLimits(const RateLimitMessages& limits, Time now);
@@ -96,7 +99,14 @@
                  proto::Sync* sync) const;
   void SendSync(const InstanceId& to, const proto::Sync& sync);
   void PublishRegistryChange(const EndpointRecord& record);
+  static void LogChange(const EndpointRecord& record);
   void Tick();
+  /// Sends the receiver every record.
+  void SendRegistry(const InstanceId& to, Time now);
+  /// Finds out whether all departures are known that were acknowledged before
+  /// this process started.
+  void CheckDepartures(Time now);
+  void OnDeparturesKnown(std::string_view source, Time now);
   void SyncControls(Time now);
   /// Observes the loads; while this instance leads, plans stage orders to
   /// runners.
@@ -133,6 +143,9 @@
   /// Control instances that sent their whole registry since they started.
   std::set<InstanceId> synced_with_;
   std::map<InstanceId, std::uint64_t> control_incarnations_;
+  /// The registry has every departure that was acknowledged before this process
+  /// started, or nobody is left who could tell.
+  bool departures_known_ = false;
   Time next_sync_{};
   Time last_sync_{};
   std::unique_ptr<HttpServer> server_;
--- a/main/node/follower_updates.cc
+++ b/main/node/follower_updates.cc
@@ -95,13 +95,15 @@
                                           Time now) const {
   proto::Update update;
   update.set_registry_epoch(state_.incarnation);
-  update.set_registry_revision(state_.registry->revision());
+  // Until then the records aren't all that the follower lacks.
+  update.set_registry_revision(departures_known_ ? state_.registry->revision()
+                                                 : 0);
   update.set_follow_number(follower.follow_number);
   for (const EndpointRecord& record :
-       state_.registry->ChangedSince(follower.registry_revision)) {
+       TellableSince(follower.registry_revision)) {
     *update.add_records() = cassiausher::ToProto(record);
   }
-  update.set_registry_incomplete(!registry_complete_);
+  update.set_registry_incomplete(!registry_complete_ || !departures_known_);
   for (const EndpointId& id : state_.registry->Silent(now)) {
     update.add_silent_endpoints(id.value());
   }
@@ -144,6 +146,21 @@
   }
 }
 
+std::vector<EndpointRecord> FollowerUpdates::TellableSince(
+    std::uint64_t revision) const {
+  std::vector<EndpointRecord> records = state_.registry->ChangedSince(revision);
+  if (departures_known_) return records;
+  std::erase_if(records, [](const EndpointRecord& record) {
+    return record.state == EndpointLifecycle::kReady;
+  });
+  return records;
+}
+
+void FollowerUpdates::OnDeparturesKnown(Time now) {
+  departures_known_ = true;
+  OnChange(now);
+}
+
 void FollowerUpdates::SetNotice(Time now,
                                 proto::ConfigurationNotice* notice) const {
   WriteNotice(*state_.newest, state_.log->current().version, now, notice);
@@ -214,11 +231,10 @@
   proto::NodeMessage message;
   proto::Changes* changes = message.mutable_changes();
   changes->set_registry_epoch(state_.incarnation);
-  for (const EndpointRecord& record :
-       state_.registry->ChangedSince(sent_revision_)) {
+  for (const EndpointRecord& record : TellableSince(sent_revision_)) {
     *changes->add_records() = cassiausher::ToProto(record);
   }
-  sent_revision_ = state_.registry->revision();
+  if (departures_known_) sent_revision_ = state_.registry->revision();
   for (const EndpointId& id :
        state_.stage_orders->ChangingEndpoints(*state_.registry, now)) {
     changes->add_changing_endpoints(id.value());
--- a/main/node/follower_updates.h
+++ b/main/node/follower_updates.h
@@ -69,6 +69,10 @@
   /// The registry has the records of another control instance, or there is no
   /// other to get them from.
   void OnRegistryComplete() { registry_complete_ = true; }
+  /// This instance knows all departures that were acknowledged before it
+  /// started. Until then it tells followers of no endpoint that is ready: a
+  /// delayed heartbeat may have named one that has left.
+  void OnDeparturesKnown(Time now);
   /// Drops followers that haven't sent Follow for a while.
   void Expire(Time now);
 
@@ -102,6 +106,8 @@
                   proto::Update update, Time now);
   void WriteHelpers(const InstanceId& to, Time now,
                     proto::Update* update) const;
+  /// Records changed after `revision` that followers may be told of.
+  std::vector<EndpointRecord> TellableSince(std::uint64_t revision) const;
   void SetNotice(Time now, proto::ConfigurationNotice* notice) const;
   /// A follower of an earlier build, which doesn't know Changes, gets an Update
   /// without the document.
@@ -124,6 +130,7 @@
   std::uint64_t sent_revision_ = 0;
   Time changes_sent_at_{};
   bool registry_complete_ = false;
+  bool departures_known_ = false;
 };
 
 }  // namespace cassiausher
--- a/main/node/operator_calls.cc
+++ b/main/node/operator_calls.cc
@@ -29,13 +29,23 @@
 
 void OperatorCalls::Submit(HttpExchangePtr exchange, VersionedDocument document,
                            Time now) {
+  SubmitCommand(std::move(exchange), {.document = std::move(document)}, now);
+}
+
+void OperatorCalls::SubmitLeaving(HttpExchangePtr exchange,
+                                  const EndpointRecord& record, Time now) {
+  SubmitCommand(std::move(exchange), {.leaving = {{.record = record}}}, now);
+}
+
+void OperatorCalls::SubmitCommand(HttpExchangePtr exchange, LogCommand command,
+                                  Time now) {
   if (stopping_) return RespondStopping(*exchange);
   const std::uint64_t id = NextId();
-  const bool in_force = document.version <= log_->current().version;
+  const bool is_held = log_->Holds(command);
   calls_[id] = {.exchange = std::move(exchange),
                 .started = now,
-                .document = std::move(document)};
-  if (in_force) {
+                .command = std::move(command)};
+  if (is_held) {
     OnSubmitted(id);
   } else {
     SendToLeader(id, now);
@@ -52,26 +62,25 @@
 void OperatorCalls::SendToLeader(std::uint64_t id, Time now) {
   Call& call = calls_.at(id);
   call.sent_at = now;
-  const bool is_read = call.document.version == Revision(0);
   if (log_->leading()) {
     // These may finish and erase the call before they return.
-    const VersionedDocument document = call.document;
-    if (is_read) {
-      log_->ReadCurrent(self_, id, now);
+    const std::optional<LogCommand> command = call.command;
+    if (command.has_value()) {
+      log_->Submit(self_, id, *command, now);
     } else {
-      log_->Submit(self_, id, document, now);
+      log_->ReadCurrent(self_, id, now);
     }
     return;
   }
   const InstanceId leader = log_->leader();
   if (leader.empty()) return;
   proto::NodeMessage message;
-  if (is_read) {
-    message.mutable_read_current()->set_read(id);
-  } else {
+  if (call.command.has_value()) {
     auto* submit = message.mutable_submit_document();
     submit->set_submission(id);
-    *submit->mutable_document() = ToProto(call.document);
+    *submit->mutable_document() = ToProto(*call.command);
+  } else {
+    message.mutable_read_current()->set_read(id);
   }
   link_->Send(leader, std::move(message));
 }
@@ -89,8 +98,10 @@
     if (call.exchange->finished()) {
       calls_.erase(found);
     } else if (now - call.started >= kCallTimeout) {
+      const LogCommand command = call.command.value_or(LogCommand());
       Log(LogLevel::kWarning, "control_call_unanswered",
-          {{"version", call.document.version.value()},
+          {{"version", command.document.version.value()},
+           {"leaving", command.leaving.size()},
            {"leader", log_->leader().value()}});
       RespondControlError(*call.exchange, kUnavailable, "no_quorum",
                           "no leader answered");
@@ -114,9 +125,17 @@
 void OperatorCalls::OnSubmitted(std::uint64_t submission) {
   const auto found = calls_.find(submission);
   if (found == calls_.end()) return;
-  Log(LogLevel::kInfo, "configuration_acknowledged",
-      {{"version", found->second.document.version.value()},
-       {"in_force", log_->current().version.value()}});
+  const LogCommand command = found->second.command.value_or(LogCommand());
+  if (command.leaving.empty()) {
+    Log(LogLevel::kInfo, "configuration_acknowledged",
+        {{"version", command.document.version.value()},
+         {"in_force", log_->current().version.value()}});
+  }
+  for (const LeavingEndpoint& leaving : command.leaving) {
+    Log(LogLevel::kInfo, "departure_acknowledged",
+        {{"endpoint", leaving.record.id.value()},
+         {"state", Name(leaving.record.state)}});
+  }
   found->second.exchange->Respond(200, kJson, "{}");
   calls_.erase(found);
 }
--- a/main/node/operator_calls.h
+++ b/main/node/operator_calls.h
@@ -1,10 +1,11 @@
-// Operators' HTTP calls at a control instance, each held until the leader of
-// the replicated log has answered it.
+// Calls of operators, and of endpoints that leave, at a control instance: each
+// is held until the leader of the replicated log has answered it.
 #ifndef MAIN_NODE_OPERATOR_CALLS_H_
 #define MAIN_NODE_OPERATOR_CALLS_H_
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -15,6 +16,7 @@
 #include "main/node/node_link.h"
 #include "main/raft_host.h"
 #include "servers/control/configuration_register.h"
+#include "servers/control/log_command.h"
 
 namespace cassiausher {
 
@@ -30,6 +32,9 @@
 
   /// Answered once the document, or a higher version, is committed.
   void Submit(HttpExchangePtr exchange, VersionedDocument document, Time now);
+  /// Answered once it is committed that the endpoint leaves.
+  void SubmitLeaving(HttpExchangePtr exchange, const EndpointRecord& record,
+                     Time now);
   /// Answered with the configuration that is in force now.
   void Read(HttpExchangePtr exchange, Time now);
   /// Sends calls to the leader again, and answers 503 to those that timed out.
@@ -49,11 +54,12 @@
     HttpExchangePtr exchange;
     Time started{};
     Time sent_at{};
-    /// The submitted document; version 0 for a read.
-    VersionedDocument document;
+    /// What is submitted; empty for a read.
+    std::optional<LogCommand> command;
   };
 
   static void RespondStopping(HttpExchange& exchange);
+  void SubmitCommand(HttpExchangePtr exchange, LogCommand command, Time now);
   /// May finish the call.
   void SendToLeader(std::uint64_t id, Time now);
 
--- a/servers/control/configuration_register.h
+++ b/servers/control/configuration_register.h
@@ -4,7 +4,6 @@
 #define SERVERS_CONTROL_CONFIGURATION_REGISTER_H_
 
 #include <string>
-#include <string_view>
 
 #include "core/units.h"
 
@@ -18,11 +17,6 @@
   bool operator==(const VersionedDocument&) const = default;
 };
 
-/// Serialises a document for log entries, snapshots and messages.
-std::string Encode(const VersionedDocument& document);
-/// Returns false if the bytes are malformed.
-bool Decode(std::string_view bytes, VersionedDocument* document);
-
 /// Invariant: the version never decreases, and the document of a version never
 /// changes.
 class ConfigurationRegister {
--- a/tests/control/configuration_register_test.cc
+++ b/tests/control/configuration_register_test.cc
@@ -30,14 +30,6 @@
   STRCMP_EQUAL("first", configuration.current().document.c_str());
 }
 
-TEST(ConfigurationRegister, EncodingRoundTripsAndMalformedBytesAreRejected) {
-  const VersionedDocument document{Revision(7), std::string("a\0b", 3)};
-  VersionedDocument decoded;
-  CHECK_TRUE(Decode(Encode(document), &decoded));
-  CHECK_TRUE(document == decoded);
-  CHECK_FALSE(Decode("\xff\xff\xff", &decoded));
-}
-
 TEST(ConfigurationRegister, VersionNeverDecreasesInAnyOrderOfDocuments) {
   for (std::uint64_t seed = 1; seed <= 2000; ++seed) {
     Random random(seed);
