Accept requests in a stop by the time until callers have read the answers

Cause: CompletionTime counted an answer as complete when its last bytes were handed to the HTTP library. A slow caller has them seconds later. Besides, with fewer than five answers observed a request was accepted whatever its deadline.

Change: an answer is observed when its caller has acknowledged it (AnswerReceipt, ReadTimes; looked at twice a second). In a stop, a request is accepted if it can't outlast its own deadline, or by the estimate; without an estimate it is refused, with a promise that it didn't run.

--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -76,6 +76,11 @@
   return found != connections_.end() && found->second.answering;
 }
 
+bool AnswerTracker::Has(SoupServerMessage* message, GSocket* socket) const {
+  const auto found = answers_.find(message);
+  return found != answers_.end() && found->second.socket == socket;
+}
+
 void AnswerTracker::SetLabel(SoupServerMessage* message,
                              std::string_view label) {
   const auto found = answers_.find(message);
--- a/drivers/answer_tracker.h
+++ b/drivers/answer_tracker.h
@@ -48,6 +48,9 @@
   void Forget(GSocket* socket);
   /// Whether a request on the connection is being answered.
   bool IsAnswering(GSocket* socket) const;
+  /// Whether bytes of the message's answer may be in this process. The message
+  /// need not exist any more.
+  bool Has(SoupServerMessage* message, GSocket* socket) const;
   /// The HTTP library is done with the message; `cut` if the connection ended
   /// before the whole answer was passed to the kernel.
   void OnFinished(SoupServerMessage* message, bool cut);
--- a/drivers/http_exchange.cc
+++ b/drivers/http_exchange.cc
@@ -4,6 +4,20 @@
 
 namespace cassiausher {
 
+AnswerReceipt::AnswerReceipt(SoupServerMessage* message,
+                             std::shared_ptr<HttpServerState> server)
+    : message_(message), server_(std::move(server)) {
+  GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) socket_ = ShareGObject(socket);
+}
+
+bool AnswerReceipt::IsTaken() const {
+  if (!socket_ || server_->stopped) return true;
+  if (server_->answers.Has(message_, socket_.get())) return false;
+  if (server_->answers.IsAnswering(socket_.get())) return true;
+  return UnacknowledgedBytes(socket_.get()) == 0;
+}
+
 HttpExchange::HttpExchange(SoupServerMessage* message,
                            std::shared_ptr<HttpServerState> server)
     : message_(ShareGObject(message)), server_(std::move(server)) {
--- a/drivers/http_exchange.h
+++ b/drivers/http_exchange.h
@@ -35,6 +35,24 @@
   Metrics* metrics = nullptr;
 };
 
+/// Tells whether the caller has the whole of an answer that was handed over.
+/// Can outlive the exchange and the server.
+class AnswerReceipt {
+ public:
+  AnswerReceipt(SoupServerMessage* message,
+                std::shared_ptr<HttpServerState> server);
+
+  /// Whether the caller has acknowledged all bytes, sent another request on the
+  /// connection, or disconnected.
+  bool IsTaken() const;
+
+ private:
+  /// Only compared: the message may be gone.
+  SoupServerMessage* message_;
+  GObjectPtr<GSocket> socket_;
+  std::shared_ptr<HttpServerState> server_;
+};
+
 /// One request and its response. Belongs to the server's task. Responds with
 /// status 500 when its last shared_ptr is released without a response.
 class HttpExchange {
@@ -83,6 +101,8 @@
   /// True once the response is complete or the caller has disconnected.
   bool finished() const { return finished_; }
   bool streaming() const { return streaming_; }
+  /// For the answer that was just handed over.
+  AnswerReceipt receipt() const { return {message_.get(), server_}; }
   /// Bytes written to the stream and not yet accepted by the socket.
   std::int64_t unsent_bytes() const { return unsent_bytes_; }
   /// The same over all answers of the server.
--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -182,12 +182,15 @@
   return {};
 }
 
-bool EntryNode::CanComplete(const ServiceId& service, Time now) const {
+bool EntryNode::CanComplete(const ServiceId& service, Duration timeout,
+                            Time now) const {
+  if (!on_done_) return true;
+  const Time limit = shutdown_started_ + ServingPeriod();
+  if (now + timeout < limit) return true;
   const auto found = completions_.find(service);
-  if (!on_done_ || found == completions_.end()) return true;
+  if (found == completions_.end()) return false;
   const auto taken = found->second.UpperBound();
-  if (!taken.has_value()) return true;
-  return now + *taken < shutdown_started_ + ServingPeriod();
+  return taken.has_value() && now + *taken < limit;
 }
 
 void EntryNode::AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
@@ -255,13 +258,13 @@
     return;
   }
   const ServiceId service = PickTarget(*route, random_.Unit()).service;
-  if (!CanComplete(service, now)) {
+  const Duration timeout =
+      std::min(caller.timeout.value_or(route->timeout), route->timeout);
+  if (!CanComplete(service, timeout, now)) {
     Refuse(*exchange, caller.id, "the instance stops before the answer ends");
     return;
   }
   const ServiceSpec& spec = routes->configuration().services.at(service);
-  const Duration timeout =
-      std::min(caller.timeout.value_or(route->timeout), route->timeout);
   RequestFacts facts{.kind = route->kind,
                      .resumable = route->resumable,
                      .attempts = route->attempts,
@@ -301,6 +304,7 @@
                                   .relays = &relays_,
                                   .answers = &answers_[service],
                                   .completion = &completions_[service],
+                                  .read_times = &read_times_,
                                   .bytes = &bytes_,
                                   .metrics = &metrics_,
                                   .context = context_};
@@ -544,6 +548,7 @@
     controls_.Learn(InstanceId(seed.ip), now);
   }
   FollowControls(now);
+  read_times_.Poll(now);
   metrics_.gauge("unfinished_answer_bytes").Set(bytes_.bytes());
   metrics_.gauge("unsent_answer_bytes").Set(callers_->unsent_bytes());
   if (now < next_expiry_) return;
--- a/main/node/entry_node.h
+++ b/main/node/entry_node.h
@@ -75,8 +75,9 @@
   std::string_view RefusalReason(Time now) const;
   /// Whether other instances may relay requests to this one.
   bool TakesRequestsOfOthers(Time now) const;
-  /// Whether answers of the service are complete before the process ends.
-  bool CanComplete(const ServiceId& service, Time now) const;
+  /// Whether the caller of a request to the service has its answer, or no
+  /// longer waits, before the process ends.
+  bool CanComplete(const ServiceId& service, Duration timeout, Time now) const;
   void Refuse(HttpExchange& exchange, const RequestId& id,
               std::string_view reason);
   void AnswerUnknownRoute(HttpExchange& exchange, const RequestId& id,
@@ -128,6 +129,7 @@
   std::map<ServiceId, std::unique_ptr<RetryBudget>> budgets_;
   std::map<ServiceId, AnswerEstimate> answers_;
   std::map<ServiceId, CompletionTime> completions_;
+  ReadTimes read_times_;
   std::map<ServiceId, RouteShares> shares_;
   /// Requests in progress.
   std::map<std::uint64_t, std::shared_ptr<ForwardedRequest>> requests_;
--- a/main/node/forwarded_request.cc
+++ b/main/node/forwarded_request.cc
@@ -708,7 +708,10 @@
       ->counter(fmt::format("requests_ended_total{{outcome=\"{}\"}}", outcome))
       .Add();
   context_.metrics->distribution("request_seconds").Record(duration);
-  if (outcome == "answered") context_.completion->Observe(duration);
+  if (outcome == "answered") {
+    context_.read_times->Add(exchange_->receipt(), facts_.arrived,
+                             context_.completion);
+  }
   const auto on_end = std::move(on_end_);
   if (on_end) on_end();
 }
--- a/main/node/forwarded_request.h
+++ b/main/node/forwarded_request.h
@@ -18,6 +18,7 @@
 #include "main/node/call_observer.h"
 #include "main/node/origin_client.h"
 #include "main/node/permit_client.h"
+#include "main/node/read_times.h"
 #include "main/node/relay_client.h"
 #include "platform/request_headers.h"
 #include "servers/entry/answer_estimate.h"
@@ -43,6 +44,7 @@
   RelayClient* relays = nullptr;
   AnswerEstimate* answers = nullptr;
   CompletionTime* completion = nullptr;
+  ReadTimes* read_times = nullptr;
   /// Of unfinished answers.
   ByteAccount* bytes = nullptr;
   Metrics* metrics = nullptr;
--- a/servers/entry/completion_time.h
+++ b/servers/entry/completion_time.h
@@ -1,5 +1,5 @@
-// Estimates how long an endpoint's answers take, so that an instance that stops
-// accepts only requests that it can answer in full.
+// Estimates how long requests take until their callers have the answers, so
+// that an instance that stops accepts only requests that it can answer in full.
 #ifndef SERVERS_ENTRY_COMPLETION_TIME_H_
 #define SERVERS_ENTRY_COMPLETION_TIME_H_
 
@@ -12,10 +12,10 @@
 /// Answers of one service. Not thread safe.
 class CompletionTime {
  public:
-  /// Records the time from a request's arrival to the end of its answer.
+  /// Records the time from a request's arrival until its caller had the answer.
   void Observe(Duration taken);
 
-  /// Time within which nearly all answers are complete; null until enough
+  /// Time within which nearly all callers have their answers; null until enough
   /// answers have been observed.
   std::optional<Duration> UpperBound() const;
 
--- a/tests/main/node/entry_drain_test.cc
+++ b/tests/main/node/entry_drain_test.cc
@@ -17,6 +17,10 @@
 constexpr Duration kShortGrace = Milliseconds(900);
 // From this on a service's answers have an expected time.
 constexpr int kObservedAnswers = 5;
+// More than the kernel takes from a server whose caller doesn't read.
+constexpr std::size_t kLargeBytes = 12 << 20;
+// An answer that was read is noticed within this time.
+constexpr Duration kPollPeriod = Milliseconds(600);
 
 }  // namespace
 
@@ -63,6 +67,41 @@
   CHECK_FALSE(response.retry_after.empty());
 }
 
+// An instance that stopped went by the time until answers were handed over, and
+// cut those that slow callers were still reading.
+TEST(EntryDrain, AnswersCountUntilTheirCallersHaveThem) {
+  Start(kGraceBelowAnAnswer);
+  for (Response& one : responses) {
+    const auto call = client->Start(MakeCall("GET", "/0/", ""), &one);
+    CHECK_TRUE(RunUntil([&] { return !held.empty(); }));
+    client->Pause(call);
+    held.front()->Respond(200, "text/plain", std::string(kLargeBytes, 'x'),
+                          {{"X-Server-Stamp", "e.1"}});
+    held.clear();
+    RunFor(kAnswerTime);
+    client->Resume(call);
+    CHECK_TRUE(RunUntil([&] { return one.done; }));
+    LONGS_EQUAL(200, one.status);
+  }
+  RunFor(kPollPeriod);
+  entry->Shutdown([] {});
+  LONGS_EQUAL(503, Call("GET", "/0/", ""));
+}
+
+// It took any request as long as it had seen few answers.
+TEST(EntryDrain, WithoutAnEstimateARequestMustEndInTimeByItsDeadline) {
+  Start(kGraceBelowAnAnswer);
+  entry->Shutdown([] {});
+  LONGS_EQUAL(503, Call("GET", "/0/", ""));
+  HttpCall short_call = MakeCall("GET", "/0/", "");
+  short_call.headers.emplace_back("X-Deadline-Ms", "200");
+  client->Start(short_call, &responses[0]);
+  CHECK_TRUE(RunUntil([&] { return !held.empty(); }));
+  AnswerHeldCalls();
+  CHECK_TRUE(RunUntil([&] { return responses[0].done; }));
+  LONGS_EQUAL(200, responses[0].status);
+}
+
 // With a probe each second, whose connection lingers for a second, the listener
 // for readiness was never drained while it stayed open.
 TEST(EntryDrain, BothListenersAreClosedAtTheEnd) {
