Know departures from the voters' logs, before a leader is elected

Cause: a starting control process told entry instances of no ready endpoint until a leader was elected, 1.1 s after the start; entry instances have their configuration from disk after 0.1 s.

Change: a control process passes on what the log on its disk holds, committed or not (an announcement that wasn't committed is true all the same), and sends the storage under which it votes with its whole registry. When all voters of the log's configuration have sent theirs, every departure that was acknowledged is known: a majority of them holds it. Without all of them it is as before.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -185,6 +185,34 @@
   delegate_.SendToNode(InstanceId(message.to().instance()), envelope);
 }
 
+std::uint64_t ConfigurationLog::storage() const {
+  return host_ == nullptr ? 0 : host_->raft().replica().storage;
+}
+
+bool ConfigurationLog::AreAllVoters(
+    const std::map<InstanceId, std::uint64_t>& storages) const {
+  if (host_ == nullptr) return false;
+  const std::set<ReplicaId>& voters = host_->raft().configuration().voters;
+  const auto is_known = [&](const ReplicaId& voter) {
+    if (voter == host_->raft().replica()) return true;
+    const auto found = storages.find(voter.instance);
+    return found != storages.end() && found->second == voter.storage;
+  };
+  return !voters.empty() && std::all_of(voters.begin(), voters.end(), is_known);
+}
+
+void ConfigurationLog::OnStored(const StoredState& stored) {
+  for (const LogEntry& entry : stored.entries) {
+    LogCommand command;
+    if (entry.kind != EntryKind::kData || !Decode(entry.data, &command)) {
+      continue;
+    }
+    for (const LeavingEndpoint& leaving : command.leaving) {
+      delegate_.OnLeaving(leaving);
+    }
+  }
+}
+
 void ConfigurationLog::OnInstall(const Snapshot& snapshot) {
   LogCommand command;
   if (snapshot.data.empty()) return;
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -32,8 +32,8 @@
                           const proto::NodeMessage& message) = 0;
   /// A newer configuration is committed.
   virtual void OnConfiguration(const VersionedDocument& document) = 0;
-  /// An endpoint's announcement that it leaves is committed, or read back from
-  /// disk.
+  /// An endpoint's announcement that it leaves is committed, or stands in the
+  /// log on disk: it may have been committed and acknowledged.
   virtual void OnLeaving(const LeavingEndpoint& leaving) = 0;
   /// The submitted command, or one that says more, is committed.
   virtual void OnSubmitted(const InstanceId& origin,
@@ -67,6 +67,12 @@
   const VersionedDocument& current() const { return register_.current(); }
   /// Whether the log is known to hold all that the command says.
   bool Holds(const LogCommand& command) const;
+  /// Storage of this replica, under which it votes; 0 without a replica.
+  std::uint64_t storage() const;
+  /// Whether these are all voters, by their storages: `storages` are those of
+  /// the instances whose logs are known. A majority of voters holds whatever is
+  /// committed.
+  bool AreAllVoters(const std::map<InstanceId, std::uint64_t>& storages) const;
   /// When a quorum last confirmed that this leader's current() was the newest;
   /// empty if this instance doesn't lead.
   std::optional<Time> ConfirmedAt() const;
@@ -99,6 +105,7 @@
 
   // RaftHostDelegate.
   void SendRaft(const proto::RaftMessage& message) override;
+  void OnStored(const StoredState& stored) override;
   void OnInstall(const Snapshot& snapshot) override;
   void OnCommitted(const LogEntry& entry) override;
   void OnRead(const ReadResult& read) override;
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -506,6 +506,7 @@
     synced_with_.insert(from);
     followers_.OnRegistryComplete();
     if (sync.departures_known()) OnDeparturesKnown(from.value(), now);
+    logs_known_[from] = sync.storage();
   }
   if (sync.wants_registry()) SendRegistry(from, now);
 }
@@ -514,6 +515,7 @@
   proto::Sync whole;
   whole.set_whole_registry(true);
   whole.set_departures_known(departures_known_);
+  whole.set_storage(log_.storage());
   for (const EndpointRecord& record : registry_.ChangedSince(0)) {
     AddRecord(record, now, &whole);
   }
@@ -530,6 +532,7 @@
     }
     return;
   }
+  if (log_.AreAllVoters(logs_known_)) return OnDeparturesKnown("voters", now);
   if (now - started_at_ < kDeparturesTime) return;
   Log(LogLevel::kWarning, "departures_unknown",
       {{"leader", log_.leader().value()}});
--- a/main/raft_host.cc
+++ b/main/raft_host.cc
@@ -41,6 +41,7 @@
         {{"place", finding.place}, {"what", finding.message}});
   }
   raft_ = std::make_unique<Raft>(std::move(options), stored, clock_());
+  delegate_.OnStored(stored);
   storage_ = std::make_unique<StorageTask>(
       std::move(storage), metrics_,
       StorageEvents{
--- a/main/raft_host.h
+++ b/main/raft_host.h
@@ -25,6 +25,9 @@
  public:
   virtual ~RaftHostDelegate() = default;
   virtual void SendRaft(const proto::RaftMessage& message) = 0;
+  /// Called once, at the start, before any other call: what the disk holds,
+  /// committed or not.
+  virtual void OnStored(const StoredState& /*stored*/) {}
   /// Replaces the whole state by the snapshot.
   virtual void OnInstall(const Snapshot& snapshot) = 0;
   virtual void OnCommitted(const LogEntry& entry) = 0;
--- a/tests/main/node/departures_test.cc
+++ b/tests/main/node/departures_test.cc
@@ -132,6 +132,20 @@
   CHECK_FALSE(TellsReady("e2"));
 }
 
+// All control instances were killed and are back: a second without a leader
+// would be one without endpoints for entry instances that were killed as well.
+TEST(Departures, TheLogsOfAllVotersTellBeforeALeaderIsElected) {
+  StartControl();
+  CHECK_TRUE(Leave("DELETE", ""));
+  Restart();
+  LONGS_EQUAL(200, Call("PUT", path, Heartbeat(7, 4)));
+  LONGS_EQUAL(200, Call("PUT", "/api/instances/e2", Heartbeat(8)));
+  // Elections take at least 900 ms.
+  RunFor(Milliseconds(300));
+  CHECK_TRUE(TellsReady("e2"));
+  CHECK_FALSE(TellsReady("e1"));
+}
+
 // A control instance that lost its disk may not know of a departure that the
 // others have acknowledged.
 TEST(Departures, ReadyEndpointsAreWithheldUntilDeparturesAreKnown) {
