Know departures from a majority of the voters' logs

Cause: the logs of all voters were asked for. One whose disk is lost isn't a voter any more.

Change: a majority suffices, by each configuration that one of the logs holds, which are sent along. While departures are unknown, registries are asked for each 200 ms, and the instance that knows them first sends its own to the others.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -189,16 +189,27 @@
   return host_ == nullptr ? 0 : host_->raft().replica().storage;
 }
 
-bool ConfigurationLog::AreAllVoters(
-    const std::map<InstanceId, std::uint64_t>& storages) const {
+RaftConfiguration ConfigurationLog::configuration() const {
+  return host_ == nullptr ? RaftConfiguration() : host_->raft().configuration();
+}
+
+bool ConfigurationLog::HoldAllCommitted(const ReplicaLogs& logs) const {
   if (host_ == nullptr) return false;
-  const std::set<ReplicaId>& voters = host_->raft().configuration().voters;
   const auto is_known = [&](const ReplicaId& voter) {
     if (voter == host_->raft().replica()) return true;
-    const auto found = storages.find(voter.instance);
-    return found != storages.end() && found->second == voter.storage;
+    const auto found = logs.find(voter.instance);
+    return found != logs.end() && found->second.storage == voter.storage;
+  };
+  const auto has_majority = [&](const RaftConfiguration& configuration) {
+    const auto known = std::count_if(configuration.voters.begin(),
+                                     configuration.voters.end(), is_known);
+    return !configuration.voters.empty() &&
+           static_cast<std::size_t>(known) >= configuration.Quorum();
   };
-  return !voters.empty() && std::all_of(voters.begin(), voters.end(), is_known);
+  return has_majority(configuration()) &&
+         std::all_of(logs.begin(), logs.end(), [&](const auto& log) {
+           return has_majority(log.second.configuration);
+         });
 }
 
 void ConfigurationLog::OnStored(const StoredState& stored) {
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -24,6 +24,15 @@
 
 namespace cassiausher {
 
+/// What another instance's replica says of its log.
+struct ReplicaLog {
+  /// Storage under which the replica votes.
+  std::uint64_t storage = 0;
+  /// The latest in its log.
+  RaftConfiguration configuration;
+};
+using ReplicaLogs = std::map<InstanceId, ReplicaLog>;
+
 /// Called on the log's task.
 class ConfigurationLogDelegate {
  public:
@@ -69,10 +78,13 @@
   bool Holds(const LogCommand& command) const;
   /// Storage of this replica, under which it votes; 0 without a replica.
   std::uint64_t storage() const;
-  /// Whether these are all voters, by their storages: `storages` are those of
-  /// the instances whose logs are known. A majority of voters holds whatever is
-  /// committed.
-  bool AreAllVoters(const std::map<InstanceId, std::uint64_t>& storages) const;
+  /// The latest configuration in this replica's log; empty without a replica.
+  RaftConfiguration configuration() const;
+  /// Whether this log and `logs` hold whatever is committed: they are a
+  /// majority of the voters by each configuration that one of them holds.
+  /// Consecutive configurations differ by one replica, so that none later is in
+  /// force.
+  bool HoldAllCommitted(const ReplicaLogs& logs) const;
   /// When a quorum last confirmed that this leader's current() was the newest;
   /// empty if this instance doesn't lead.
   std::optional<Time> ConfirmedAt() const;
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -16,6 +16,8 @@
 
 constexpr Duration kTickPeriod = Milliseconds(100);
 constexpr Duration kSyncPeriod = Milliseconds(600);
+// While the registries of others are awaited.
+constexpr Duration kStartSyncPeriod = Milliseconds(200);
 // A control instance is advertised to others only while its own messages
 // arrive, so that one that has gone isn't advertised forever.
 constexpr Duration kAdvertisedTtl = Seconds(10);
@@ -506,7 +508,10 @@
     synced_with_.insert(from);
     followers_.OnRegistryComplete();
     if (sync.departures_known()) OnDeparturesKnown(from.value(), now);
-    logs_known_[from] = sync.storage();
+    const auto configuration = cassiausher::FromProto(sync.configuration());
+    if (configuration.has_value()) {
+      logs_known_[from] = {sync.storage(), *configuration};
+    }
   }
   if (sync.wants_registry()) SendRegistry(from, now);
 }
@@ -516,6 +521,7 @@
   whole.set_whole_registry(true);
   whole.set_departures_known(departures_known_);
   whole.set_storage(log_.storage());
+  *whole.mutable_configuration() = cassiausher::ToProto(log_.configuration());
   for (const EndpointRecord& record : registry_.ChangedSince(0)) {
     AddRecord(record, now, &whole);
   }
@@ -525,14 +531,14 @@
 void ControlNode::CheckDepartures(Time now) {
   if (departures_known_) return;
   // A leader has applied all that was committed before its term.
-  if (log_.ConfirmedAt().has_value()) {
-    OnDeparturesKnown("log", now);
+  const bool leads = log_.ConfirmedAt().has_value();
+  if (leads || log_.HoldAllCommitted(logs_known_)) {
+    OnDeparturesKnown(leads ? "log" : "voters", now);
     for (const InstanceId& control : KnownControls()) {
       SendRegistry(control, now);
     }
     return;
   }
-  if (log_.AreAllVoters(logs_known_)) return OnDeparturesKnown("voters", now);
   if (now - started_at_ < kDeparturesTime) return;
   Log(LogLevel::kWarning, "departures_unknown",
       {{"leader", log_.leader().value()}});
@@ -594,7 +600,7 @@
   if (permits_.Tick(now)) followers_.OnChange(now);
   CheckDepartures(now);
   if (now < next_sync_) return;
-  next_sync_ = now + kSyncPeriod;
+  next_sync_ = now + (departures_known_ ? kSyncPeriod : kStartSyncPeriod);
   if (now - started_at_ >= kRegistrySyncTime) followers_.OnRegistryComplete();
   SyncControls(now);
   BalanceStages(now);
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -143,9 +143,9 @@
   /// Control instances that sent their whole registry since they started.
   std::set<InstanceId> synced_with_;
   std::map<InstanceId, std::uint64_t> control_incarnations_;
-  /// Storages of the control instances that sent their whole registry, with
-  /// what their logs hold, since this process started.
-  std::map<InstanceId, std::uint64_t> logs_known_;
+  /// Of the control instances that sent their whole registry, with what their
+  /// logs hold, since this process started.
+  ReplicaLogs logs_known_;
   /// The registry has every departure that was acknowledged before this process
   /// started, or nobody is left who could tell.
   bool departures_known_ = false;
