--- a/drivers/answer_head.cc
+++ b/drivers/answer_head.cc
@@ -119,7 +119,7 @@
     stage_ = Stage::kComplete;
     return true;
   }
-  // It has no body, and libcurl would apply its length to the final answer.
+  // It has no body (RFC 9110, 15.2).
   const bool has_body =
       Has(headers_, "Content-Length") || Has(headers_, "Transfer-Encoding");
   if (has_body) return Fail("an informational answer has a body");
--- a/drivers/answer_head.h
+++ b/drivers/answer_head.h
@@ -1,9 +1,8 @@
 // Reads the head of an answer to an HTTP/1.x call, line by line, and decides
 // whether the answer has begun. Nothing of a body may be read before.
 //
-// libcurl isn't enough for that: it takes an unrequested 101, and a status
-// below 100, for the end of the head, and lets lengths that an informational
-// answer names apply to the final one.
+// libcurl isn't enough for that: it takes an unrequested 101 for a final answer
+// and a connection that ends inside the head for the end of an empty body.
 #ifndef DRIVERS_ANSWER_HEAD_H_
 #define DRIVERS_ANSWER_HEAD_H_
 
--- a/tests/drivers/answer_head_test.cc
+++ b/tests/drivers/answer_head_test.cc
@@ -77,7 +77,7 @@
   }
 }
 
-// The receiver's library would end the final body there.
+// What follows it could be taken for its body or for the next head.
 TEST(AnswerHead, AnInformationalAnswerHasNoBody) {
   CHECK_TRUE(IsRefused({"HTTP/1.1 103 Hints", "Content-Length: 2", ""}));
   CHECK_TRUE(
