Parse and print any JSON without an exception

Cause: ParseJson caught one of the parser's exceptions, parse_error. Kin: dump() throws at bytes that aren't UTF-8, and copies, prints and destroys values by recursion, as deep as a peer nests them.

Change: ParseJson catches all of the parser's exceptions and limits the nesting to 100; DumpJson replaces bytes that aren't UTF-8.

--- a/core/json_reader.cc
+++ b/core/json_reader.cc
@@ -155,21 +155,63 @@
   }
 }
 
+namespace {
+
+// Line and column of a byte, as editors count them.
+std::string Position(std::string_view text, std::size_t byte) {
+  const std::size_t end = std::min(byte, text.size());
+  const std::string_view before = text.substr(0, end);
+  const auto line = std::count(before.begin(), before.end(), '\n') + 1;
+  const std::size_t start = before.rfind('\n');
+  const std::size_t column =
+      start == std::string_view::npos ? end : end - start - 1;
+  return fmt::format("{}:{}", line, column);
+}
+
+// Whether arrays and objects stand in each other more than kMaxJsonDepth deep.
+// The library copies, prints and compares values by recursion.
+bool IsTooDeep(std::string_view text) {
+  int depth = 0;
+  bool in_string = false;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const char c = text[i];
+    if (in_string) {
+      if (c == '\\') ++i;
+      in_string = c != '"';
+    } else if (c == '"') {
+      in_string = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxJsonDepth) return true;
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
 json ParseJson(std::string_view text, const std::string& place,
                Findings* findings) {
+  if (IsTooDeep(text)) {
+    findings->Add(place, "is nested too deep");
+    return json(json::value_t::discarded);
+  }
   try {
     return json::parse(text);
   } catch (const json::parse_error& error) {
-    const std::size_t end = std::min(error.byte, text.size());
-    const std::string_view before = text.substr(0, end);
-    const auto line = std::count(before.begin(), before.end(), '\n') + 1;
-    const std::size_t start = before.rfind('\n');
-    const std::size_t column =
-        start == std::string_view::npos ? end : end - start - 1;
-    findings->Add(fmt::format("{}:{}:{}", place, line, column),
+    findings->Add(fmt::format("{}:{}", place, Position(text, error.byte)),
                   "not valid JSON");
-    return json(json::value_t::discarded);
+  } catch (const json::exception&) {
+    // Of the library's other exceptions parsing throws this one only.
+    findings->Add(place, "a number is out of range");
   }
+  return json(json::value_t::discarded);
+}
+
+json ParseJson(std::string_view text) {
+  if (IsTooDeep(text)) return json(json::value_t::discarded);
+  return json::parse(text, nullptr, false);
 }
 
 }  // namespace cassiausher
--- a/core/json_reader.h
+++ b/core/json_reader.h
@@ -1,5 +1,6 @@
-// Reads and validates a JSON document. Every error, unknown keys included, is
-// collected with the JSON pointer of its location.
+// Parses and prints JSON without exceptions, and validates a JSON document:
+// every error, unknown keys included, is collected with the JSON pointer of its
+// location.
 #ifndef CORE_JSON_READER_H_
 #define CORE_JSON_READER_H_
 
@@ -67,10 +68,22 @@
   std::set<std::string, std::less<>> read_keys_;
 };
 
-/// Parses a JSON text. If it isn't valid, adds a finding with line and column
-/// and returns a discarded value.
+/// Arrays and objects may stand in each other this deep.
+constexpr int kMaxJsonDepth = 100;
+
+/// Parses a JSON text. If it isn't valid, is nested too deep or has a number
+/// out of range, adds a finding and returns a discarded value. Doesn't throw.
 nlohmann::json ParseJson(std::string_view text, const std::string& place,
                          Findings* findings);
+/// The same without findings.
+nlohmann::json ParseJson(std::string_view text);
+
+/// The value as text. Bytes that aren't UTF-8, such as those of a name that a
+/// peer sent, are replaced; the library's own default throws.
+template <typename Json>
+std::string DumpJson(const Json& json) {
+  return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
 
 }  // namespace cassiausher
 
--- a/main/daemon/admin_task.cc
+++ b/main/daemon/admin_task.cc
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/json_reader.h"
 #include "drivers/clock.h"
 #include "main/daemon/announcement.h"
 
@@ -176,8 +177,7 @@
 void AdminTask::HandleStatement(HttpExchangePtr exchange) {
   const auto owner = Authorize(*exchange, operators_);
   if (!owner.has_value()) return;
-  const nlohmann::json body =
-      nlohmann::json::parse(exchange->body(), nullptr, false);
+  const nlohmann::json body = ParseJson(exchange->body());
   if (!body.is_object() || !body.contains("text") ||
       !body["text"].is_string()) {
     RespondError(*exchange, BadRequest("body#/text must be a string"));
--- a/main/daemon/configuration_service.cc
+++ b/main/daemon/configuration_service.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/error_body.h"
@@ -150,7 +151,7 @@
   const Origin origin = found->second;
   submissions_.erase(found);
   submitted_.erase(origin);
-  AnswerChange(origin, ToJson(answer).dump());
+  AnswerChange(origin, DumpJson(ToJson(answer)));
 }
 
 void ConfigurationService::OnSubmissionAbandoned(std::uint64_t submission,
--- a/main/daemon/control_task.cc
+++ b/main/daemon/control_task.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <utility>
 
+#include "core/json_reader.h"
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/daemon/request_id.h"
@@ -77,7 +78,7 @@
   ChangeAnswer answer;
   answer.revision = revision;
   answer.findings = findings;
-  return ToJson(answer).dump();
+  return DumpJson(ToJson(answer));
 }
 
 }  // namespace
@@ -438,7 +439,8 @@
     return;
   }
   if (const auto* help = std::get_if<HelpRequest>(&statement)) {
-    message.reply(200, nlohmann::json{{"help", HelpText(help->topic)}}.dump());
+    message.reply(200,
+                  DumpJson(nlohmann::json{{"help", HelpText(help->topic)}}));
     return;
   }
   if (const auto* query = std::get_if<Query>(&statement)) {
@@ -652,7 +654,7 @@
                                    {"state", NameOf(row.state)},
                                    {"reachable", row.data_centre_reachable}});
   }
-  return document.dump();
+  return DumpJson(document);
 }
 
 void ControlTask::Tick() {
--- a/main/daemon/query_service.cc
+++ b/main/daemon/query_service.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/json_reader.h"
 #include "servers/language/statement.h"
 
 namespace cassiausher {
@@ -23,7 +24,7 @@
   std::set<std::string> seen;
   std::vector<Row> result;
   for (Row& row : rows) {
-    if (seen.insert(row.ToJson().dump()).second) {
+    if (seen.insert(DumpJson(row.ToJson())).second) {
       result.push_back(std::move(row));
     }
   }
@@ -35,12 +36,12 @@
 std::string EncodeRows(const std::vector<Row>& rows) {
   nlohmann::json array = nlohmann::json::array();
   for (const Row& row : rows) array.push_back(row.ToJson());
-  return array.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return DumpJson(array);
 }
 
 std::vector<Row> DecodeRows(const Table& table, const std::string& text) {
   std::vector<Row> rows;
-  const nlohmann::json array = nlohmann::json::parse(text, nullptr, false);
+  const nlohmann::json array = ParseJson(text);
   if (!array.is_array()) return rows;
   for (const nlohmann::json& item : array) {
     if (!item.is_object()) continue;
@@ -158,8 +159,7 @@
   const nlohmann::json answer = {{"revision", open.revision.value()},
                                  {"rows", rows},
                                  {"unanswered", UnansweredNames(open.waiting)}};
-  open.reply(200, answer.dump(-1, ' ', false,
-                              nlohmann::json::error_handler_t::replace));
+  open.reply(200, DumpJson(answer));
 }
 
 void QueryService::Tick(Time now) {
--- a/main/daemon/serving_task.cc
+++ b/main/daemon/serving_task.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/json_reader.h"
 #include "core/log.h"
 #include "drivers/clock.h"
 #include "main/daemon/request_id.h"
@@ -306,8 +307,9 @@
     data.push_back(
         {{"id", id.value()}, {"object", "model"}, {"owned_by", "cassiausher"}});
   }
-  exchange.Respond(200, "application/json",
-                   nlohmann::json{{"object", "list"}, {"data", data}}.dump());
+  exchange.Respond(
+      200, "application/json",
+      DumpJson(nlohmann::json{{"object", "list"}, {"data", data}}));
 }
 
 bool ServingTask::ReadCommonHeaders(HttpExchange& exchange,
--- a/main/error_body.cc
+++ b/main/error_body.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
+
 namespace cassiausher {
 
 std::string FormatError(const ErrorAnswer& error) {
@@ -16,7 +18,7 @@
         {"not_run", error.not_run},
         {"retry_after_ms",
          static_cast<std::int64_t>(ToMilliseconds(error.retry_after))}}}};
-  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return DumpJson(body);
 }
 
 void RespondError(HttpExchange& exchange, const ErrorAnswer& error,
--- a/main/node/crash_service.cc
+++ b/main/node/crash_service.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
 #include "core/log.h"
 #include "main/node/operator_calls.h"
 #include "servers/crashes/verdict.h"
@@ -26,7 +27,7 @@
                      ToMilliseconds(now - verdict.cause.last_crash_at)},
                     {"retry_in_ms", ToMilliseconds(verdict.retry_at - now)}});
   }
-  exchange.Respond(kOk, kJson, nlohmann::json{{"verdicts", list}}.dump());
+  exchange.Respond(kOk, kJson, DumpJson(nlohmann::json{{"verdicts", list}}));
 }
 
 void CrashService::Lift(HttpExchange& exchange, std::string_view id, Time now) {
--- a/modules/openai_endpoint/openai_chunk_parser.cc
+++ b/modules/openai_endpoint/openai_chunk_parser.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "core/json_reader.h"
+
 namespace cassiausher {
 namespace {
 
@@ -68,7 +70,7 @@
   const std::string data = std::move(data_);
   data_.clear();
   if (data == "[DONE]") return true;
-  const json document = json::parse(data, nullptr, false);
+  const json document = ParseJson(data);
   if (!document.is_object() || !document.contains("choices") ||
       !document["choices"].is_array()) {
     return false;
--- a/modules/openai_endpoint/openai_driver.cc
+++ b/modules/openai_endpoint/openai_driver.cc
@@ -122,7 +122,7 @@
   request->prefix_hashes = PrefixHashes(prompt);
 
   for (const char* field : kRouterFields) document.erase(field);
-  request->body = document.dump();
+  request->body = DumpJson(document);
 }
 
 EndpointCall OpenAiDriver::BuildPrefill(const CallerRequest& request,
@@ -135,12 +135,12 @@
 
 bool OpenAiDriver::ParsePrefill(std::string_view body,
                                 PrefillResult* result) const {
-  const json document = json::parse(body, nullptr, false);
+  const json document = ParseJson(body);
   if (!document.is_object() || !document.contains("kv_transfer_params") ||
       !document["kv_transfer_params"].is_object()) {
     return false;
   }
-  result->transfer_parameters = document["kv_transfer_params"].dump();
+  result->transfer_parameters = DumpJson(document["kv_transfer_params"]);
   const json::json_pointer cached("/usage/prompt_tokens_details/cached_tokens");
   if (document.contains(cached) && document[cached].is_number_integer()) {
     result->cached_tokens = Tokens(document[cached].get<std::int64_t>());
@@ -185,7 +185,7 @@
                                        const std::string& endpoint_url) const {
   EndpointCall call;
   call.url = endpoint_url + "/cancel";
-  call.body = json{{"request_id", request.value()}}.dump();
+  call.body = DumpJson(json{{"request_id", request.value()}});
   return call;
 }
 
@@ -199,7 +199,7 @@
 
 bool OpenAiDriver::ParseSessions(std::string_view body,
                                  std::vector<RequestId>* requests) const {
-  const json document = json::parse(body, nullptr, false);
+  const json document = ParseJson(body);
   if (!document.is_object() || !document.contains("sessions") ||
       !document["sessions"].is_array()) {
     return false;
@@ -216,8 +216,7 @@
 
 std::string OpenAiDriver::FormatChunk(const CallerRequest& request,
                                       const StreamChunk& chunk) const {
-  const std::string text =
-      json(chunk.text).dump(-1, ' ', false, json::error_handler_t::replace);
+  const std::string text = DumpJson(json(chunk.text));
   const std::string finish =
       chunk.finish_reason.empty() ? "null" : '"' + chunk.finish_reason + '"';
   const std::string choice =
@@ -254,12 +253,12 @@
        {{"prompt_tokens", prompt_tokens},
         {"completion_tokens", output_tokens},
         {"total_tokens", prompt_tokens + output_tokens}}}};
-  return answer.dump(-1, ' ', false, json::error_handler_t::replace);
+  return DumpJson(answer);
 }
 
 bool OpenAiDriver::ReadAnswer(bool chat, const std::string& answer,
                               StreamChunk* chunk) const {
-  const json document = json::parse(answer, nullptr, false);
+  const json document = ParseJson(answer);
   const json::json_pointer text(chat ? "/choices/0/message/content"
                                      : "/choices/0/text");
   const json::json_pointer finish("/choices/0/finish_reason");
--- a/servers/configuration/configuration_messages.cc
+++ b/servers/configuration/configuration_messages.cc
@@ -7,6 +7,7 @@
 
 #include <utility>
 
+#include "core/json_reader.h"
 #include "proto/gen/configuration.pb.h"
 #include "servers/ledger/ledger_messages.h"
 
@@ -368,7 +369,7 @@
 
 std::variant<Configuration, Findings> ConfigurationFromBytes(
     std::string_view bytes) {
-  const auto json = nlohmann::json::parse(bytes, nullptr, false);
+  const auto json = ParseJson(bytes);
   if (json.is_discarded()) return Invalid("configuration", "not JSON");
   return ConfigurationFromJson(json);
 }
--- a/servers/configuration/replicated_state.cc
+++ b/servers/configuration/replicated_state.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "core/check_invariant.h"
+#include "core/json_reader.h"
 #include "proto/gen/configuration.pb.h"
 #include "servers/configuration/configuration_messages.h"
 #include "servers/ledger/ledger_messages.h"
@@ -48,8 +49,7 @@
 }
 
 std::string DumpConfiguration(const Configuration& configuration) {
-  return ToJson(configuration)
-      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return DumpJson(ToJson(configuration));
 }
 
 TextHash HashOfText(std::string_view text) {
