Take any grace period of the platform's bounds

An address that isn't one passed the check and failed later.

Change: fractions from 0 on; empty values count as absent; addresses are checked with the settings. An instance needs half of a short grace period to end, not more than there is; with 8 s nothing changes.

NodeSettings.TheGracePeriodMayBeAnyFraction fails before.

--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -138,8 +138,8 @@
 
 void ControlNode::AdvanceShutdown(Time now) {
   const Duration elapsed = now - shutdown_started_;
-  if (elapsed < kLeavePeriod) return;
-  const Duration limit = settings_.shutdown_grace - kExitMargin;
+  const Duration limit = ServingPart(settings_.shutdown_grace, kExitMargin);
+  if (elapsed < std::min(kLeavePeriod, limit)) return;
   if (!Drained() && elapsed < limit) return;
   shutdown_timer_.reset();
   on_done_();
--- a/main/node/entry_node_shutdown.cc
+++ b/main/node/entry_node_shutdown.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 Duration EntryNode::ServingPeriod() const {
-  return settings_.shutdown_grace - kExitMargin;
+  return ServingPart(settings_.shutdown_grace, kExitMargin);
 }
 
 void EntryNode::Shutdown(std::function<void()> on_done) {
--- a/main/node/node_settings.cc
+++ b/main/node/node_settings.cc
@@ -1,5 +1,8 @@
 #include "main/node/node_settings.h"
 
+#include <gio/gio.h>
+
+#include <algorithm>
 #include <charconv>
 #include <fstream>
 #include <iterator>
@@ -16,7 +19,8 @@
   const char* end = text.data() + text.size();
   const auto read = std::from_chars(begin, end, address->port);
   address->ip = text.substr(0, colon);
-  return read.ec == std::errc() && read.ptr == end && address->port != 0;
+  return read.ec == std::errc() && read.ptr == end && address->port != 0 &&
+         g_hostname_is_ip_address(address->ip.c_str()) != FALSE;
 }
 
 void ReadAddress(JsonReader& reader, const char* key,
@@ -43,8 +47,21 @@
   });
 }
 
+// The platform has no value for some of its names in some deployments.
+void RemoveEmpty(nlohmann::json* object) {
+  if (!object->is_object()) return;
+  for (auto item = object->begin(); item != object->end();) {
+    RemoveEmpty(&*item);
+    item = item->is_null() ? object->erase(item) : std::next(item);
+  }
+}
+
 }  // namespace
 
+Duration ServingPart(Duration grace, Duration margin) {
+  return std::max(grace - margin, grace / 2);
+}
+
 bool ReadFile(const std::string& file, std::string* text, Findings* findings) {
   std::ifstream stream(file, std::ios::binary);
   if (!stream) {
@@ -58,7 +75,8 @@
 NodeSettings ReadNodeSettings(const std::string& text, const std::string& file,
                               Findings* findings) {
   NodeSettings settings;
-  const nlohmann::json document = ParseJson(text, file, findings);
+  nlohmann::json document = ParseJson(text, file, findings);
+  RemoveEmpty(&document);
   if (!document.is_object()) {
     if (findings->empty()) findings->Add(file, "must be an object");
     return settings;
@@ -70,6 +88,9 @@
   }
   reader.Read("instance", &settings.instance);
   reader.Read("address", &settings.ip);
+  if (g_hostname_is_ip_address(settings.ip.c_str()) == FALSE) {
+    reader.Report("address", "must be an IP address");
+  }
   std::string data_centre;
   reader.Read("data_centre", &data_centre);
   settings.data_centre = DataCentreId(data_centre);
@@ -85,9 +106,9 @@
   ReadSeeds(reader, &settings.seeds);
   reader.Read("first_start", &settings.first_start);
   reader.Read("data_folder", &settings.data_folder);
-  std::int64_t grace_s = 8;
-  reader.Read("shutdown_grace_s", &grace_s, 1, 3600);
-  settings.shutdown_grace = Seconds(grace_s);
+  double grace_s = ToSeconds(settings.shutdown_grace);
+  reader.Read("shutdown_grace_s", &grace_s, 0, 3600);
+  settings.shutdown_grace = FromSeconds(grace_s);
   reader.ReadObject("retry_budget", [&](JsonReader& budget) {
     budget.Read("ratio", &settings.retry_ratio, 0, 10);
     budget.Read("allowance", &settings.retry_allowance, 0, 1e6);
--- a/main/node/node_settings.h
+++ b/main/node/node_settings.h
@@ -53,6 +53,10 @@
 NodeSettings ReadNodeSettings(const std::string& text, const std::string& file,
                               Findings* findings);
 
+/// The part of the grace period of a shutdown in which the process still
+/// serves. It takes `margin` to end, or half of a grace period that is shorter.
+Duration ServingPart(Duration grace, Duration margin);
+
 /// Reads a whole file. Returns false, with a finding, if it can't be read.
 bool ReadFile(const std::string& file, std::string* text, Findings* findings);
 
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -4,6 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+#include <utility>
+
 namespace cassiausher {
 namespace {
 
@@ -38,6 +41,22 @@
   CHECK_TRUE(findings.items().size() >= 6);
 }
 
+// Bounds may be fractions, and 0; such a grace period refused each start.
+TEST(NodeSettings, TheGracePeriodMayBeAnyFraction) {
+  for (const auto& [text, grace] :
+       {std::pair("0", Seconds(0)), std::pair("2.5", Milliseconds(2500)),
+        std::pair("null", Seconds(8))}) {
+    std::string settings = kSettings;
+    settings.replace(settings.find("_s\":8"), 5, "_s\":" + std::string(text));
+    CHECK_TRUE(
+        ReadNodeSettings(settings, "node.json", &findings).shutdown_grace ==
+        grace);
+    CHECK_TRUE(findings.empty());
+  }
+  CHECK_TRUE(ServingPart(Seconds(8), Seconds(1)) == Seconds(7));
+  CHECK_TRUE(ServingPart(Milliseconds(600), Seconds(1)) == Milliseconds(300));
+}
+
 TEST(NodeSettings, InvalidJsonAndUnreadableFileAreReported) {
   ReadNodeSettings("instance: front", "node.json", &findings);
   CHECK_FALSE(findings.empty());
