Accept connections again once descriptors are free

Cause: libsoup's listener stops for good when an accept fails. Nothing kept descriptors for endpoints, peers and the disk either. The class: an operation that fails for a moment is taken for one that never works again.

Change: ListenerWatch, a source of lower priority on the listening socket, is dispatched only if nobody accepts any more, and listens anew; without a descriptor it ends the connection that waits for longest without a request and tries again after 50 ms. ConnectionLimiter does the same before it comes to that: from a descriptor number on (half of the limit for callers, whose requests take a second one, seven eighths elsewhere) there may be as many connections as there are then. A socket() that fails says so instead of "Bad file descriptor".

--- a/core/log.cc
+++ b/core/log.cc
@@ -8,6 +8,7 @@
 #include <array>
 #include <atomic>
 #include <cerrno>
+#include <charconv>
 #include <chrono>
 #include <cstdio>
 #include <map>
@@ -52,6 +53,38 @@
       .count();
 }
 
+// A line that is composed without taking memory.
+class LastLine {
+ public:
+  void Append(std::string_view text) {
+    for (const char c : text.substr(0, line_.size() - size_)) {
+      line_[size_++] = c;
+    }
+  }
+  // Characters that JSON or key=value would escape become spaces.
+  void AppendPlain(std::string_view text) {
+    constexpr char kFirstPrintable = ' ';
+    constexpr char kLastPrintable = '~';
+    for (const char c : text.substr(0, kMaxTextBytes)) {
+      const bool plain =
+          c >= kFirstPrintable && c <= kLastPrintable && c != '"' && c != '\\';
+      Append(std::string_view(plain ? &c : " ", 1));
+    }
+  }
+  void Append(std::int64_t number) {
+    std::array<char, 20> digits;
+    const auto end =
+        std::to_chars(digits.data(), digits.data() + digits.size(), number);
+    Append(std::string_view(digits.data(), end.ptr));
+  }
+  std::string_view text() const { return {line_.data(), size_}; }
+
+ private:
+  static constexpr std::size_t kMaxTextBytes = 500;
+  std::array<char, 1024> line_;
+  std::size_t size_ = 0;
+};
+
 // Limits the rate of one event: at most kLinesPerSecond lines in each second.
 class EventRateLimiter {
  public:
@@ -127,6 +160,9 @@
     }
   }
 
+  /// Whether the last line written isn't complete.
+  bool InsideLine() const { return inside_line_.load(); }
+
   std::uint64_t left_out() const {
     return left_out_.load(std::memory_order_relaxed);
   }
@@ -153,7 +189,10 @@
   bool WritePending() {
     const ssize_t written =
         write(STDOUT_FILENO, pending_.data(), pending_.size());
-    if (written > 0) pending_.erase(0, static_cast<std::size_t>(written));
+    if (written > 0) {
+      inside_line_ = pending_[static_cast<std::size_t>(written) - 1] != '\n';
+      pending_.erase(0, static_cast<std::size_t>(written));
+    }
     return written >= 0 || errno == EAGAIN || errno == EINTR;
   }
 
@@ -172,6 +211,7 @@
   std::map<std::string, EventRateLimiter, std::less<>> rate_limiters_;
   std::string pending_;
   std::atomic<std::uint64_t> left_out_{0};
+  std::atomic<bool> inside_line_ = false;
 };
 
 LogFormat log_format = LogFormat::kKeyValue;
@@ -186,6 +226,30 @@
   if (log_format == LogFormat::kJson) JsonSink::Instance().Flush(timeout);
 }
 
+void LogLastLine(std::string_view event, std::string_view key,
+                 std::string_view value) {
+  LastLine line;
+  const bool json = log_format == LogFormat::kJson;
+  if (json && JsonSink::Instance().InsideLine()) line.Append("\n");
+  line.Append(json ? R"({"time_ms":)" : "time_ms=");
+  line.Append(MillisecondsSinceEpoch());
+  line.Append(json ? R"(,"level":"error","instance":")"
+                   : " level=error instance=");
+  line.AppendPlain(InstanceName());
+  line.Append(json ? R"(","event":")" : " event=");
+  line.AppendPlain(event);
+  line.Append(json ? R"(",")" : " ");
+  line.AppendPlain(key);
+  line.Append(json ? R"(":")" : "=\"");
+  line.AppendPlain(value);
+  line.Append(json ? "\"}\n" : "\"\n");
+  const std::string_view text = line.text();
+  // What isn't taken at once is lost: nobody is left to write it.
+  const ssize_t written =
+      write(json ? STDOUT_FILENO : STDERR_FILENO, text.data(), text.size());
+  static_cast<void>(written);
+}
+
 void ConfigureLog(LogLevel lowest, std::string instance) {
   min_level = lowest;
   InstanceName() = std::move(instance);
--- a/core/log.h
+++ b/core/log.h
@@ -56,6 +56,13 @@
 /// with it. The other format doesn't buffer.
 void FlushLog(Duration timeout);
 
+/// Writes a line of one field at the end of a process, past the lines that are
+/// buffered. Takes no lock and no memory, so that a signal handler may call it.
+/// Characters that JSON would escape become spaces, and what is beyond some 500
+/// bytes is left out.
+void LogLastLine(std::string_view event, std::string_view key,
+                 std::string_view value);
+
 /// Returns false if `name` is not a level.
 bool ParseLogLevel(std::string_view name, LogLevel* level);
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -8,6 +8,7 @@
 
 #include <cerrno>
 
+#include "core/log.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
 
@@ -19,6 +20,12 @@
 GSocket* BindSocket(GSocketAddress* address, bool share_port, GError** error) {
   const int descriptor = ::socket(g_socket_address_get_family(address),
                                   SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (descriptor < 0) {
+    const int code = errno;
+    g_set_error_literal(error, G_IO_ERROR, g_io_error_from_errno(code),
+                        g_strerror(code));
+    return nullptr;
+  }
   const int on = 1;
   setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
   if (share_port) {
@@ -44,6 +51,7 @@
 constexpr guint kServerError = 500;
 // libsoup handles the end of a connection in this time.
 constexpr Duration kIdleClosePeriod = Milliseconds(50);
+constexpr Duration kExhaustedLinePeriod = Seconds(5);
 
 }  // namespace
 
@@ -75,6 +83,13 @@
                            .metrics = options_.metrics},
       limit_handler_,
       [this](SoupServerMessage* message) { CloseLingering(message); });
+  limiter_ = std::make_unique<ConnectionLimiter>(
+      context,
+      ConnectionLimiterOptions{.max_descriptor = options_.max_descriptor,
+                               .metrics = options_.metrics},
+      [this](SoupServerMessage* message) {
+        return !reader_->HasBegun(message);
+      });
   server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
                                 TRUE, nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
@@ -120,17 +135,45 @@
   if (!local) return describe("local address");
   port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local.get()));
 
+  // Otherwise an accept that finds nothing would wait.
+  g_socket_set_blocking(socket.get(), FALSE);
+  if (!AcceptFrom(socket.get(), &error)) return describe("listen");
+  WatchListener(socket.get());
+  return {};
+}
+
+bool HttpServer::AcceptFrom(GSocket* socket, GError** error) {
   const auto options = static_cast<SoupServerListenOptions>(
       options_.tls_certificate_file.empty() ? 0 : SOUP_SERVER_LISTEN_HTTPS);
-  if (!soup_server_listen_socket(server_.get(), socket.get(), options,
-                                 &error)) {
-    return describe("listen");
+  return soup_server_listen_socket(server_.get(), socket, options, error) !=
+         FALSE;
+}
+
+void HttpServer::WatchListener(GSocket* socket) {
+  const std::shared_ptr<GSocket> held(ShareGObject(socket));
+  listener_watch_ = std::make_unique<ListenerWatch>(
+      context_, g_socket_get_fd(socket),
+      ListenerWatch::Callbacks{
+          .resume = [this, held] { AcceptFrom(held.get(), nullptr); },
+          .on_exhausted = [this] { OnExhausted(BootTimeNow()); }});
+}
+
+void HttpServer::OnExhausted(Time now) {
+  const bool ended = limiter_->EndLongestIdle();
+  if (options_.metrics != nullptr) {
+    options_.metrics->counter("descriptors_exhausted_total").Add();
   }
-  return {};
+  if (now < next_exhausted_line_) return;
+  next_exhausted_line_ = now + kExhaustedLinePeriod;
+  Log(LogLevel::kError, "descriptors_exhausted",
+      {{"address", options_.address},
+       {"port", port_},
+       {"idle_connection_ended", ended ? "true" : "false"}});
 }
 
 void HttpServer::StopListening() {
   if (!server_) return;
+  listener_watch_.reset();
   GSList* listeners = soup_server_get_listeners(server_.get());
   for (GSList* item = listeners; item != nullptr; item = item->next) {
     g_socket_close(static_cast<GSocket*>(item->data), nullptr);
@@ -234,6 +277,7 @@
   GSocket* socket = soup_server_message_get_socket(message);
   auto* server = static_cast<HttpServer*>(self);
   server->reader_->Add(message);
+  server->limiter_->OnWaiting(message);
   if (socket == nullptr) return;
   g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
   server->state_->watcher->Remove(g_socket_get_fd(socket));
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -13,9 +13,11 @@
 
 #include "core/metrics.h"
 #include "drivers/answer_tracker.h"
+#include "drivers/connection_limiter.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/http_exchange.h"
 #include "drivers/lingering_closer.h"
+#include "drivers/listener_watch.h"
 #include "drivers/request_reader.h"
 
 namespace cassiausher {
@@ -44,6 +46,9 @@
   std::int64_t max_reading_bytes = 96 << 20;
   /// Larger request headers are answered with 431.
   std::int64_t max_header_bytes = 32 << 10;
+  /// A connection whose descriptor has this number or a higher one ends an idle
+  /// connection, so that descriptors are left for other work. 0 for no limit.
+  int max_descriptor = 0;
 };
 
 class HttpServer {
@@ -85,6 +90,11 @@
   /// its descriptor open.
   void WatchIdle(GSocket* socket);
   void CloseIdle();
+  /// Accepts the connections of `socket`, at the first time and whenever
+  /// libsoup has stopped to.
+  bool AcceptFrom(GSocket* socket, GError** error);
+  void WatchListener(GSocket* socket);
+  void OnExhausted(Time now);
   /// Takes the connection over from libsoup, to close it without a reset.
   void CloseLingering(SoupServerMessage* message);
   static void OnRequestStarted(SoupServer* server, SoupServerMessage* message,
@@ -97,11 +107,14 @@
   GObjectPtr<SoupServer> server_;
   std::unique_ptr<LingeringCloser> closer_;
   std::unique_ptr<RequestReader> reader_;
+  std::unique_ptr<ConnectionLimiter> limiter_;
+  std::unique_ptr<ListenerWatch> listener_watch_;
   GMainContext* context_ = nullptr;
   /// Kept connections that their callers have closed.
   std::vector<GObjectPtr<GSocket>> closed_by_callers_;
   GSourcePtr close_timer_;
   std::uint16_t port_ = 0;
+  Time next_exhausted_line_{};
 };
 
 }  // namespace cassiausher
--- a/drivers/read_guard.cc
+++ b/drivers/read_guard.cc
@@ -63,6 +63,18 @@
       std::count_if(reading_.begin(), reading_.end(), begun));
 }
 
+bool ReadGuard::HasBegun(SoupServerMessage* message) const {
+  const auto found = reading_.find(message);
+  if (found == reading_.end()) return true;
+  return found->second.since.has_value() || BytesOf(found->second) > 0;
+}
+
+std::int64_t ReadGuard::BytesOf(const Reading& reading) {
+  return BytesRead(g_socket_get_fd(reading.socket.get()))
+             .value_or(reading.earlier_bytes) -
+         reading.earlier_bytes;
+}
+
 void ReadGuard::Add(SoupServerMessage* message) {
   GSocket* socket = soup_server_message_get_socket(message);
   if (socket == nullptr) return;
@@ -103,9 +115,7 @@
 
 std::optional<ReadRefusal> ReadGuard::Judge(Reading& reading, Time now) const {
   if (reading.refusal.has_value()) return reading.refusal;
-  const std::int64_t read = BytesRead(g_socket_get_fd(reading.socket.get()))
-                                .value_or(reading.earlier_bytes) -
-                            reading.earlier_bytes;
+  const std::int64_t read = BytesOf(reading);
   if (read > 0 && !reading.since.has_value()) reading.since = now;
   if (!reading.since.has_value()) return std::nullopt;
   if (now - *reading.since >= timeout_) {
--- a/drivers/read_guard.h
+++ b/drivers/read_guard.h
@@ -49,6 +49,8 @@
   }
   /// Requests of which a part was read and that aren't refused.
   int Begun() const;
+  /// Whether a part of this request has been read, or it isn't awaited.
+  bool HasBegun(SoupServerMessage* message) const;
   /// The answer is known before the request was read in full.
   void OnRefused(SoupServerMessage* message, ReadRefusal refusal);
   /// The request was read in full, or its connection has ended.
@@ -67,6 +69,8 @@
 
   void Forget(SoupServerMessage* message);
   static void OnMessageFinalized(gpointer self, GObject* message);
+  /// Bytes that the connection has carried of this request.
+  static std::int64_t BytesOf(const Reading& reading);
   /// Why the message is ended; null while it isn't.
   std::optional<ReadRefusal> Judge(Reading& reading, Time now) const;
   void Poll(Time now);
--- a/drivers/request_reader.h
+++ b/drivers/request_reader.h
@@ -52,6 +52,10 @@
   void Remove(SoupServerMessage* message);
   /// Requests of which a part was read and that aren't refused.
   int Begun() const { return guard_.Begun(); }
+  /// Whether a part of this request has been read, or it isn't awaited.
+  bool HasBegun(SoupServerMessage* message) const {
+    return guard_.HasBegun(message);
+  }
 
  private:
   static void OnGotHeaders(SoupServerMessage* message, gpointer self);
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -5,6 +5,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "drivers/process_setup.h"
 #include "drivers/task.h"
 #include "main/node/message_age.h"
 #include "main/node/node_messages.h"
@@ -97,7 +98,8 @@
   server_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.control->ip,
                         .port = settings_.control->port,
-                        .metrics = &metrics_},
+                        .metrics = &metrics_,
+                        .max_descriptor = MaxServedDescriptor()},
       [this](HttpExchangePtr exchange) { OnCall(std::move(exchange)); },
       [](int, std::string_view message) {
         return FormatError({.type = "limit",
--- a/main/node/entry_node.cc
+++ b/main/node/entry_node.cc
@@ -6,6 +6,7 @@
 
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "drivers/process_setup.h"
 #include "main/error_body.h"
 #include "main/node/load_messages.h"
 #include "platform/request_headers.h"
@@ -95,7 +96,8 @@
                         .port = settings_.callers->port,
                         .metrics = &metrics_,
                         .max_unsent_bytes = kMaxUnsentBytes,
-                        .max_reading_bytes = kMaxReadingBytes},
+                        .max_reading_bytes = kMaxReadingBytes,
+                        .max_descriptor = MaxForwardedDescriptor()},
       [this](HttpExchangePtr exchange) {
         OnCallerRequest(std::move(exchange));
       },
@@ -104,7 +106,8 @@
   readiness_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.readiness->ip,
                         .port = settings_.readiness->port,
-                        .metrics = &metrics_},
+                        .metrics = &metrics_,
+                        .max_descriptor = MaxServedDescriptor()},
       [this](HttpExchangePtr exchange) {
         const bool known =
             IsReadinessCall(exchange->method(), exchange->path());
--- a/main/node/relay_server.cc
+++ b/main/node/relay_server.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/log.h"
+#include "drivers/process_setup.h"
 #include "main/error_body.h"
 
 namespace cassiausher {
@@ -28,7 +29,8 @@
                             .port = address.port,
                             .metrics = &metrics,
                             .max_unsent_bytes = kMaxUnsentBytes,
-                            .max_reading_bytes = kMaxReadingBytes},
+                            .max_reading_bytes = kMaxReadingBytes,
+                            .max_descriptor = MaxForwardedDescriptor()},
           [this](HttpExchangePtr exchange) { OnRequest(std::move(exchange)); },
           [](int, std::string_view message) { return std::string(message); }) {}
 
