Drop the reference that libsoup keeps of each connection

Seen on a machine: an instance grows by some 340 bytes for each connection, whether it carried a request or not: 20,040 to 23,040 kB in 9,000 connections that were opened and closed.

Cause: libsoup 3.2.3 never drops the reference by which it accepted the socket (seen in a program of 30 lines: one reference is left after the connection has ended, with and without a request).

Change: at the first request of a connection, when libsoup holds two references, one is dropped; only with libsoup 3.2.

--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -48,6 +48,20 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
+// libsoup 3.2 never drops the reference by which it accepted a connection, some
+// 300 bytes for each one. At the first request another one is that of the
+// connection.
+void ReleaseAcceptedReference(GSocket* socket) {
+  constexpr const char* kKnown = "cassiausher-known";
+  constexpr guint kReferencesOfLibsoup = 2;
+  if (g_object_get_data(G_OBJECT(socket), kKnown) != nullptr) return;
+  g_object_set_data(G_OBJECT(socket), kKnown, GINT_TO_POINTER(TRUE));
+  const bool leaks =
+      soup_get_major_version() == 3 && soup_get_minor_version() == 2;
+  if (!leaks || G_OBJECT(socket)->ref_count != kReferencesOfLibsoup) return;
+  g_object_unref(socket);
+}
+
 constexpr guint kServerError = 500;
 // libsoup handles the end of a connection in this time.
 constexpr Duration kIdleClosePeriod = Milliseconds(50);
@@ -275,6 +289,7 @@
   // Disables Nagle's algorithm: small streamed chunks must not wait for the
   // acknowledgement of the previous one.
   GSocket* socket = soup_server_message_get_socket(message);
+  if (socket != nullptr) ReleaseAcceptedReference(socket);
   auto* server = static_cast<HttpServer*>(self);
   server->reader_->Add(message);
   server->limiter_->OnWaiting(message);
