Take a peer that can't be connected to for a message that is lost

Change: a connection that fails is counted (`peer_connections_failed_total`), logged the first time, and tried again with the next message. Senders and control instances whose names aren't addresses aren't taken.

The check of names is by reading; tests of bytes on the peers' port follow.

--- a/drivers/peer_transport.cc
+++ b/drivers/peer_transport.cc
@@ -8,6 +8,7 @@
 #include <vector>
 #include <zmq.hpp>
 
+#include "core/log.h"
 #include "drivers/gobject_ptr.h"
 
 namespace cassiausher {
@@ -118,13 +119,13 @@
 
 }  // namespace
 
-struct PeerTransport::Sockets {
-  struct Peer {
-    std::string address;
-    std::string public_key;
-    zmq::socket_t socket;
-  };
+struct PeerTransport::Peer {
+  std::string address;
+  std::string public_key;
+  zmq::socket_t socket;
+};
 
+struct PeerTransport::Sockets {
   Sockets() { zmq_ctx_set(context.handle(), kZeroCopyReceiveOption, 0); }
 
   zmq::context_t context{1};
@@ -144,6 +145,7 @@
       sent_bytes_(metrics.counter("peer_bytes_sent_total")),
       dropped_(metrics.counter("peer_messages_dropped_total")),
       refused_keys_(metrics.counter("peer_keys_refused_total")),
+      unconnected_(metrics.counter("peer_connections_failed_total")),
       handler_(std::move(handler)),
       sockets_(std::make_unique<Sockets>()) {}
 
@@ -195,7 +197,23 @@
     sockets_->peers.erase(found);
   }
   if (!public_key.empty()) allowed_keys_.insert(public_key);
-  Sockets::Peer entry{
+  try {
+    sockets_->peers.emplace(peer, Connect(address, public_key));
+  } catch (const zmq::error_t& error) {
+    // No descriptor is free, or the address isn't one. The peer stays unknown,
+    // so that the next message to it tries again.
+    unconnected_.Add();
+    if (unconnected_.value() > 1) return;
+    Log(LogLevel::kError, "peer_not_connected",
+        {{"peer", peer.value()},
+         {"address", address},
+         {"error", error.what()}});
+  }
+}
+
+PeerTransport::Peer PeerTransport::Connect(const std::string& address,
+                                           const std::string& public_key) {
+  Peer entry{
       .address = address,
       .public_key = public_key,
       .socket = zmq::socket_t(sockets_->context, zmq::socket_type::dealer)};
@@ -211,7 +229,7 @@
     entry.socket.set(zmq::sockopt::curve_secretkey, options_.keys.secret_key);
   }
   RetryIfInterrupted([&] { entry.socket.connect("tcp://" + address); });
-  sockets_->peers.emplace(peer, std::move(entry));
+  return entry;
 }
 
 bool PeerTransport::HasPeer(const InstanceId& peer) const {
--- a/drivers/peer_transport.h
+++ b/drivers/peer_transport.h
@@ -71,7 +71,10 @@
   bool Send(const InstanceId& peer, std::string_view message);
 
  private:
+  struct Peer;
   struct Sockets;
+  /// Throws zmq::error_t.
+  Peer Connect(const std::string& address, const std::string& public_key);
   void ReceiveMessages();
   void HandleZapRequests();
 
@@ -82,6 +85,7 @@
   Counter& sent_bytes_;
   Counter& dropped_;
   Counter& refused_keys_;
+  Counter& unconnected_;
   Handler handler_;
   std::unique_ptr<Sockets> sockets_;
   std::set<std::string> allowed_keys_;
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -1,5 +1,7 @@
 #include "main/node/control_node.h"
 
+#include <gio/gio.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -462,6 +464,7 @@
   const Time now = BootTimeNow();
   for (const std::string& ip : controls) {
     if (ip == settings_.ip) continue;
+    if (g_hostname_is_ip_address(ip.c_str()) == FALSE) continue;
     if (controls_.try_emplace(InstanceId(ip), ControlPeer{.learned_at = now})
             .second) {
       Log(LogLevel::kInfo, "control_found", {{"control", ip}});
--- a/main/node/node_link.cc
+++ b/main/node/node_link.cc
@@ -1,5 +1,7 @@
 #include "main/node/node_link.h"
 
+#include <gio/gio.h>
+
 #include <utility>
 
 #include "core/log.h"
@@ -73,15 +75,20 @@
   transport_.RemovePeer(instance);
 }
 
+bool NodeLink::IsInstance(const InstanceId& sender) const {
+  return processes_.contains(sender) ||
+         g_hostname_is_ip_address(sender.value().c_str()) != FALSE;
+}
+
 void NodeLink::OnBytes(std::string_view bytes) {
   proto::NodeMessage message;
   const bool parsed =
       message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
-  if (!parsed || message.sender().empty()) {
+  const InstanceId from(message.sender());
+  if (!parsed || !IsInstance(from)) {
     malformed_.Add();
     return;
   }
-  const InstanceId from(message.sender());
   const Incarnation process(message.incarnation());
   ProcessSequence& processes = processes_[from];
   const Incarnation before = processes.current();
--- a/main/node/node_link.h
+++ b/main/node/node_link.h
@@ -49,6 +49,8 @@
   void ConnectIfNew(const InstanceId& to);
   void SendBytes(const InstanceId& to, std::string_view bytes);
   void OnBytes(std::string_view bytes);
+  /// Whether the sender's name is one that an instance can have.
+  bool IsInstance(const InstanceId& sender) const;
 
   const NodeSettings& settings_;
   std::uint64_t incarnation_;
