Open the log when the disk allows it, and set a damaged one aside

Seen by operators: a control instance whose log couldn't be opened at the start ended with status 1, again and again: a file in the way of the folder, a folder that another process still locks, a full disk; noise behind the last record or a damaged record: for good.

Cause: each obstacle at the start was final, and bytes that were never a synced write counted as damage.

Noise is cut like a torn write. A damaged log is kept as `log.damaged`, and the replica begins anew under another storage id, as after the loss of its disk; it never bootstraps. Intact records of a later version are neither. EFBIG counts as a full disk. A folder that can't be looked at isn't taken for one that isn't there.

Result: each of these starts.

--- a/main/daemon/replica_host.cc
+++ b/main/daemon/replica_host.cc
@@ -45,7 +45,8 @@
   for (const PeerSettings& peer : settings_.peers) {
     if (peer.voter) options.initial_voters.insert(peer.instance);
   }
-  return host_.Start(std::move(options), std::move(storage));
+  const auto error = host_.Start(std::move(options), std::move(storage));
+  return error.has_value() ? ToString(*error) : std::string();
 }
 
 void ReplicaHost::OnRaftMessage(const proto::RaftMessage& message) {
--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -15,9 +15,10 @@
 constexpr int kEntriesPerSnapshot = 32;
 constexpr std::size_t kBytesPerSnapshot = std::size_t{8} << 20;
 constexpr std::size_t kMaxEntryBytes = std::size_t{8} << 20;
-// Interval between attempts to start a replica anew, for example while the disk
-// is full.
-constexpr Duration kResetRetryPeriod = Milliseconds(500);
+// Interval between attempts to open the log, for example while the disk is
+// full.
+constexpr Duration kOpenRetryPeriod = Milliseconds(500);
+constexpr Duration kUnavailableLinePeriod = Seconds(5);
 // The leader sends the members every 600 ms.
 constexpr Duration kMembersExpiry = Seconds(2);
 constexpr Duration kHeartbeat = Milliseconds(200);
@@ -34,6 +35,11 @@
   return settings.data_folder + "/log.replaced";
 }
 
+/// Keeps the last log that was damaged, for its examination.
+std::string DamagedLogFolder(const NodeSettings& settings) {
+  return settings.data_folder + "/log.damaged";
+}
+
 }  // namespace
 
 ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
@@ -46,21 +52,57 @@
 
 ConfigurationLog::~ConfigurationLog() = default;
 
-std::string ConfigurationLog::Start() {
+void ConfigurationLog::Start(Time now) {
+  std::error_code error;
+  const auto type = std::filesystem::status(LogFolder(settings_), error).type();
+  // A folder that can't be looked at may hold a log.
+  is_new_ =
+      settings_.first_start && type == std::filesystem::file_type::not_found;
+  may_bootstrap_ = settings_.first_start;
+  OpenReplica(now);
+}
+
+void ConfigurationLog::OpenReplica(Time now) {
+  next_open_ = now + kOpenRetryPeriod;
+  const std::optional<StorageError> error = StartReplica();
+  const bool waited = std::exchange(open_due_, error.has_value());
+  metrics_.gauge("log_unavailable").Set(open_due_ ? 1 : 0);
+  if (error.has_value()) {
+    OnOpenFailed(*error, now);
+  } else if (waited) {
+    Log(LogLevel::kInfo, "log_available", {{"folder", LogFolder(settings_)}});
+  }
+}
+
+void ConfigurationLog::OnOpenFailed(const StorageError& error, Time now) {
+  host_.reset();
+  if (error.code == StorageError::Code::kCorrupt) {
+    Log(LogLevel::kError, "log_set_aside",
+        {{"error", ToString(error)}, {"kept_as", DamagedLogFolder(settings_)}});
+    metrics_.counter("logs_set_aside_total").Add();
+    MoveLog(DamagedLogFolder(settings_));
+    return;
+  }
+  if (now < next_unavailable_line_) return;
+  next_unavailable_line_ = now + kUnavailableLinePeriod;
+  Log(LogLevel::kError, "log_unavailable", {{"error", ToString(error)}});
+}
+
+void ConfigurationLog::MoveLog(const std::string& to) {
+  may_bootstrap_ = false;
   std::error_code error;
-  is_new_ = settings_.first_start &&
-            !std::filesystem::exists(LogFolder(settings_), error);
-  return StartReplica(settings_.first_start);
+  std::filesystem::remove_all(to, error);
+  std::filesystem::rename(LogFolder(settings_), to, error);
 }
 
-std::string ConfigurationLog::StartReplica(bool may_bootstrap) {
+std::optional<StorageError> ConfigurationLog::StartReplica() {
   std::error_code error;
   std::filesystem::create_directories(LogFolder(settings_), error);
   RaftOptions options;
   options.self = InstanceId(settings_.ip);
   options.new_storage_id = RandomNonZero();
   options.seed = RandomNonZero();
-  options.may_bootstrap = may_bootstrap;
+  options.may_bootstrap = may_bootstrap_;
   options.heartbeat = kHeartbeat;
   options.election_timeout_min = kElectionTimeoutMin;
   options.election_timeout_max = kElectionTimeoutMax;
@@ -71,10 +113,10 @@
   }
   host_ = std::make_unique<RaftHost>(context_, metrics_, *this,
                                      [] { return BootTimeNow(); });
-  std::string fault = host_->Start(
+  auto fault = host_->Start(
       options, LogStorages().Create("file_log", LogFolder(settings_)));
   // Opening the new log has made the old one's new name durable.
-  if (fault.empty()) {
+  if (!fault.has_value()) {
     std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
   }
   return fault;
@@ -91,9 +133,12 @@
 }
 
 void ConfigurationLog::Tick(Time now) {
-  if (reset_due_ && now >= next_reset_) {
-    next_reset_ = now + kResetRetryPeriod;
-    ResetReplica();
+  if (now >= next_open_) {
+    if (reset_due_) {
+      ResetReplica(now);
+    } else if (open_due_) {
+      OpenReplica(now);
+    }
   }
   if (now - members_received_ >= kMembersExpiry) members_sender_ = {};
   has_forgotten_ |= leaving_.Expire(now);
@@ -102,21 +147,15 @@
   if (leading()) AdvanceVoters(now);
 }
 
-void ConfigurationLog::ResetReplica() {
+void ConfigurationLog::ResetReplica(Time now) {
   Log(LogLevel::kWarning, "replica_reset",
       {{"reason", "replaced by another replica"}});
   host_.reset();
   proposals_.clear();
   reads_.clear();
-  std::error_code error;
-  std::filesystem::remove_all(ReplacedLogFolder(settings_), error);
-  std::filesystem::rename(LogFolder(settings_), ReplacedLogFolder(settings_),
-                          error);
-  const std::string fault = StartReplica(false);
-  reset_due_ = !fault.empty();
-  if (fault.empty()) return;
-  host_.reset();
-  Log(LogLevel::kError, "replica_start_failed", {{"error", fault}});
+  reset_due_ = false;
+  MoveLog(ReplacedLogFolder(settings_));
+  OpenReplica(now);
 }
 
 void ConfigurationLog::TransferLeadership(Time now) {
@@ -160,6 +199,7 @@
     proposal.waiters.push_back({origin, submission});
     return;
   }
+  if (!leading()) return;
   const ProposeResult result = host_->raft().Propose(Encode(command), now);
   if (!result.accepted()) {
     Log(LogLevel::kWarning, "proposal_refused",
@@ -174,6 +214,7 @@
 
 void ConfigurationLog::ReadCurrent(const InstanceId& origin, std::uint64_t read,
                                    Time now) {
+  if (!leading()) return;
   reads_[next_read_] = {origin, read};
   host_->raft().Read(next_read_++, now);
   host_->Drain();
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -59,8 +59,10 @@
                    GMainContext* context, ConfigurationLogDelegate& delegate);
   ~ConfigurationLog() override;
 
-  /// Returns an error message, empty on success.
-  std::string Start();
+  /// Opens the log. What keeps it from that may pass, such as a full disk:
+  /// Tick() tries again. A log that is damaged is set aside, and the replica
+  /// begins anew with an empty one.
+  void Start(Time now);
   /// The deployment starts for the first time: nothing was acknowledged before.
   bool is_new() const { return is_new_; }
   void OnRaft(const std::string& bytes);
@@ -124,10 +126,15 @@
   void OnRoleChanged() override;
   void OnDispatched() override;
 
-  std::string StartReplica(bool may_bootstrap);
+  void OpenReplica(Time now);
+  std::optional<StorageError> StartReplica();
+  void OnOpenFailed(const StorageError& error, Time now);
+  /// Renames the log's folder, so that the next replica begins with an empty
+  /// log and never bootstraps.
+  void MoveLog(const std::string& to);
   /// Replaces the replica by one with an empty log. Without a working disk
-  /// there is no replica afterwards, and the reset stays due.
-  void ResetReplica();
+  /// there is no replica afterwards, until the log can be opened.
+  void ResetReplica(Time now);
   void Apply(LogCommand command, Time now);
   void ApplyDocument(VersionedDocument document);
   void AdvanceVoters(Time now);
@@ -137,11 +144,13 @@
   Metrics& metrics_;
   GMainContext* context_;
   ConfigurationLogDelegate& delegate_;
-  /// Null while the replica can't be started anew.
+  /// Null while the log can't be opened.
   std::unique_ptr<RaftHost> host_;
   ConfigurationRegister register_;
   LeavingEndpoints leaving_{LeavingEndpointsOptions{}};
   bool is_new_ = false;
+  /// An empty log may be the beginning of a new group.
+  bool may_bootstrap_ = false;
   /// The log on disk has departures that are forgotten here. A restart would
   /// bring them back.
   bool has_forgotten_ = false;
@@ -157,7 +166,11 @@
   Time members_received_{};
   /// The replica is to be replaced by one with an empty log.
   bool reset_due_ = false;
-  Time next_reset_{};
+  /// The log couldn't be opened.
+  bool open_due_ = false;
+  /// Next attempt at either.
+  Time next_open_{};
+  Time next_unavailable_line_{};
 };
 
 }  // namespace cassiausher
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -95,8 +95,6 @@
   started_at_ = BootTimeNow();
   Reload(settings_);
   if (auto error = link_.Listen(context_); !error.empty()) return error;
-  if (auto error = log_.Start(); !error.empty()) return error;
-  if (log_.is_new()) OnDeparturesKnown("first_start", started_at_);
   server_ = std::make_unique<HttpServer>(
       HttpServerOptions{.address = settings_.control->ip,
                         .port = settings_.control->port,
@@ -110,6 +108,8 @@
                             .not_run = true});
       });
   if (auto error = server_->Listen(context_); !error.empty()) return error;
+  log_.Start(started_at_);
+  if (log_.is_new()) OnDeparturesKnown("first_start", started_at_);
   timer_ = AddTimer(context_, kTickPeriod, [this] { Tick(); });
   batch_timer_ = AddTimer(context_, FollowerUpdates::kBatchPeriod, [this] {
     const Time now = BootTimeNow();
--- a/main/raft_host.cc
+++ b/main/raft_host.cc
@@ -24,18 +24,19 @@
 
 RaftHost::~RaftHost() = default;
 
-std::string RaftHost::Start(RaftOptions options,
-                            std::unique_ptr<LogStorage> storage) {
+std::optional<StorageError> RaftHost::Start(
+    RaftOptions options, std::unique_ptr<LogStorage> storage) {
   namespace leaf = boost::leaf;
   StoredState stored;
-  const std::string error = leaf::try_handle_all(
-      [&]() -> leaf::result<std::string> {
+  using MaybeError = std::optional<StorageError>;
+  const MaybeError error = leaf::try_handle_all(
+      [&]() -> leaf::result<MaybeError> {
         BOOST_LEAF_ASSIGN(stored, storage->Load());
-        return std::string();
+        return MaybeError();
       },
-      [](const StorageError& fault) { return ToString(fault); },
-      [] { return std::string("unknown storage error"); });
-  if (!error.empty()) return error;
+      [](const StorageError& fault) { return MaybeError(fault); },
+      [] { return MaybeError({.message = "unknown storage error"}); });
+  if (error.has_value()) return error;
   for (const Finding& finding : stored.findings.items()) {
     Log(LogLevel::kWarning, "log_repaired",
         {{"place", finding.place}, {"what", finding.message}});
@@ -49,7 +50,7 @@
           .failed = [this] { mailbox_.Post({0}); }});
   storage_->Start();
   Drain();
-  return {};
+  return std::nullopt;
 }
 
 void RaftHost::Step(const proto::RaftMessage& message) {
--- a/main/raft_host.h
+++ b/main/raft_host.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -48,8 +49,9 @@
   ~RaftHost();
 
   /// Opens the storage. Returns the error that keeps this instance from
-  /// voting, empty on success.
-  std::string Start(RaftOptions options, std::unique_ptr<LogStorage> storage);
+  /// voting, null on success.
+  std::optional<StorageError> Start(RaftOptions options,
+                                    std::unique_ptr<LogStorage> storage);
 
   void Step(const proto::RaftMessage& message);
   void Tick();
--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -78,6 +78,7 @@
   for (++offset; offset + kRecordHeaderBytes <= file.size(); ++offset) {
     const RecordCheck check = DecodeRecord(file, seed, offset, record, size);
     if (check == RecordCheck::kValid && !ContinuesWrite(record)) return true;
+    if (check == RecordCheck::kUnknownKind) return true;
   }
   return false;
 }
@@ -109,6 +110,13 @@
       StorageError::Code::kCorrupt, files_->Path(name), offset, message});
 }
 
+boost::leaf::error_id FileLog::UnknownFormat(const std::string& name,
+                                             std::uint64_t offset) const {
+  return boost::leaf::new_error(
+      StorageError{StorageError::Code::kUnknownFormat, files_->Path(name),
+                   offset, "the record isn't one that this version knows"});
+}
+
 boost::leaf::error_id FileLog::Misuse(const std::string& message) const {
   return boost::leaf::new_error(
       StorageError{StorageError::Code::kMisuse, "", 0, message});
@@ -170,6 +178,7 @@
     std::uint64_t size = 0;
     const RecordCheck check =
         DecodeRecord(content, sequence, offset, record, size);
+    if (check == RecordCheck::kUnknownKind) return UnknownFormat(name, offset);
     if (check != RecordCheck::kValid) {
       return TruncateTornTail(name, sequence, content, offset, is_last, check,
                               replay);
@@ -193,9 +202,13 @@
     const std::string& name, std::uint64_t sequence, const std::string& content,
     std::uint64_t offset, bool is_last, RecordCheck check, Replay& replay) {
   // After a crash, an unsynced write is truncated or lacks sectors, and no
-  // later write follows it. Anything else is corruption of synced data.
-  const bool torn =
-      check == RecordCheck::kIncomplete || HasLostSector(content, offset);
+  // later write follows it. Bytes behind the last record that neither begin
+  // nor end as one were never a synced write: damage in one place leaves its
+  // beginning or its end. Anything else is corruption of synced data.
+  const bool noise =
+      offset > 0 && check == RecordCheck::kNoHeader && !EndsAsRecord(content);
+  const bool torn = check == RecordCheck::kIncomplete || noise ||
+                    HasLostSector(content, offset);
   if (!is_last || !torn || HasWriteAfter(content, sequence, offset)) {
     return Corrupt(name, offset,
                    check == RecordCheck::kIncomplete
@@ -254,9 +267,8 @@
                                                 std::uint64_t offset,
                                                 const Record& record,
                                                 Replay& replay) {
-  const auto malformed = [&] {
-    return Corrupt(name, offset, "the record is malformed");
-  };
+  // Its checksum holds, so that it is as it was written.
+  const auto malformed = [&] { return UnknownFormat(name, offset); };
   switch (record.kind) {
     case RecordKind::kEntry: {
       proto::RaftEntry message;
@@ -354,7 +366,7 @@
     return Corrupt(kSnapshotName, 0, "the snapshot's checksum does not match");
   }
   auto snapshot = FromProto(message);
-  if (!snapshot) return Corrupt(kSnapshotName, 0, "the snapshot is malformed");
+  if (!snapshot) return UnknownFormat(kSnapshotName, 0);
   return snapshot;
 }
 
--- a/modules/file_log/file_log.h
+++ b/modules/file_log/file_log.h
@@ -101,6 +101,8 @@
   void AddRecord(RecordKind kind, std::string payload);
   boost::leaf::error_id Corrupt(const std::string& name, std::uint64_t offset,
                                 const std::string& message) const;
+  boost::leaf::error_id UnknownFormat(const std::string& name,
+                                      std::uint64_t offset) const;
   boost::leaf::error_id Misuse(const std::string& message) const;
 
   std::unique_ptr<FileSystem> files_;
--- a/modules/file_log/posix_file_system.cc
+++ b/modules/file_log/posix_file_system.cc
@@ -25,7 +25,8 @@
 
 StorageError SystemError(const std::string& file, std::uint64_t offset,
                          const char* call, int error) {
-  const bool no_space = error == ENOSPC || error == EDQUOT;
+  // EFBIG: the limit of file sizes.
+  const bool no_space = error == ENOSPC || error == EDQUOT || error == EFBIG;
   return {no_space ? StorageError::Code::kNoSpace
                    : StorageError::Code::kInputOutput,
           file, offset, std::string(call) + ": " + std::strerror(error)};
--- a/modules/file_log/record.cc
+++ b/modules/file_log/record.cc
@@ -43,13 +43,11 @@
          kind <= static_cast<std::uint32_t>(RecordKind::kSnapshot);
 }
 
-/// Checks the header's checksum and kind. `header` must hold a whole header.
+/// Checks the header's checksum. `header` must hold a whole header.
 bool HeaderIsValid(std::string_view header, std::uint64_t seed,
                    std::uint64_t offset) {
-  return ReadLittleEndian<std::uint64_t>(
-             header.substr(kChecksummedHeaderBytes)) ==
-             HeaderChecksum(header, seed, offset) &&
-         IsKnownKind(ReadLittleEndian<std::uint32_t>(header.substr(4)));
+  return ReadLittleEndian<std::uint64_t>(header.substr(
+             kChecksummedHeaderBytes)) == HeaderChecksum(header, seed, offset);
 }
 
 }  // namespace
@@ -73,7 +71,9 @@
                          std::uint64_t& size) {
   const std::string_view rest = file.substr(offset);
   if (rest.size() < kRecordHeaderBytes) return RecordCheck::kIncomplete;
-  if (!HeaderIsValid(rest, seed, offset)) return RecordCheck::kDamaged;
+  if (!HeaderIsValid(rest, seed, offset)) return RecordCheck::kNoHeader;
+  const auto kind = ReadLittleEndian<std::uint32_t>(rest.substr(4));
+  if (!IsKnownKind(kind)) return RecordCheck::kUnknownKind;
   const auto length = ReadLittleEndian<std::uint32_t>(rest);
   size = kRecordHeaderBytes + std::uint64_t{length} + kRecordEndBytes;
   if (rest.size() < size) return RecordCheck::kIncomplete;
@@ -82,8 +82,7 @@
                       XXH3_64bits(payload.data(), payload.size()) ==
                           ReadLittleEndian<std::uint64_t>(rest.substr(8));
   if (!intact) return RecordCheck::kDamaged;
-  record.kind =
-      static_cast<RecordKind>(ReadLittleEndian<std::uint32_t>(rest.substr(4)));
+  record.kind = static_cast<RecordKind>(kind);
   record.payload = std::string(payload);
   return RecordCheck::kValid;
 }
@@ -99,4 +98,8 @@
   return false;
 }
 
+bool EndsAsRecord(std::string_view file) {
+  return !file.empty() && file.back() == kEndByte;
+}
+
 }  // namespace cassiausher
--- a/modules/file_log/record.h
+++ b/modules/file_log/record.h
@@ -39,8 +39,10 @@
 
 enum class RecordCheck {
   kValid,
-  kIncomplete,  ///< The file ends within the record.
-  kDamaged,     ///< A checksum, the kind or the end byte is wrong.
+  kIncomplete,   ///< The file ends within the record.
+  kNoHeader,     ///< The header's checksum is wrong.
+  kUnknownKind,  ///< The header is intact, but a later version wrote it.
+  kDamaged,      ///< The payload's checksum or the end byte is wrong.
 };
 
 /// Decodes and checks the record at `offset`, which must not exceed the size of
@@ -54,6 +56,9 @@
 /// zero, or the last byte is: a write from `offset` on was not completed.
 bool HasLostSector(std::string_view file, std::uint64_t offset);
 
+/// Returns whether the file ends as every complete record does.
+bool EndsAsRecord(std::string_view file);
+
 }  // namespace cassiausher
 
 #endif  // MODULES_FILE_LOG_RECORD_H_
--- a/servers/consensus/log_storage.h
+++ b/servers/consensus/log_storage.h
@@ -33,7 +33,9 @@
     kInputOutput,  ///< A system call failed; the operation can be retried.
     kNoSpace,      ///< The disk is full; can be retried once space is free.
     kCorrupt,      ///< Stored data is damaged; the replica must be replaced.
-    kMisuse,       ///< The arguments do not match the log.
+    /// Intact data that this version can't read, as a later one wrote it.
+    kUnknownFormat,
+    kMisuse,  ///< The arguments do not match the log.
   };
   Code code = Code::kInputOutput;
   std::string file;
--- a/tests/modules/file_log_test.cc
+++ b/tests/modules/file_log_test.cc
@@ -410,6 +410,31 @@
   }
 }
 
+// Guards against a log that takes bytes behind its last record, which were
+// never a synced write, for damage: each start was refused, for good.
+TEST(FileLog, NoiseBehindTheLastRecordIsCut) {
+  constexpr char kEndOfRecord = '\xA5';
+  {
+    auto log = OpenLog(disk);
+    CHECK(Succeeded(log->Load()));
+    Fill(*log, 1, 6);
+  }
+  const std::string name = disk.current.begin()->first;
+  for (seed = 1; seed <= 500; ++seed) {
+    Random random(seed);
+    FaultDisk copy = disk.Copy();
+    std::string& content = copy.current[name]->current;
+    for (std::uint64_t left = 1 + random.Below(3000); left > 0; --left) {
+      content.push_back(static_cast<char>(random.Below(256)));
+    }
+    if (content.back() == kEndOfRecord) content.back() = '\x5A';
+    const auto loaded = LoadFrom(copy);
+    CHECK_TEXT(loaded.value.has_value(), "noise was taken for damage");
+    CheckEntries(*loaded.value, 1, 6);
+    LONGS_EQUAL(1, loaded.value->findings.items().size());
+  }
+}
+
 // Guards against a lost sector of a synced write that is taken for a torn write
 // although a later write follows it.
 TEST(FileLog, LostSectorBeforeALaterWriteIsReported) {
