--- a/scripts/check_docs.py
+++ b/scripts/check_docs.py
@@ -54,6 +54,7 @@
     code = "\n".join(path.read_text() for path in sources())
     metrics = set(re.findall(r'(?:counter|gauge|distribution)\(\s*(?:fmt::format\(\s*)?"([a-z_]+)', code))
     events = set(re.findall(r'Log\(\s*(?:cassiausher::)?LogLevel::\w+,\s*"([a-z_]+)"', code))
+    events |= set(re.findall(r'LogLastLine\("([a-z_]+)"', code))
     events |= set(re.findall(r'[?:]\s*"((?:configuration_lease|data_centre)_[a-z]+)"', code))
     metric_table, event_table = METRICS_PAGE.read_text().split("| event |")
     first_columns = lambda table: "\n".join(line.split("|")[1] for line in table.splitlines() if line.startswith("| "))
