--- a/tests/main/node/process_ends_test.cc
+++ b/tests/main/node/process_ends_test.cc
@@ -13,7 +13,8 @@
 constexpr rlim_t kFewDescriptors = 160;
 constexpr int kHerd = 400;
 
-const std::string kConfiguration = R"({"version":1,"routes":[],"services":[]})";
+constexpr const char* kConfiguration =
+    R"({"version":1,"routes":[],"services":[]})";
 
 std::string Call(const std::string& method, const std::string& path,
                  const std::string& body) {
