Let threads reserve less address space

Seen: under a limit of the address space, as some systems set it in place of one of memory, instances ended at their start with SIGABRT: at 64 MB both roles, at 72 MB control instances (libzmq: "Resource temporarily unavailable" for a thread; GLib the same at 48 MB).

Cause: each thread reserved a stack of 8 MiB, and glibc an arena of 64 MiB for each thread that allocates.

Change: stacks of 1 MiB for all threads but the main one, two arenas at most.

--- a/drivers/process_setup.cc
+++ b/drivers/process_setup.cc
@@ -1,6 +1,8 @@
 #include "drivers/process_setup.h"
 
 #include <fcntl.h>
+#include <malloc.h>
+#include <pthread.h>
 #include <signal.h>
 #include <sys/resource.h>
 #include <unistd.h>
@@ -29,6 +31,11 @@
 // The handler runs on it when the stack has overflowed.
 constexpr std::size_t kFaultStackBytes = 64 << 10;
 
+// Threads other than the main one write files and move messages.
+constexpr std::size_t kThreadStackBytes = 1 << 20;
+// glibc reserves 64 MiB for each.
+constexpr int kMaxArenas = 2;
+
 bool HasDefaultAction(int signal) {
   struct sigaction action {};
   if (sigaction(signal, nullptr, &action) != 0) return false;
@@ -114,6 +121,16 @@
   }
 }
 
+void LimitThreadMemory() {
+  mallopt(M_ARENA_MAX, kMaxArenas);
+  pthread_attr_t attributes;
+  if (pthread_attr_init(&attributes) != 0) return;
+  if (pthread_attr_setstacksize(&attributes, kThreadStackBytes) == 0) {
+    pthread_setattr_default_np(&attributes);
+  }
+  pthread_attr_destroy(&attributes);
+}
+
 void RaiseDescriptorLimit() {
   rlimit limit{};
   if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
--- a/drivers/process_setup.h
+++ b/drivers/process_setup.h
@@ -22,6 +22,10 @@
 /// or a signal of a fault. Signals that already have a handler keep it.
 void LogFaults();
 
+/// Makes threads reserve less address space, which some systems limit in place
+/// of memory. Call before the first thread starts.
+void LimitThreadMemory();
+
 /// Raises the limit of descriptors as far as the system allows.
 void RaiseDescriptorLimit();
 
--- a/main/node/node_main.cc
+++ b/main/node/node_main.cc
@@ -99,6 +99,7 @@
   // size glibc keeps them, and the process stays as large as in its largest
   // burst.
   mallopt(M_MMAP_THRESHOLD, cassiausher::kMappedBufferBytes);
+  cassiausher::LimitThreadMemory();
   const int status = cassiausher::Main(argc, argv);
   cassiausher::FlushLog(cassiausher::kLogFlushTimeout);
   return status;
