--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -79,7 +79,7 @@
       stage_orders_(settings_.ip, metrics),
       permits_(settings_, &log_, &registry_, metrics, &link_),
       crashes_(Incarnation(incarnation_), &link_),
-      operator_calls_(InstanceId(settings_.ip), &log_, &link_),
+      leader_calls_(InstanceId(settings_.ip), &log_, &link_),
       followers_({.settings = &settings_,
                   .incarnation = incarnation_,
                   .registry = &registry_,
@@ -134,7 +134,7 @@
   shutdown_started_ = BootTimeNow();
   if (log_.leading()) log_.TransferLeadership(shutdown_started_);
   server_->BeginDrain();
-  operator_calls_.Stop();
+  leader_calls_.Stop();
   server_->StopListening();
   shutdown_timer_ = AddTimer(context_, kShutdownPollPeriod,
                              [this] { AdvanceShutdown(BootTimeNow()); });
@@ -169,7 +169,7 @@
     case ControlCallKind::kPutConfiguration:
       return OnPut(std::move(exchange));
     case ControlCallKind::kReadConfiguration:
-      return operator_calls_.Read(std::move(exchange), BootTimeNow());
+      return leader_calls_.Read(std::move(exchange), BootTimeNow());
     case ControlCallKind::kListVerdicts:
       return crashes_.List(*exchange, BootTimeNow());
     case ControlCallKind::kLiftVerdict:
@@ -200,7 +200,7 @@
   if (record->state == EndpointLifecycle::kReady) {
     return exchange->Respond(200, kJson, "{}");
   }
-  operator_calls_.SubmitLeaving(std::move(exchange), *record, now);
+  leader_calls_.SubmitLeaving(std::move(exchange), *record, now);
 }
 
 void ControlNode::RefuseForWantOfRoom(const EndpointId& id,
@@ -236,7 +236,7 @@
   if (registry_.MarkDeparted(id, NewestIncarnation(), now)) {
     PublishRegistryChange(*registry_.Find(id));
   }
-  operator_calls_.SubmitLeaving(std::move(exchange), *registry_.Find(id), now);
+  leader_calls_.SubmitLeaving(std::move(exchange), *registry_.Find(id), now);
 }
 
 void ControlNode::PublishRegistryChange(const EndpointRecord& record) {
@@ -273,8 +273,7 @@
     return;
   }
   VersionedDocument document{decoded->version, std::string(exchange->body())};
-  operator_calls_.Submit(std::move(exchange), std::move(document),
-                         BootTimeNow());
+  leader_calls_.Submit(std::move(exchange), std::move(document), BootTimeNow());
 }
 
 // --- The replicated log ----------------------------------------------------
@@ -302,7 +301,7 @@
 void ControlNode::OnSubmitted(const InstanceId& origin,
                               std::uint64_t submission) {
   if (origin.value() == settings_.ip) {
-    return operator_calls_.OnSubmitted(submission);
+    return leader_calls_.OnSubmitted(submission);
   }
   proto::NodeMessage message;
   message.mutable_submit_result()->set_submission(submission);
@@ -324,7 +323,7 @@
   // A read that wasn't served is sent again, to the next leader.
   if (!served) return;
   if (origin.value() == settings_.ip) {
-    return operator_calls_.OnRead(read, log_.current());
+    return leader_calls_.OnRead(read, log_.current());
   }
   proto::NodeMessage message;
   auto* result = message.mutable_read_result();
@@ -387,7 +386,7 @@
       OnSubmit(from, message.submit_document(), now);
       break;
     case proto::NodeMessage::kSubmitResult:
-      operator_calls_.OnSubmitted(message.submit_result().submission());
+      leader_calls_.OnSubmitted(message.submit_result().submission());
       break;
     case proto::NodeMessage::kReadCurrent:
       if (!log_.leading()) break;
@@ -418,8 +417,8 @@
 
 void ControlNode::OnReadResult(const proto::ReadResult& result) {
   if (!result.served()) return;
-  operator_calls_.OnRead(result.read(),
-                         cassiausher::FromProto(result.document()));
+  leader_calls_.OnRead(result.read(),
+                       cassiausher::FromProto(result.document()));
 }
 
 void ControlNode::OnFetch(const InstanceId& from,
@@ -593,7 +592,7 @@
                           now)) {
     return;
   }
-  confirming_read_ = operator_calls_.NextId();
+  confirming_read_ = leader_calls_.NextId();
   log_.ReadCurrent(InstanceId(settings_.ip), confirming_read_, now);
 }
 
@@ -601,7 +600,7 @@
   const Time now = BootTimeNow();
   log_.Tick(now);
   newest_.Learn(log_.current().version, log_.ConfirmedAt());
-  operator_calls_.Retry(now);
+  leader_calls_.Retry(now);
   if (permits_.Tick(now)) followers_.OnChange(now);
   CheckDepartures(now);
   if (now < next_sync_) return;
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -20,9 +20,9 @@
 #include "main/node/configuration_log.h"
 #include "main/node/crash_service.h"
 #include "main/node/follower_updates.h"
+#include "main/node/leader_calls.h"
 #include "main/node/node_link.h"
 #include "main/node/node_settings.h"
-#include "main/node/operator_calls.h"
 #include "main/node/permit_service.h"
 #include "main/node/stage_orders.h"
 #include "servers/control/document_store.h"
@@ -129,7 +129,7 @@
   PermitService permits_;
   StreamOrigins origins_{StreamOriginsOptions{}};
   CrashService crashes_;
-  OperatorCalls operator_calls_;
+  LeaderCalls leader_calls_;
   /// The configuration in force, decoded; empty before the first.
   std::optional<ServingConfiguration> configuration_;
   /// Id of the read that confirms leadership for a planned order; 0 for none.
--- a/main/node/crash_service.cc
+++ b/main/node/crash_service.cc
@@ -4,7 +4,7 @@
 
 #include "core/json_reader.h"
 #include "core/log.h"
-#include "main/node/operator_calls.h"
+#include "main/node/leader_calls.h"
 #include "servers/crashes/verdict.h"
 
 namespace cassiausher {
--- a/main/node/operator_calls.cc
+++ b/main/node/leader_calls.cc
@@ -1,4 +1,4 @@
-#include "main/node/operator_calls.h"
+#include "main/node/leader_calls.h"
 
 #include <utility>
 #include <vector>
@@ -27,18 +27,18 @@
                           .message = std::move(message)});
 }
 
-void OperatorCalls::Submit(HttpExchangePtr exchange, VersionedDocument document,
-                           Time now) {
+void LeaderCalls::Submit(HttpExchangePtr exchange, VersionedDocument document,
+                         Time now) {
   SubmitCommand(std::move(exchange), {.document = std::move(document)}, now);
 }
 
-void OperatorCalls::SubmitLeaving(HttpExchangePtr exchange,
-                                  const EndpointRecord& record, Time now) {
+void LeaderCalls::SubmitLeaving(HttpExchangePtr exchange,
+                                const EndpointRecord& record, Time now) {
   SubmitCommand(std::move(exchange), {.leaving = {{.record = record}}}, now);
 }
 
-void OperatorCalls::SubmitCommand(HttpExchangePtr exchange, LogCommand command,
-                                  Time now) {
+void LeaderCalls::SubmitCommand(HttpExchangePtr exchange, LogCommand command,
+                                Time now) {
   if (stopping_) return RespondStopping(*exchange);
   const std::uint64_t id = NextId();
   const bool is_held = log_->Holds(command);
@@ -52,14 +52,14 @@
   }
 }
 
-void OperatorCalls::Read(HttpExchangePtr exchange, Time now) {
+void LeaderCalls::Read(HttpExchangePtr exchange, Time now) {
   if (stopping_) return RespondStopping(*exchange);
   const std::uint64_t id = NextId();
   calls_[id] = {.exchange = std::move(exchange), .started = now};
   SendToLeader(id, now);
 }
 
-void OperatorCalls::SendToLeader(std::uint64_t id, Time now) {
+void LeaderCalls::SendToLeader(std::uint64_t id, Time now) {
   Call& call = calls_.at(id);
   call.sent_at = now;
   if (log_->leading()) {
@@ -85,7 +85,7 @@
   link_->Send(leader, std::move(message));
 }
 
-void OperatorCalls::Retry(Time now) {
+void LeaderCalls::Retry(Time now) {
   std::vector<std::uint64_t> due;
   for (const auto& [id, call] : calls_) {
     const bool late = now - call.started >= kCallTimeout;
@@ -112,17 +112,17 @@
   }
 }
 
-void OperatorCalls::RespondStopping(HttpExchange& exchange) {
+void LeaderCalls::RespondStopping(HttpExchange& exchange) {
   RespondControlError(exchange, kUnavailable, "stopping", "the instance stops");
 }
 
-void OperatorCalls::Stop() {
+void LeaderCalls::Stop() {
   stopping_ = true;
   for (auto& [id, call] : calls_) RespondStopping(*call.exchange);
   calls_.clear();
 }
 
-void OperatorCalls::OnSubmitted(std::uint64_t submission) {
+void LeaderCalls::OnSubmitted(std::uint64_t submission) {
   const auto found = calls_.find(submission);
   if (found == calls_.end()) return;
   const LogCommand command = found->second.command.value_or(LogCommand());
@@ -140,8 +140,8 @@
   calls_.erase(found);
 }
 
-void OperatorCalls::OnRead(std::uint64_t read,
-                           const VersionedDocument& document) {
+void LeaderCalls::OnRead(std::uint64_t read,
+                         const VersionedDocument& document) {
   const auto found = calls_.find(read);
   if (found == calls_.end()) return;
   if (document.version == Revision(0)) {
--- a/main/node/operator_calls.h
+++ b/main/node/leader_calls.h
@@ -1,7 +1,7 @@
 // Calls of operators, and of endpoints that leave, at a control instance: each
 // is held until the leader of the replicated log has answered it.
-#ifndef MAIN_NODE_OPERATOR_CALLS_H_
-#define MAIN_NODE_OPERATOR_CALLS_H_
+#ifndef MAIN_NODE_LEADER_CALLS_H_
+#define MAIN_NODE_LEADER_CALLS_H_
 
 #include <cstdint>
 #include <map>
@@ -25,9 +25,9 @@
                          std::string_view code, std::string message);
 
 /// Used on the control node's task only; `log` and `link` must outlive it.
-class OperatorCalls {
+class LeaderCalls {
  public:
-  OperatorCalls(InstanceId self, ConfigurationLog* log, NodeLink* link)
+  LeaderCalls(InstanceId self, ConfigurationLog* log, NodeLink* link)
       : self_(std::move(self)), log_(log), link_(link) {}
 
   /// Answered once the document, or a higher version, is committed.
@@ -75,4 +75,4 @@
 
 }  // namespace cassiausher
 
-#endif  // MAIN_NODE_OPERATOR_CALLS_H_
+#endif  // MAIN_NODE_LEADER_CALLS_H_
