Refuse numbers out of range in configurations

Operators got a 200 for numbers that don't fit. After a document of version -1 each later one was acknowledged and none came into force: GET returned -1. 2^32 + 1 slots were decoded as 1. A timeout of 10^18 ms and a kv-hold-s of 1e300 overflow in the conversion to microseconds.

Cause: values were converted before anything looked at their size, and unsigned numbers from 2^63 on were read as negative ones.

Validate() refuses weights out of range and leaves them out of the sum, which overflowed.

--- a/servers/control/serving_configuration.cc
+++ b/servers/control/serving_configuration.cc
@@ -1,12 +1,17 @@
 #include "servers/control/serving_configuration.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <set>
 #include <utility>
 
 namespace cassiausher {
 namespace {
 
+// Weights of so many targets as a document can have add up without overflow.
+constexpr std::int64_t kMaxWeight = std::numeric_limits<std::int32_t>::max();
+
 void ValidateRoute(const Route& route,
                    const std::map<ServiceId, ServiceSpec>& services,
                    const std::string& place, Findings* findings) {
@@ -15,8 +20,13 @@
   }
   std::int64_t total_weight = 0;
   for (const RouteTarget& target : route.targets) {
-    total_weight += target.weight;
-    if (target.weight < 0) findings->Add(place, "a weight is negative");
+    if (target.weight < 0) {
+      findings->Add(place, "a weight is negative");
+    } else if (target.weight > kMaxWeight) {
+      findings->Add(place, "a weight is above " + std::to_string(kMaxWeight));
+    } else {
+      total_weight += target.weight;
+    }
     if (!services.contains(target.service)) {
       findings->Add(place, "unknown service " + target.service.value());
     }
--- a/servers/control/serving_configuration.h
+++ b/servers/control/serving_configuration.h
@@ -87,7 +87,7 @@
 };
 
 /// Reports faults that make a configuration unusable: a route to an unknown
-/// service, two routes with the same host and prefix, a negative weight,
+/// service, two routes with the same host and prefix, a weight out of range,
 /// weights whose sum is not positive, a timeout that is not positive.
 Findings Validate(const ServingConfiguration& configuration);
 
--- a/tests/control/serving_configuration_test.cc
+++ b/tests/control/serving_configuration_test.cc
@@ -4,6 +4,9 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cstdint>
+#include <limits>
+
 namespace cassiausher {
 namespace {
 
@@ -57,6 +60,19 @@
   CHECK_FALSE(Validate(no_timeout).empty());
 }
 
+// The sum of the weights overflowed.
+TEST(ServingConfiguration, WeightsOutOfRangeAreReported) {
+  const std::int64_t largest = std::numeric_limits<std::int64_t>::max();
+  for (const std::int64_t weight :
+       {std::int64_t{-1}, std::int64_t{1} << 31, largest}) {
+    ServingConfiguration configuration = MakeConfiguration();
+    configuration.routes[0].targets = {{ServiceId("s"), weight},
+                                       {ServiceId("s"), weight},
+                                       {ServiceId("s"), 5}};
+    LONGS_EQUAL(2, Validate(configuration).items().size());
+  }
+}
+
 TEST(ServingConfiguration, TargetIsPickedByWeight) {
   Route route = MakeRoute("split", "/a/", "s");
   route.targets = {
--- a/tests/platform/configuration_document_test.cc
+++ b/tests/platform/configuration_document_test.cc
@@ -78,6 +78,70 @@
   CHECK_FALSE(codec.Decode(text, &findings).has_value());
 }
 
+// Numbers that don't fit were cut down to other, valid ones, or overflowed and
+// ended the process, and the document was acknowledged.
+TEST(ConfigurationDocument, NumberOutOfRangeIsRejectedWithItsLocation) {
+  for (const auto& [place, field] :
+       {std::pair{"/routes/0/timeout-ms", R"("timeout-ms":14000)"},
+        std::pair{"/routes/0/target-latency-ms", R"("target-latency-ms":900)"},
+        std::pair{"/routes/0/gap-target-ms", R"("gap-target-ms":300)"},
+        std::pair{"/routes/0/priority", R"("priority":1)"},
+        std::pair{"/routes/0/attempts", R"("attempts":2)"},
+        std::pair{"/routes/0/traffic-split/0/weight", R"("weight":90)"},
+        std::pair{"/services/0/max-conns", R"("max-conns":290)"},
+        std::pair{"/services/0/engine/0/slots", R"("slots":48)"},
+        std::pair{"/services/0/engine/0/stride", R"("stride":72)"},
+        std::pair{"/services/0/engine/0/kv-hold-s", R"("kv-hold-s":0.5)"},
+        std::pair{"/limits/idle-timeout-ms", R"("idle-timeout-ms":15000)"}}) {
+    const std::string key =
+        std::string(field).substr(0, std::string(field).find(':') + 1);
+    for (const char* number :
+         {"-1", "2147483648", "4294967297", "9223372036854775808",
+          "18446744073709551615", "1000000000000000000", "1e18", "1e300"}) {
+      Findings found;
+      const std::string text = Replaced(kDocument, field, key + number);
+      CHECK_FALSE(codec.Decode(text, &found).has_value());
+      STRCMP_EQUAL(place, found.items().front().place.c_str());
+    }
+  }
+}
+
+// The same for numbers of 64 bits: those above 2^63 became negative.
+TEST(ConfigurationDocument, LongNumberOutOfRangeIsRejected) {
+  for (const std::string field : {R"("version":7)", R"("kv-capacity":107196)",
+                                  R"("max-header-bytes":100)"}) {
+    const std::string key = field.substr(0, field.find(':') + 1);
+    for (const char* number :
+         {"-1", "9223372036854775808", "18446744073709551615", "1e300"}) {
+      Findings found;
+      const std::string text = Replaced(kDocument, field, key + number);
+      CHECK_FALSE(codec.Decode(text, &found).has_value());
+    }
+  }
+  const std::string text =
+      Replaced(kDocument, ":107196", ":1000000000000000000");
+  CHECK_FALSE(codec.Decode(text, &findings).has_value());
+}
+
+TEST(ConfigurationDocument, LargestNumbersAreDecoded) {
+  std::string text = kDocument;
+  for (const auto& [from, to] :
+       {std::pair{"\"version\":7", "\"version\":9223372036854775807"},
+        std::pair{"\"timeout-ms\":14000", "\"timeout-ms\":2147483647"},
+        std::pair{"\"weight\":90", "\"weight\":2147483647"},
+        std::pair{"\"max-conns\":290", "\"max-conns\":2147483647"},
+        std::pair{"\"kv-hold-s\":0.5", "\"kv-hold-s\":0"}}) {
+    text = Replaced(text, from, to);
+  }
+  const auto configuration = codec.Decode(text, &findings);
+  CHECK_TRUE(configuration.has_value());
+  CHECK_TRUE(Validate(*configuration).empty());
+  CHECK_TRUE(configuration->version == Revision(9223372036854775807));
+  CHECK_TRUE(configuration->routes[0].timeout == Milliseconds(2147483647));
+  LONGS_EQUAL(2147483647,
+              configuration->services.at(ServiceId("s")).max_connections);
+}
+
 TEST(ConfigurationDocument, UnservableConfigurationFailsValidation) {
   for (const auto& [from, to] :
        {std::pair{"\"weight\":90},{\"service\":\"p\",\"weight\":10",
