--- a/tests/platform/runner_calls_test.cc
+++ b/tests/platform/runner_calls_test.cc
@@ -79,6 +79,25 @@
   }
 }
 
+// Slots that don't fit an int were cut down to another number, and an endpoint
+// that started at the end of time could never be replaced.
+TEST(RunnerCalls, NumberOutOfRangeIsRejectedWithTheNameOfItsField) {
+  for (const auto& [field, from, to] :
+       {std::tuple{"slots", ":16", ":2147483648"},
+        std::tuple{"slots", ":16", ":4294967297"},
+        std::tuple{"slots", ":16", ":9223372036854775808"},
+        std::tuple{"slots", ":16", ":1e300"},
+        std::tuple{"born", "1788134613150", "253402300800000"},
+        std::tuple{"born", "1788134613150", "18446744073709551615"},
+        std::tuple{"born", "1788134613150", "-1"}}) {
+    findings = {};
+    CHECK_FALSE(Read(Replaced(kHeartbeatBody, from, to)).has_value());
+    STRCMP_EQUAL(field, findings.items().front().place.c_str());
+  }
+  const auto largest = Read(Replaced(kHeartbeatBody, ":16", ":2147483647"));
+  LONGS_EQUAL(2147483647, largest->slots);
+}
+
 // Control instances keep these strings and send them to other instances.
 TEST(RunnerCalls, OversizedStringIsRejectedWithTheNameOfItsField) {
   const std::string text(257, '1');
