Ignore callers' times and token counts out of range

X-Deadline-Ms of 10^18 overflows when it is converted to microseconds, and X-Token-Counts and X-Length-Hint near 2^63 can overflow when they are added up (found by reading; no caller was seen to suffer).

--- a/tests/platform/request_headers_test.cc
+++ b/tests/platform/request_headers_test.cc
@@ -133,6 +133,27 @@
   CHECK_FALSE(headers.last_event_id.has_value());
 }
 
+// Numbers near 2^63 overflowed in times and sums.
+TEST(RequestHeaders, NumbersOutOfRangeAreIgnored) {
+  for (const std::string number :
+       {"1000000000000000000", "9223372036854775807", "9223372036854775808",
+        "18446744073709551615"}) {
+    Receive({{"X-Deadline-Ms", number},
+             {"X-Token-Counts", number + "," + number},
+             {"X-Length-Hint", number}});
+    const CallerHeaders headers = ReadCallerHeaders(*exchange);
+    CHECK_FALSE(headers.timeout.has_value());
+    LONGS_EQUAL(0, headers.prompt.value());
+    LONGS_EQUAL(0, headers.output.value());
+    exchange.reset();
+  }
+  Receive({{"X-Deadline-Ms", "2147483648"}});
+  CHECK_FALSE(ReadCallerHeaders(*exchange).timeout.has_value());
+  exchange.reset();
+  Receive({{"X-Deadline-Ms", "2147483647"}});
+  CHECK_TRUE(ReadCallerHeaders(*exchange).timeout == Milliseconds(2147483647));
+}
+
 TEST(RequestHeaders, RequestIsForwardedUnchanged) {
   Receive({{"X-Model", "m"}, {"X-Prompt-Prefix", "5c:800"}, {"Accept", "a"}});
   const HttpCall call = BuildCall(
