Found no new group once a log was moved away

Callers saw: a control instance that was killed within the 500 ms after it set its damaged log aside, and started again with the same settings, founded a new group and took version 1 after it had acknowledged version 2.

Cause: that the next log must not bootstrap was known in memory only, while the settings still say first_start.

Change: a folder log.damaged or log.replaced forbids it, also for is_new().

Measured: the test failed before (departures_known logged) and passes.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -40,6 +40,12 @@
   return settings.data_folder + "/log.damaged";
 }
 
+bool IsMissing(const std::string& folder) {
+  std::error_code error;
+  const auto type = std::filesystem::status(folder, error).type();
+  return type == std::filesystem::file_type::not_found;
+}
+
 }  // namespace
 
 ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
@@ -53,12 +59,13 @@
 ConfigurationLog::~ConfigurationLog() = default;
 
 void ConfigurationLog::Start(Time now) {
-  std::error_code error;
-  const auto type = std::filesystem::status(LogFolder(settings_), error).type();
-  // A folder that can't be looked at may hold a log.
-  is_new_ =
-      settings_.first_start && type == std::filesystem::file_type::not_found;
-  may_bootstrap_ = settings_.first_start;
+  // A folder that can't be looked at may hold a log. One that was moved away
+  // held the log of a group, also if the process ended before it opened the
+  // next.
+  may_bootstrap_ = settings_.first_start &&
+                   IsMissing(DamagedLogFolder(settings_)) &&
+                   IsMissing(ReplacedLogFolder(settings_));
+  is_new_ = may_bootstrap_ && IsMissing(LogFolder(settings_));
   OpenReplica(now);
 }
 
--- a/tests/main/node/process_ends_test.cc
+++ b/tests/main/node/process_ends_test.cc
@@ -196,6 +196,30 @@
   STRNCMP_EQUAL("HTTP/1.1 503", Answer(control, change).c_str(), 12);
 }
 
+// An instance that was killed between setting its log aside and opening the
+// next one founded a new group, and took a version that was older than one it
+// had acknowledged.
+TEST(ProcessEnds, ALogThatWasSetAsideFoundsNoNewGroup) {
+  for (const char* moved : {"/data/log.damaged", "/data/log.replaced"}) {
+    ChildProcess control("control");
+    control.Start();
+    CHECK_TRUE(control.Serves());
+    const std::string change = Call("PUT", "/api/config", kConfiguration);
+    CHECK_TRUE(WaitUntil(
+        [&] { return Answer(control, change).starts_with("HTTP/1.1 200"); }));
+    control.Kill();
+    std::filesystem::rename(control.folder() + "/data/log",
+                            control.folder() + moved);
+    std::filesystem::remove(control.folder() + "/log");
+    control.Start();
+    CHECK_TRUE(control.Serves());
+    CHECK_FALSE(WaitUntil(
+        [&] { return control.HasLogged("\"configuration_committed\""); }, 2));
+    CHECK_FALSE(control.HasLogged("\"departures_known\""));
+    STRNCMP_EQUAL("HTTP/1.1 503", Answer(control, change).c_str(), 12);
+  }
+}
+
 // A disk that can't be used at the start ended the process.
 TEST(ProcessEnds, AStartWaitsForItsDisk) {
   ChildProcess control("control");
