Don't let signals or idle connections end or close a daemon

Callers saw: cassiausherd ended by stray signals (SIGUSR2, SIGALRM, SIGXFSZ, SIGQUIT and others), without a trace of a fault in the log; and with all descriptors taken by idle connections, nobody was answered.

Cause: it left the signals at their defaults and its listeners knew no limit.

Its listeners end idle connections from a descriptor number on.

Measured: daemon_process_tests; both tests fail with the program of before, and pass with this one.

--- a/main/daemon/admin_task.cc
+++ b/main/daemon/admin_task.cc
@@ -7,6 +7,7 @@
 
 #include "core/json_reader.h"
 #include "drivers/clock.h"
+#include "drivers/process_setup.h"
 #include "main/daemon/announcement.h"
 
 namespace cassiausher {
@@ -74,7 +75,8 @@
           .tls_certificate_file = settings_.listen.tls_certificate_file,
           .tls_key_file = settings_.listen.tls_key_file,
           .max_body_bytes = kMaxAdminBody,
-          .max_header_bytes = settings_.limits.header_bytes},
+          .max_header_bytes = settings_.limits.header_bytes,
+          .max_descriptor = MaxServedDescriptor()},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
       [this](int status, std::string_view message) {
         drained_.store(false);
--- a/main/daemon/main.cc
+++ b/main/daemon/main.cc
@@ -1,7 +1,6 @@
 // cassiausherd: reads its arguments and settings, then runs the daemon.
 #include <docopt/docopt.h>
 #include <fmt/format.h>
-#include <sys/resource.h>
 
 #include <algorithm>
 #include <csignal>
@@ -12,6 +11,7 @@
 
 #include "core/log.h"
 #include "core/settings.h"
+#include "drivers/process_setup.h"
 #include "main/daemon/daemon.h"
 
 namespace {
@@ -41,17 +41,11 @@
 constexpr std::int64_t kDescriptorsPerRequest = 2;
 constexpr std::int64_t kOtherDescriptors = 300;
 
-// Raises the descriptor limit to the hard limit, and lowers the number of open
-// requests to what it allows: without descriptors the admin listener couldn't
-// answer either.
+// Lowers the number of open requests to what the descriptor limit allows:
+// without descriptors the admin listener couldn't answer either.
 void FitToDescriptorLimit(cassiausher::Settings::Limits* limits) {
-  rlimit limit{};
-  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
-  limit.rlim_cur = limit.rlim_max;
-  setrlimit(RLIMIT_NOFILE, &limit);
-  if (limit.rlim_cur == RLIM_INFINITY) return;
   const std::int64_t max_requests =
-      (static_cast<std::int64_t>(limit.rlim_cur) - kOtherDescriptors) /
+      (std::int64_t{cassiausher::DescriptorLimit()} - kOtherDescriptors) /
       kDescriptorsPerRequest;
   if (max_requests >= limits->open_requests) return;
   cassiausher::Log(cassiausher::LogLevel::kWarning, "open_requests_reduced",
@@ -62,10 +56,13 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  // By default these signals end the process. Until the daemon handles them, a
-  // reload would change nothing and there is no state to print.
+  cassiausher::OpenStandardDescriptors();
+  // Until the daemon handles them, a reload would change nothing and there is
+  // no state to print (SIGUSR1, ignored with the others). By default these
+  // signals end the process.
   std::signal(SIGHUP, SIG_IGN);
-  std::signal(SIGUSR1, SIG_IGN);
+  cassiausher::IgnoreStraySignals();
+  cassiausher::LogFaults();
   using cassiausher::Findings;
   std::map<std::string, docopt::value> arguments;
   try {
@@ -92,8 +89,10 @@
     fmt::print("the settings are valid\n");
     return 0;
   }
-  std::signal(SIGPIPE, SIG_IGN);
+  // Asks for an end, like SIGTERM. By default it leaves a core dump.
+  cassiausher::RedirectSignal(SIGQUIT, SIGTERM);
   cassiausher::ConfigureLog(settings.log.level, settings.instance.value());
+  cassiausher::RaiseDescriptorLimit();
   FitToDescriptorLimit(&settings.limits);
   cassiausher::Daemon daemon(std::move(settings),
                              arguments["--config"].asString());
--- a/main/daemon/serving_task.cc
+++ b/main/daemon/serving_task.cc
@@ -10,6 +10,7 @@
 #include "core/json_reader.h"
 #include "core/log.h"
 #include "drivers/clock.h"
+#include "drivers/process_setup.h"
 #include "main/daemon/request_id.h"
 
 namespace cassiausher {
@@ -105,7 +106,8 @@
           .tls_certificate_file = settings_.listen.tls_certificate_file,
           .tls_key_file = settings_.listen.tls_key_file,
           .max_body_bytes = settings_.limits.body_bytes,
-          .max_header_bytes = settings_.limits.header_bytes},
+          .max_header_bytes = settings_.limits.header_bytes,
+          .max_descriptor = MaxForwardedDescriptor()},
       [this](HttpExchangePtr exchange) { HandleHttp(std::move(exchange)); },
       [this](int status, std::string_view message) {
         drained_.store(false);
--- a/tests/main/node/child_process.h
+++ b/tests/main/node/child_process.h
@@ -1,4 +1,5 @@
-// Runs cassiausher_node as a process of its own, under limits of the system.
+// Runs cassiausher_node, or cassiausherd (the role "daemon"), as a process of
+// its own, under limits of the system.
 #ifndef TESTS_MAIN_NODE_CHILD_PROCESS_H_
 #define TESTS_MAIN_NODE_CHILD_PROCESS_H_
 
@@ -131,8 +132,12 @@
     if (limits.closed_output) close(STDOUT_FILENO);
     Limit(RLIMIT_FSIZE, limits.file_size);
     if (limits.descriptors > 0) Limit(RLIMIT_NOFILE, limits.descriptors);
+#ifdef CASSIAUSHERD
+    execl(CASSIAUSHERD, CASSIAUSHERD, "--config", settings.c_str(), nullptr);
+#else
     execl(CASSIAUSHER_NODE, CASSIAUSHER_NODE, role_.c_str(), "--settings",
           settings.c_str(), nullptr);
+#endif
     _exit(127);
   }
   /// The status of waitpid(); -1 while the process runs.
@@ -186,6 +191,13 @@
     return "\"" + ip_ + ":" + std::to_string(port) + "\"";
   }
   std::string Settings() const {
+    if (role_ == "daemon") {
+      return R"({"instance":"i","data_centre":"z","listen":{"caller":)" +
+             At(kCallerPort) + ",\"admin\":" + At(kReadinessPort) +
+             ",\"peer\":" + At(kPeerPort) +
+             R"(},"keys":{},"peers":[{"instance":"i","data_centre":"z",)" +
+             "\"address\":" + At(kPeerPort) + "}]}";
+    }
     const bool entry = role_ == "entry";
     const std::string listen =
         entry ? "\"callers\":" + At(kCallerPort) +
