Let a start of the daemon wait for addresses that are held

Operators saw: cassiausherd ended with status 1 (start_failed) when another process still held its peer, caller or admin address.

Cause: the first listener that couldn't be opened ended the start.

Change: the task whose listener failed is started again every 100 ms, the others stay; start_waits tells the error. Tasks start in the order of before, so a daemon without its peer listener doesn't vote. A signal ends a start that waits at once.

--- a/main/daemon/daemon.cc
+++ b/main/daemon/daemon.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr guint kShutdownPollMs = 20;
+// A held address is tried this often; what holds it is told less often.
+constexpr Duration kStartRetryPeriod = Milliseconds(100);
+constexpr Duration kWaitLinePeriod = Seconds(10);
 constexpr const char* kDefaultPolicy = "reserving";
 
 }  // namespace
@@ -30,6 +33,7 @@
 }
 
 Daemon::~Daemon() {
+  start_timer_.reset();
   // Tasks post to each other, so all threads end before a task is destroyed.
   // Last answers to operators may need the serving tasks, and both the control
   // task, whose end takes up to 200 ms.
@@ -42,7 +46,7 @@
   g_main_loop_unref(loop_);
 }
 
-std::string Daemon::StartTasks() {
+void Daemon::CreateTasks() {
   const auto to_control = [this](ControlMessage message) {
     control_->Post(std::move(message));
   };
@@ -65,21 +69,58 @@
   }
   admin_ = std::make_unique<AdminTask>(settings_, metrics_, to_control);
 
-  control_->Start();
-  if (!control_->listen_error().empty()) return control_->listen_error();
+  unstarted_.push_back(
+      {control_.get(),
+       [this]() -> const std::string& { return control_->listen_error(); },
+       "peer"});
   for (const auto& task : serving_) {
-    task->Start();
-    if (!task->listen_error().empty()) {
-      return "caller listener: " + task->listen_error();
-    }
+    unstarted_.push_back({task.get(),
+                          [task = task.get()]() -> const std::string& {
+                            return task->listen_error();
+                          },
+                          "caller"});
   }
-  admin_->Start();
-  if (!admin_->listen_error().empty()) {
-    return "admin listener: " + admin_->listen_error();
+  unstarted_.push_back(
+      {admin_.get(),
+       [this]() -> const std::string& { return admin_->listen_error(); },
+       "admin"});
+}
+
+std::string Daemon::StartTasks() {
+  while (!unstarted_.empty()) {
+    const Unstarted& next = unstarted_.front();
+    next.task->Start();
+    const std::string error = next.listen_error();
+    if (!error.empty()) {
+      next.task->Stop();
+      return next.listener + " listener: " + error;
+    }
+    unstarted_.pop_front();
   }
   return {};
 }
 
+void Daemon::TryStart(Time now) {
+  const std::string error = StartTasks();
+  if (!error.empty()) return OnStartFailed(error, now);
+  start_timer_.reset();
+  Log(LogLevel::kInfo, "started",
+      {{"caller", settings_.listen.caller.ToString()},
+       {"admin", settings_.listen.admin.ToString()},
+       {"peer", settings_.listen.peer.ToString()}});
+}
+
+void Daemon::OnStartFailed(const std::string& error, Time now) {
+  if (now >= next_wait_line_) {
+    next_wait_line_ = now + kWaitLinePeriod;
+    Log(LogLevel::kError, "start_waits",
+        {{"error", error}, {"waited_ms", ToMilliseconds(now - started_at_)}});
+  }
+  if (start_timer_) return;
+  start_timer_ = AddTimer(g_main_context_default(), kStartRetryPeriod,
+                          [this] { TryStart(MonotonicNow()); });
+}
+
 void Daemon::Reload() {
   Findings findings;
   Settings fresh = LoadSettings(settings_file_, &findings);
@@ -104,6 +145,9 @@
 }
 
 void Daemon::BeginShutdown() {
+  start_timer_.reset();
+  const bool serves_callers = unstarted_.size() <= 1;
+  if (!serves_callers) return g_main_loop_quit(loop_);
   if (!shutdown_.Begin(MonotonicNow())) return;
   Log(LogLevel::kInfo, "shutdown_started",
       {{"open_requests", metrics_.gauge("requests_open").value()}});
@@ -126,7 +170,7 @@
           .callers_answered =
               std::all_of(serving_.begin(), serving_.end(),
                           [](const auto& task) { return task->drained(); }),
-          .operators_answered = admin_->drained(),
+          .operators_answered = !unstarted_.empty() || admin_->drained(),
           .left = control_->left()};
 }
 
@@ -182,21 +226,14 @@
       this);
 }
 
-int Daemon::Run() {
+void Daemon::Run() {
   // The loop handles signals that arrive during the start.
   WatchSignals();
-  const std::string error = StartTasks();
-  if (!error.empty()) {
-    Log(LogLevel::kError, "start_failed", {{"error", error}});
-    return 1;
-  }
-  Log(LogLevel::kInfo, "started",
-      {{"caller", settings_.listen.caller.ToString()},
-       {"admin", settings_.listen.admin.ToString()},
-       {"peer", settings_.listen.peer.ToString()}});
+  CreateTasks();
+  started_at_ = MonotonicNow();
+  TryStart(started_at_);
   g_main_loop_run(loop_);
   Log(LogLevel::kInfo, "stopped");
-  return 0;
 }
 
 }  // namespace cassiausher
--- a/main/daemon/daemon.h
+++ b/main/daemon/daemon.h
@@ -5,6 +5,8 @@
 
 #include <glib.h>
 
+#include <deque>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -12,6 +14,7 @@
 #include "core/metrics.h"
 #include "core/settings.h"
 #include "core/time.h"
+#include "drivers/task.h"
 #include "main/daemon/admin_task.h"
 #include "main/daemon/control_task.h"
 #include "main/daemon/serving_task.h"
@@ -27,12 +30,25 @@
   Daemon(Settings settings, std::string settings_file);
   ~Daemon();
 
-  /// Runs until SIGTERM or SIGINT has ended it. Returns the exit code.
-  int Run();
+  /// Runs until SIGTERM or SIGINT has ended it.
+  void Run();
 
  private:
-  /// Returns an error message, empty once all tasks run.
+  /// A task that isn't started yet, and the error of its listener.
+  struct Unstarted {
+    Task* task;
+    std::function<const std::string&()> listen_error;
+    std::string listener;
+  };
+
+  void CreateTasks();
+  /// Starts the tasks that aren't yet, until one can't listen. Returns its
+  /// error, empty once all tasks run.
   std::string StartTasks();
+  /// Tries again later if a task can't listen: the process before may still
+  /// hold the address.
+  void TryStart(Time now);
+  void OnStartFailed(const std::string& error, Time now);
   /// Reloads tokens, and addresses and keys of peers. Changes nothing if the
   /// settings have findings.
   void Reload();
@@ -58,6 +74,12 @@
   std::vector<std::unique_ptr<ServingTask>> serving_;
   std::unique_ptr<ControlTask> control_;
   std::unique_ptr<AdminTask> admin_;
+  /// In order of their start: control, callers, admin. Readiness is thus asked
+  /// for only once callers are served.
+  std::deque<Unstarted> unstarted_;
+  GSourcePtr start_timer_;
+  Time started_at_{};
+  Time next_wait_line_{};
   GMainLoop* loop_;
   ShutdownSequence shutdown_;
 };
--- a/main/daemon/main.cc
+++ b/main/daemon/main.cc
@@ -30,8 +30,8 @@
   --help         Print this text.
   --version      Print the version.
 
-Exit codes: 0 ended by a signal or checked without findings, 1 could not start,
-2 wrong arguments or settings.
+Exit codes: 0 ended by a signal or checked without findings, 2 wrong arguments or
+settings.
 )";
 
 constexpr int kExitBadSettings = 2;
@@ -96,5 +96,6 @@
   FitToDescriptorLimit(&settings.limits);
   cassiausher::Daemon daemon(std::move(settings),
                              arguments["--config"].asString());
-  return daemon.Run();
+  daemon.Run();
+  return 0;
 }
--- a/tests/main/daemon/daemon_process_test.cc
+++ b/tests/main/daemon/daemon_process_test.cc
@@ -17,6 +17,40 @@
 
 TEST_GROUP(DaemonProcess){};
 
+// A start gave up, with status 1, while another process held an address.
+TEST(DaemonProcess, AStartWaitsForAnAddressThatIsHeld) {
+  for (const std::uint16_t port : {kPeerPort, kCallerPort, kReadinessPort}) {
+    ChildProcess process("daemon");
+    auto holder = std::make_unique<TestSocket>();
+    holder->Listen(process.ip(), port);
+    process.Start();
+    CHECK_TRUE(WaitUntil(
+        [&] { return process.HasLogged("start_waits") || !process.Runs(); }));
+    CHECK_TRUE(process.Runs());
+    holder.reset();
+    CHECK_TRUE(WaitUntil([&] { return IsReady(process); }));
+    process.Signal(SIGTERM);
+    CHECK_TRUE(WaitUntil([&] { return !process.Runs(); }));
+    LONGS_EQUAL(0, process.Ended());
+  }
+}
+
+// A daemon that waits may not wait for the whole of its shutdown as well.
+TEST(DaemonProcess, AStartThatWaitsEndsAtOnceOnSigterm) {
+  for (const std::uint16_t port : {kPeerPort, kCallerPort, kReadinessPort}) {
+    ChildProcess process("daemon");
+    const TestSocket holder;
+    holder.Listen(process.ip(), port);
+    process.Start();
+    CHECK_TRUE(WaitUntil(
+        [&] { return process.HasLogged("start_waits") || !process.Runs(); }));
+    CHECK_TRUE(process.Runs());
+    process.Signal(SIGTERM);
+    CHECK_TRUE(WaitUntil([&] { return !process.Runs(); }));
+    LONGS_EQUAL(0, process.Ended());
+  }
+}
+
 // Most signals ended the process by their default.
 TEST(DaemonProcess, StraySignalsDoNotEndADaemon) {
   ChildProcess process("daemon");
