Let connections that are kept after an answer make way

Callers saw: with 160 descriptors and 57 kept connections that were idle (121 at a control instance), each new caller's connection was closed without an answer.

Cause: libsoup tells of the next request once its first bytes come. The limiter took a connection without an awaited request for a busy one, so that only connections that had sent nothing ever made way, else the new one itself. Entries of earlier messages that an exchange held also outlived their connection; they go with it now (by reading).

Change: an answered request makes its connection wait again; one with bytes that aren't read yet stays.

--- a/drivers/connection_limiter.cc
+++ b/drivers/connection_limiter.cc
@@ -37,6 +37,7 @@
   }
   const auto connection = by_socket_.at(socket);
   connection->message = message;
+  connection->is_kept = false;
   if (by_message_.emplace(message, connection).second) {
     g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, this);
   }
@@ -45,6 +46,13 @@
   if (connections_.size() > max_connections_) EndLongestIdle();
 }
 
+void ConnectionLimiter::OnAnswered(GSocket* socket) {
+  const auto found = by_socket_.find(socket);
+  if (found == by_socket_.end()) return;
+  found->second->is_kept = true;
+  connections_.splice(connections_.end(), connections_, found->second);
+}
+
 void ConnectionLimiter::Learn(int descriptor) {
   constexpr std::size_t kUnlimited = std::numeric_limits<std::size_t>::max();
   const std::size_t count = connections_.size();
@@ -65,6 +73,9 @@
 }
 
 bool ConnectionLimiter::IsIdle(const Connection& connection) const {
+  if (connection.is_kept) {
+    return g_socket_get_available_bytes(connection.socket) <= 0;
+  }
   return connection.message != nullptr && is_idle_(connection.message);
 }
 
@@ -79,16 +90,20 @@
         AddTimer(context_, Duration::zero(), [this] { CloseEnded(); });
   }
   const auto connection = by_socket_.at(socket);
-  if (connection->message != nullptr) {
-    by_message_.erase(connection->message);
-    g_object_weak_unref(G_OBJECT(connection->message), &OnMessageFinalized,
-                        this);
-  }
+  ForgetMessages(connection);
   g_object_weak_unref(G_OBJECT(socket), &OnSocketFinalized, this);
   by_socket_.erase(socket);
   connections_.erase(connection);
 }
 
+void ConnectionLimiter::ForgetMessages(Connections::iterator connection) {
+  std::erase_if(by_message_, [&](const auto& known) {
+    if (known.second != connection) return false;
+    g_object_weak_unref(G_OBJECT(known.first), &OnMessageFinalized, this);
+    return true;
+  });
+}
+
 void ConnectionLimiter::CloseEnded() {
   close_timer_.reset();
   for (const GObjectPtr<GSocket>& socket : std::exchange(ended_, {})) {
@@ -101,11 +116,7 @@
   const auto found =
       limiter->by_socket_.find(reinterpret_cast<GSocket*>(socket));
   const auto connection = found->second;
-  if (connection->message != nullptr) {
-    limiter->by_message_.erase(connection->message);
-    g_object_weak_unref(G_OBJECT(connection->message), &OnMessageFinalized,
-                        limiter);
-  }
+  limiter->ForgetMessages(connection);
   limiter->by_socket_.erase(found);
   limiter->connections_.erase(connection);
 }
--- a/drivers/connection_limiter.h
+++ b/drivers/connection_limiter.h
@@ -40,6 +40,9 @@
   /// A connection is new, or waits for its next request, which `message` will
   /// hold. Beyond the limit a connection is ended, if need be this one.
   void OnWaiting(SoupServerMessage* message);
+  /// A request was answered in full. libsoup tells of the next one once its
+  /// first bytes come, so the connection waits from now on without a message.
+  void OnAnswered(GSocket* socket);
   /// Ends the connection that waits for longest. Returns whether there was one.
   bool EndLongestIdle();
 
@@ -47,6 +50,8 @@
   struct Connection {
     GSocket* socket = nullptr;
     SoupServerMessage* message = nullptr;
+    /// Its request was answered, and the next one hasn't begun.
+    bool is_kept = false;
   };
   using Connections = std::list<Connection>;
 
@@ -55,6 +60,8 @@
   /// Learns from the descriptor of a new connection how many there may be.
   void Learn(int descriptor);
   void End(GSocket* socket);
+  /// An exchange may hold an earlier message than the connection's last.
+  void ForgetMessages(Connections::iterator connection);
   void CloseEnded();
   bool IsIdle(const Connection& connection) const;
 
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -247,7 +247,9 @@
   self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, false);
   GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) self->WatchIdle(socket);
+  if (socket == nullptr) return;
+  self->limiter_->OnAnswered(socket);
+  self->WatchIdle(socket);
 }
 
 void HttpServer::OnRequestAborted(SoupServer* server,
--- a/tests/main/node/child_process.h
+++ b/tests/main/node/child_process.h
@@ -79,6 +79,15 @@
     }
   }
 
+  /// Returns what comes first; the connection stays open.
+  std::string ExchangeOnce(const std::string& request) const {
+    send(descriptor_, request.data(), request.size(), MSG_NOSIGNAL);
+    char buffer[4096];
+    const ssize_t size = recv(descriptor_, buffer, sizeof(buffer), 0);
+    return size <= 0 ? std::string()
+                     : std::string(buffer, static_cast<std::size_t>(size));
+  }
+
  private:
   static sockaddr_in Address(const std::string& ip, std::uint16_t port) {
     sockaddr_in address{.sin_family = AF_INET, .sin_port = htons(port)};
--- a/tests/main/node/process_ends_test.cc
+++ b/tests/main/node/process_ends_test.cc
@@ -169,6 +169,26 @@
   }
 }
 
+// Connections that were kept after an answer never made way: once there were
+// as many as half of the descriptors, each new caller was turned away.
+TEST(ProcessEnds, KeptConnectionsMakeWay) {
+  for (const char* role : {"control", "entry"}) {
+    const std::uint16_t port = role[0] == 'e' ? kCallerPort : kControlPort;
+    ChildProcess process(role);
+    process.Start({.descriptors = kFewDescriptors});
+    CHECK_TRUE(process.Serves());
+    std::vector<std::unique_ptr<TestSocket>> kept;
+    for (int i = 0; i < kHerd; ++i) {
+      kept.push_back(std::make_unique<TestSocket>());
+      CHECK_TRUE(kept.back()->Connect(process.ip(), port));
+      const std::string answer = kept.back()->ExchangeOnce(
+          "GET /api/config HTTP/1.1\r\nHost: a\r\n\r\n");
+      STRNCMP_EQUAL("HTTP/1.1 ", answer.c_str(), 9);
+    }
+    CHECK_TRUE(process.Runs());
+  }
+}
+
 // A damaged log refused each start for good.
 TEST(ProcessEnds, ADamagedLogIsSetAside) {
   ChildProcess control("control");
