--- a/tests/main/node/child_process.h
+++ b/tests/main/node/child_process.h
@@ -157,7 +157,10 @@
     return status_;
   }
   bool Runs() { return Ended() == -1; }
-  void Signal(int signal) const { kill(pid_, signal); }
+  void Signal(int signal) const {
+    // 0 would be the process group of the test.
+    if (pid_ > 0) kill(pid_, signal);
+  }
   void Kill() {
     if (!Runs()) return;
     kill(pid_, SIGKILL);
