Take for noise only what a disk can't have damaged

Change: noise begins in a sector that holds intact records, and no header stands in it; the rest is damage, and the log is set aside.

--- a/modules/file_log/file_log.cc
+++ b/modules/file_log/file_log.cc
@@ -83,6 +83,21 @@
   return false;
 }
 
+/// Returns true if the bytes from `offset` on, where no record begins, were
+/// never a synced write: they don't end as one, no header stands in them, and
+/// their first sector has intact records before them, so that the disk hasn't
+/// damaged it.
+bool IsNoise(std::string_view file, std::uint64_t seed, std::uint64_t offset) {
+  if (offset % kSectorBytes == 0 || EndsAsRecord(file)) return false;
+  Record record;
+  std::uint64_t size = 0;
+  for (++offset; offset + kRecordHeaderBytes <= file.size(); ++offset) {
+    const RecordCheck check = DecodeRecord(file, seed, offset, record, size);
+    if (check != RecordCheck::kNoHeader) return false;
+  }
+  return true;
+}
+
 /// Appends the encoded records of one write that begins at `offset`. `bytes`
 /// holds what of it was encoded before.
 void EncodeWrite(const std::vector<Record>& records, std::uint64_t seed,
@@ -202,11 +217,10 @@
     const std::string& name, std::uint64_t sequence, const std::string& content,
     std::uint64_t offset, bool is_last, RecordCheck check, Replay& replay) {
   // After a crash, an unsynced write is truncated or lacks sectors, and no
-  // later write follows it. Bytes behind the last record that neither begin
-  // nor end as one were never a synced write: damage in one place leaves its
-  // beginning or its end. Anything else is corruption of synced data.
+  // later write follows it. Anything else but noise is corruption of synced
+  // data.
   const bool noise =
-      offset > 0 && check == RecordCheck::kNoHeader && !EndsAsRecord(content);
+      check == RecordCheck::kNoHeader && IsNoise(content, sequence, offset);
   const bool torn = check == RecordCheck::kIncomplete || noise ||
                     HasLostSector(content, offset);
   if (!is_last || !torn || HasWriteAfter(content, sequence, offset)) {
--- a/modules/file_log/record.cc
+++ b/modules/file_log/record.cc
@@ -8,8 +8,6 @@
 
 namespace {
 
-/// Smallest unit that disks write wholly or not at all.
-constexpr std::uint64_t kSectorBytes = 512;
 constexpr char kEndByte = '\xA5';
 /// Size of the header without its own checksum.
 constexpr std::size_t kChecksummedHeaderBytes = 16;
--- a/modules/file_log/record.h
+++ b/modules/file_log/record.h
@@ -30,6 +30,8 @@
 
 inline constexpr std::size_t kRecordHeaderBytes = 24;
 inline constexpr std::size_t kRecordEndBytes = 1;
+/// Smallest unit that disks write, or damage, wholly or not at all.
+inline constexpr std::uint64_t kSectorBytes = 512;
 
 /// Appends the encoded record to `file`. `seed` differs between files. The
 /// header's checksum covers it and the offset, so that a record is invalid in
