Tell a log that was moved away from the remains of one

Change: a whole log was moved if its lock file is there; a folder that can't be looked at counts as one.

Result: that test and ALogThatWasSetAsideFoundsNoNewGroup pass; 15 tests of NodeRoles, 12 of process_ends.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -46,6 +46,12 @@
   return type == std::filesystem::file_type::not_found;
 }
 
+/// Whether a whole log was moved there. Of one that is being removed, after the
+/// next was opened, a part may remain.
+bool MayHoldMovedLog(const std::string& folder) {
+  return !IsMissing(folder + "/lock");
+}
+
 }  // namespace
 
 ConfigurationLog::ConfigurationLog(const NodeSettings& settings,
@@ -63,8 +69,8 @@
   // held the log of a group, also if the process ended before it opened the
   // next.
   may_bootstrap_ = settings_.first_start &&
-                   IsMissing(DamagedLogFolder(settings_)) &&
-                   IsMissing(ReplacedLogFolder(settings_));
+                   !MayHoldMovedLog(DamagedLogFolder(settings_)) &&
+                   !MayHoldMovedLog(ReplacedLogFolder(settings_));
   is_new_ = may_bootstrap_ && IsMissing(LogFolder(settings_));
   OpenReplica(now);
 }
