End the senders of odd bytes also if their cancellation is lost

Cause, by reading: a wait that times out at the same moment swallows the cancellation, and the sender never ends. Now a flag ends it; the checks are unchanged.

--- a/tests/soak/odd_bytes_soak.py
+++ b/tests/soak/odd_bytes_soak.py
@@ -59,6 +59,8 @@
         self.random = random.Random(seed)
         self.deployment = run.deployment
         self.counts = {}
+        # A cancellation alone may be swallowed by a wait that times out at the same moment.
+        self.stopped = False
         ips = [instance.ip for instance in self.deployment.instances()]
         self.messages = OddMessages(self.random, ips + ["not-an-address", "e-0", SERVICE, "127.0.0.1:1"])
 
@@ -79,6 +81,8 @@
             self.counts[kind.__name__] = self.counts.get(kind.__name__, 0) + 1
             with contextlib.suppress(OSError, asyncio.TimeoutError):
                 await asyncio.wait_for(self._send(instance, port, kind()), TIMEOUT_S * 4)
+            if self.stopped:
+                return
             if number % 20 == 0:
                 await asyncio.sleep(0)
 
@@ -155,6 +159,8 @@
         until = time.monotonic() + options.seconds
         while time.monotonic() < until and all(instance.running() for instance in run.deployment.instances()):
             await asyncio.sleep(0.1)
+        for peer in peers:
+            peer.stopped = True
         for task in tasks:
             if task.done():
                 task.result()
