--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -125,26 +125,32 @@
                 first, headers = parse_head(await reader.readuntil(b"\r\n\r\n"))
                 method, target, _ = first.split(" ")
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                writer.write(await self._answer(method, target, headers, body))
+                await self._answer(method, target, headers, body, writer)
                 await writer.drain()
                 if headers.get("connection", "").lower() == "close":
                     return
-        except (asyncio.IncompleteReadError, ConnectionError):
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             return
         finally:
             writer.close()
 
-    async def _answer(self, method, target, headers, body):
+    async def _answer(self, method, target, headers, body, writer):
         request = headers.get("x-request-id", "")
-        common = {"X-Request-Id": request, "X-Instance-Id": self.id}
+        refusal = {"X-Request-Id": request, "X-Instance-Id": self.id, "X-Not-Executed": "1"}
         if headers.get("x-expect-instance", self.id) != self.id:
-            return self._message(421, common | {"X-Not-Executed": "1"}, b"")
-        if not request:
-            return self._message(400, common | {"X-Not-Executed": "1"}, b"")
-        self.runs.append((request, method, target, body))
-        self.record.add(f"runner {self.id} of {self.service} runs {request}: {method} {target}, {len(body)} bytes")
+            writer.write(self._message(421, refusal, b""))
+        elif not request:
+            writer.write(self._message(400, refusal, b""))
+        else:
+            self.runs.append((request, method, target, body))
+            self.record.add(f"runner {self.id} of {self.service} runs {request}: {method} {target}, {len(body)} bytes")
+            await self.handle_run(request, writer)
+
+    async def handle_run(self, request, writer):
+        """Works on the request and writes the whole answer."""
         await asyncio.sleep(self.work_s)
-        return self._message(200, common | {"X-Server-Stamp": f"{self.id}.1"}, f"{self.service} {request}".encode())
+        headers = {"X-Request-Id": request, "X-Instance-Id": self.id, "X-Server-Stamp": f"{self.id}.1"}
+        writer.write(self._message(200, headers, f"{self.service} {request}".encode()))
 
     @staticmethod
     def _message(status, headers, body):
