Give the HTTP library only requests that a strict parser has read

Cause, by a trace of libsoup 3.2.3 alone (bytes sent step by step): after the last chunk "0\r\n" nothing happens; "Digest: none\r\n" alone, without the blank line, makes it tell of the body's end and run the handler, and the next line starts a request. It is one of a class: lengths, codings, chunk sizes, line ends, folds and targets are also read by rules of its own.

Change: ClientConnection reads the socket, RequestFraming (Boost.Beast, with checks for what it lets through) decides where requests begin and end, and writes sound ones anew for libsoup, with a stand-in target. Unsound ones become a stand-in request that is answered with the refusal, so that nothing is run, and nothing after them is read. The target goes to the exchange as it was sent. Listener accepts the connections, since libsoup's own are read by it directly. On the way, libsoup no longer keeps objects of ended connections, and the workarounds for that are gone.

--- a/drivers/answer_tracker.cc
+++ b/drivers/answer_tracker.cc
@@ -10,6 +10,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "drivers/client_connection.h"
+
 namespace cassiausher {
 namespace {
 
@@ -59,7 +61,7 @@
 }
 
 void AnswerTracker::Add(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
+  GSocket* socket = SocketOf(message);
   Answer& answer = answers_[message];
   answer.message = ShareGObject(message);
   answer.socket = socket;
--- a/drivers/http_exchange.cc
+++ b/drivers/http_exchange.cc
@@ -1,5 +1,6 @@
 #include "drivers/http_exchange.h"
 
+#include "drivers/client_connection.h"
 #include "drivers/received_body.h"
 
 namespace cassiausher {
@@ -7,7 +8,7 @@
 AnswerReceipt::AnswerReceipt(SoupServerMessage* message,
                              std::shared_ptr<HttpServerState> server)
     : message_(message), server_(std::move(server)) {
-  GSocket* socket = soup_server_message_get_socket(message);
+  GSocket* socket = SocketOf(message);
   if (socket != nullptr) socket_ = ShareGObject(socket);
 }
 
@@ -49,14 +50,8 @@
   return soup_server_message_get_method(message_.get());
 }
 
-std::string_view HttpExchange::path() const {
-  return g_uri_get_path(soup_server_message_get_uri(message_.get()));
-}
-
-std::string_view HttpExchange::query() const {
-  const char* text =
-      g_uri_get_query(soup_server_message_get_uri(message_.get()));
-  return text == nullptr ? std::string_view() : std::string_view(text);
+const RequestTarget& HttpExchange::target() const {
+  return BodyOf(message_.get()).target;
 }
 
 std::string_view HttpExchange::body() const {
@@ -93,7 +88,7 @@
 void HttpExchange::WatchClose(std::function<void()> on_closed) {
   on_closed_ = std::move(on_closed);
   if (watched_descriptor_ >= 0) return;
-  GSocket* socket = soup_server_message_get_socket(message_.get());
+  GSocket* socket = SocketOf(message_.get());
   if (socket == nullptr || finished_) return;
   watched_descriptor_ = g_socket_get_fd(socket);
   server_->watcher->Add(watched_descriptor_, [this] {
@@ -259,7 +254,7 @@
 }
 
 void HttpExchange::DropConnection() {
-  GSocket* socket = soup_server_message_get_socket(message_.get());
+  GSocket* socket = SocketOf(message_.get());
   if (socket == nullptr) return;
   const GObjectPtr<GSocket> held = ShareGObject(socket);
   server_->answers.OnFinished(message_.get(), true);
--- a/drivers/http_exchange.h
+++ b/drivers/http_exchange.h
@@ -18,6 +18,7 @@
 #include "drivers/close_watcher.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/memory_budget.h"
+#include "drivers/request_target.h"
 
 namespace cassiausher {
 
@@ -67,10 +68,9 @@
   HttpExchange& operator=(const HttpExchange&) = delete;
 
   std::string_view method() const;
-  /// As sent, with its percent-encoding.
-  std::string_view path() const;
-  /// The raw query string, or empty.
-  std::string_view query() const;
+  const RequestTarget& target() const;
+  std::string_view path() const { return target().path(); }
+  std::string_view query() const { return target().query(); }
   std::string_view body() const;
   /// Value of a header, or empty.
   std::string_view header(const char* name) const;
--- a/drivers/http_server.cc
+++ b/drivers/http_server.cc
@@ -48,34 +48,25 @@
   return g_socket_new_from_fd(descriptor, error);
 }
 
-// libsoup 3.2.3 never drops the reference by which it accepted a connection,
-// some 300 bytes for each one. At the first request another one is that of the
-// connection.
-void ReleaseAcceptedReference(GSocket* socket) {
-  constexpr const char* kKnown = "cassiausher-known";
-  constexpr guint kReferencesOfLibsoup = 2;
-  constexpr guint kLastLeakingMicro = 3;
-  if (g_object_get_data(G_OBJECT(socket), kKnown) != nullptr) return;
-  g_object_set_data(G_OBJECT(socket), kKnown, GINT_TO_POINTER(TRUE));
-  const bool leaks = soup_get_major_version() == 3 &&
-                     soup_get_minor_version() == 2 &&
-                     soup_get_micro_version() <= kLastLeakingMicro;
-  if (!leaks || G_OBJECT(socket)->ref_count != kReferencesOfLibsoup) return;
-  g_object_unref(socket);
+// libsoup keeps a connection open for another request only while it has a
+// listener. This one gets no connections: Listener accepts them.
+bool AddIdleListener(SoupServer* server, GError** error) {
+  const GObjectPtr<GSocket> socket(g_socket_new(G_SOCKET_FAMILY_IPV4,
+                                                G_SOCKET_TYPE_STREAM,
+                                                G_SOCKET_PROTOCOL_TCP, error));
+  if (!socket || !g_socket_listen(socket.get(), error)) return false;
+  if (!soup_server_listen_socket(server, socket.get(),
+                                 static_cast<SoupServerListenOptions>(0),
+                                 error)) {
+    return false;
+  }
+  // libsoup gives the socket up at its first attempt to accept.
+  shutdown(g_socket_get_fd(socket.get()), SHUT_RDWR);
+  return true;
 }
 
 constexpr guint kServerError = 500;
 constexpr Duration kStallPollPeriod = Seconds(1);
-// What GLib and libsoup hold for an open connection and the message that waits
-// on it.
-constexpr std::int64_t kConnectionBytes = 8 << 10;
-
-struct ConnectionCharge {
-  std::shared_ptr<MemoryBudget> budget;
-  MemoryBudget::HolderId holder = 0;
-};
-// libsoup handles the end of a connection in this time.
-constexpr Duration kIdleClosePeriod = Milliseconds(50);
 constexpr Duration kExhaustedLinePeriod = Seconds(5);
 
 }  // namespace
@@ -115,15 +106,9 @@
           .body_grace = options_.body_grace},
       limit_handler_,
       [this](SoupServerMessage* message) { CloseLingering(message); });
-  limiter_ = std::make_unique<ConnectionLimiter>(
-      context,
-      ConnectionLimiterOptions{.max_descriptor = options_.max_descriptor,
-                               .metrics = options_.metrics},
-      [this](SoupServerMessage* message) {
-        return !reader_->HasBegun(message);
-      });
-  server_.reset(soup_server_new("server-header", "cassiausher", "raw-paths",
-                                TRUE, nullptr));
+  limiter_ = std::make_unique<ConnectionLimiter>(ConnectionLimiterOptions{
+      .max_descriptor = options_.max_descriptor, .metrics = options_.metrics});
+  server_.reset(soup_server_new("server-header", "cassiausher", nullptr));
   const auto handle = [](SoupServer*, SoupServerMessage* message, const char*,
                          GHashTable*, gpointer data) {
     auto* self = static_cast<HttpServer*>(data);
@@ -145,33 +130,27 @@
     return std::string(what) + ": " + (owned ? owned->message : "unknown");
   };
   if (!options_.tls_certificate_file.empty()) {
-    GTlsCertificate* certificate =
-        g_tls_certificate_new_from_files(options_.tls_certificate_file.c_str(),
-                                         options_.tls_key_file.c_str(), &error);
-    if (certificate == nullptr) return describe("TLS certificate");
-    soup_server_set_tls_certificate(server_.get(), certificate);
-    g_object_unref(certificate);
+    certificate_.reset(g_tls_certificate_new_from_files(
+        options_.tls_certificate_file.c_str(), options_.tls_key_file.c_str(),
+        &error));
+    if (!certificate_) return describe("TLS certificate");
   }
 
-  const GObjectPtr<GSocketAddress> address(
-      g_inet_socket_address_new_from_string(options_.address.c_str(),
-                                            options_.port));
-  if (!address) return options_.address + " is not an IP address";
-  const GObjectPtr<GSocket> socket(
-      BindSocket(address.get(), options_.share_port, &error));
-  if (!socket) return describe("bind");
-  // Connection bursts overflow GLib's default backlog of 10.
-  g_socket_set_listen_backlog(socket.get(), 4096);
-  if (!g_socket_listen(socket.get(), &error)) return describe("listen");
+  if (!AddIdleListener(server_.get(), &error)) return describe("listener");
+  GObjectPtr<GSocket> socket = OpenSocket(&error);
+  if (!socket) return describe("listen");
   const GObjectPtr<GSocketAddress> local(
       g_socket_get_local_address(socket.get(), &error));
   if (!local) return describe("local address");
   port_ = g_inet_socket_address_get_port(G_INET_SOCKET_ADDRESS(local.get()));
-
-  // Otherwise an accept that finds nothing would wait.
-  g_socket_set_blocking(socket.get(), FALSE);
-  if (!AcceptFrom(socket.get(), &error)) return describe("listen");
-  WatchListener(socket.get());
+  listener_ = std::make_unique<Listener>(
+      context_, std::move(socket),
+      Listener::Callbacks{
+          .on_connection =
+              [this](GObjectPtr<GSocket> accepted) {
+                OnConnection(std::move(accepted));
+              },
+          .on_exhausted = [this] { OnExhausted(BootTimeNow()); }});
   if (options_.min_answer_bytes > 0) {
     stall_timer_ = AddTimer(context_, kStallPollPeriod, [this] {
       state_->answers.CutStalled(options_.min_answer_bytes,
@@ -181,20 +160,83 @@
   return {};
 }
 
-bool HttpServer::AcceptFrom(GSocket* socket, GError** error) {
-  const auto options = static_cast<SoupServerListenOptions>(
-      options_.tls_certificate_file.empty() ? 0 : SOUP_SERVER_LISTEN_HTTPS);
-  return soup_server_listen_socket(server_.get(), socket, options, error) !=
-         FALSE;
+GObjectPtr<GSocket> HttpServer::OpenSocket(GError** error) const {
+  const GObjectPtr<GSocketAddress> address(
+      g_inet_socket_address_new_from_string(options_.address.c_str(),
+                                            options_.port));
+  if (!address) {
+    g_set_error(error, G_IO_ERROR, G_IO_ERROR_INVALID_ARGUMENT,
+                "%s is not an IP address", options_.address.c_str());
+    return nullptr;
+  }
+  GObjectPtr<GSocket> socket(
+      BindSocket(address.get(), options_.share_port, error));
+  if (!socket) return nullptr;
+  // Connection bursts overflow GLib's default backlog of 10.
+  g_socket_set_listen_backlog(socket.get(), 4096);
+  if (!g_socket_listen(socket.get(), error)) return nullptr;
+  return socket;
 }
 
-void HttpServer::WatchListener(GSocket* socket) {
-  const std::shared_ptr<GSocket> held(ShareGObject(socket));
-  listener_watch_ = std::make_unique<ListenerWatch>(
-      context_, g_socket_get_fd(socket),
-      ListenerWatch::Callbacks{
-          .resume = [this, held] { AcceptFrom(held.get(), nullptr); },
-          .on_exhausted = [this] { OnExhausted(BootTimeNow()); }});
+void HttpServer::OnConnection(GObjectPtr<GSocket> socket) {
+  // Disables Nagle's algorithm: small streamed chunks must not wait for the
+  // acknowledgement of the previous one.
+  g_socket_set_option(socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+  const GObjectPtr<GSocketAddress> local(
+      g_socket_get_local_address(socket.get(), nullptr));
+  const std::shared_ptr<ClientConnection> connection =
+      NewConnection(std::move(socket));
+  if (!connection) return;
+  const GObjectPtr<GSocketAddress> remote = NewLibraryAddress(connection);
+  // The client is gone already.
+  if (!local || !remote) return;
+  ChargeConnection(connection.get());
+  limiter_->OnOpened(connection.get());
+  const GObjectPtr<GIOStream> stream = NewLibraryStream(connection);
+  soup_server_accept_iostream(server_.get(), stream.get(), local.get(),
+                              remote.get(), nullptr);
+}
+
+GObjectPtr<GIOStream> HttpServer::NewTransport(GSocket* socket) const {
+  GObjectPtr<GIOStream> plain(
+      G_IO_STREAM(g_socket_connection_factory_create_connection(socket)));
+  if (!certificate_) return plain;
+  return GObjectPtr<GIOStream>(
+      g_tls_server_connection_new(plain.get(), certificate_.get(), nullptr));
+}
+
+std::shared_ptr<ClientConnection> HttpServer::NewConnection(
+    GObjectPtr<GSocket> socket) {
+  GObjectPtr<GIOStream> transport = NewTransport(socket.get());
+  if (!transport) return nullptr;
+  // A message may hold its connection for longer than the server exists.
+  const auto guarded = [this](auto callback) {
+    return [this, state = state_, callback](ClientConnection* connection) {
+      if (!state->stopped) callback(this, connection);
+    };
+  };
+  using Server = HttpServer*;
+  using Connection = ClientConnection*;
+  return std::make_shared<ClientConnection>(
+      std::move(socket), std::move(transport),
+      ClientConnectionOptions{
+          .framing = {.max_header_bytes = options_.max_header_bytes},
+          .memory = options_.memory},
+      ClientConnection::Callbacks{
+          .on_begun = guarded([](Server server, Connection connection) {
+            server->reader_->AddHead(connection);
+          }),
+          .on_body_refused = guarded([](Server server, Connection connection) {
+            server->reader_->OnBodyRefused(*connection);
+          }),
+          .on_closed = guarded([](Server server, Connection connection) {
+            server->OnConnectionClosed(connection);
+          })});
+}
+
+void HttpServer::OnConnectionClosed(ClientConnection* connection) {
+  reader_->OnClosed(connection);
+  limiter_->OnClosed(connection);
 }
 
 void HttpServer::OnExhausted(Time now) {
@@ -212,12 +254,7 @@
 
 void HttpServer::StopListening() {
   if (!server_) return;
-  listener_watch_.reset();
-  GSList* listeners = soup_server_get_listeners(server_.get());
-  for (GSList* item = listeners; item != nullptr; item = item->next) {
-    g_socket_close(static_cast<GSocket*>(item->data), nullptr);
-  }
-  g_slist_free(listeners);
+  listener_.reset();
 }
 
 void HttpServer::BeginDrain() { state_->draining = true; }
@@ -255,13 +292,17 @@
 }
 
 void HttpServer::CloseLingering(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) return;
-  EndedConnection ended{.socket = ShareGObject(socket),
+  ClientConnection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  GSocket* socket = connection->socket();
+  EndedConnection ended{.transport = ShareGObject(connection->transport()),
+                        .socket = ShareGObject(socket),
                         .label = state_->answers.LabelOf(message)};
   state_->answers.OnFinished(message, false);
   state_->answers.Forget(socket);
   reader_->Remove(message);
+  connection->EndInput();
+  OnConnectionClosed(connection);
   ended.stream.reset(soup_server_message_steal_connection(message));
   closer_->Close(std::move(ended), BootTimeNow());
 }
@@ -271,10 +312,10 @@
   auto* self = static_cast<HttpServer*>(data);
   self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, false);
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) return;
-  self->limiter_->OnAnswered(socket);
-  self->WatchIdle(socket);
+  ClientConnection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
+  connection->OnMessageEnded();
+  self->limiter_->OnAnswered(connection);
 }
 
 void HttpServer::OnRequestAborted(SoupServer* server,
@@ -286,67 +327,26 @@
   auto* self = static_cast<HttpServer*>(data);
   self->reader_->Remove(message);
   self->state_->answers.OnFinished(message, true);
+  ClientConnection* connection = ConnectionOf(message);
+  if (connection != nullptr) connection->EndInput();
 }
 
-void HttpServer::WatchIdle(GSocket* socket) {
-  const int descriptor = g_socket_get_fd(socket);
-  if (descriptor < 0) return;
-  const std::shared_ptr<GSocket> held(ShareGObject(socket));
-  state_->watcher->Add(descriptor, [this, held] {
-    closed_by_callers_.push_back(ShareGObject(held.get()));
-    if (close_timer_) return;
-    close_timer_ =
-        AddTimer(context_, kIdleClosePeriod, [this] { CloseIdle(); });
-  });
-}
-
-void HttpServer::ChargeConnection(GSocket* socket) {
-  constexpr const char* kCharge = "cassiausher-connection-charge";
-  if (!options_.memory) return;
-  if (g_object_get_data(G_OBJECT(socket), kCharge) != nullptr) return;
-  const auto holder = options_.memory->Add(nullptr, BootTimeNow());
-  g_object_set_data_full(G_OBJECT(socket), kCharge,
-                         new ConnectionCharge{options_.memory, holder},
-                         [](gpointer data) {
-                           auto* charge = static_cast<ConnectionCharge*>(data);
-                           charge->budget->Remove(charge->holder);
-                           delete charge;
-                         });
-  if (options_.memory->Grow(holder, kConnectionBytes, BootTimeNow())) return;
+void HttpServer::ChargeConnection(ClientConnection* connection) {
+  if (connection->ChargeOpen(BootTimeNow())) return;
   // The connection is open already.
-  options_.memory->Charge(holder, kConnectionBytes);
   if (options_.metrics != nullptr) {
     options_.metrics->counter("connections_limited_total").Add();
   }
   if (!limiter_->EndLongestIdle()) {
-    g_socket_shutdown(socket, TRUE, TRUE, nullptr);
-  }
-}
-
-void HttpServer::CloseIdle() {
-  const auto closed = std::move(closed_by_callers_);
-  closed_by_callers_.clear();
-  close_timer_.reset();
-  for (const GObjectPtr<GSocket>& socket : closed) {
-    if (state_->answers.IsAnswering(socket.get())) continue;
-    g_socket_close(socket.get(), nullptr);
+    g_socket_shutdown(connection->socket(), TRUE, TRUE, nullptr);
   }
 }
 
 void HttpServer::OnRequestStarted(SoupServer*, SoupServerMessage* message,
                                   gpointer self) {
+  if (ConnectionOf(message) == nullptr) return;
   g_signal_connect(message, "wrote-body", G_CALLBACK(&OnWroteBody), self);
-  // Disables Nagle's algorithm: small streamed chunks must not wait for the
-  // acknowledgement of the previous one.
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket != nullptr) ReleaseAcceptedReference(socket);
-  auto* server = static_cast<HttpServer*>(self);
-  server->reader_->Add(message);
-  server->limiter_->OnWaiting(message);
-  if (socket == nullptr) return;
-  server->ChargeConnection(socket);
-  g_socket_set_option(socket, IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
-  server->state_->watcher->Remove(g_socket_get_fd(socket));
+  static_cast<HttpServer*>(self)->reader_->Add(message);
 }
 
 }  // namespace cassiausher
--- a/drivers/http_server.h
+++ b/drivers/http_server.h
@@ -13,11 +13,12 @@
 
 #include "core/metrics.h"
 #include "drivers/answer_tracker.h"
+#include "drivers/client_connection.h"
 #include "drivers/connection_limiter.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/http_exchange.h"
 #include "drivers/lingering_closer.h"
-#include "drivers/listener_watch.h"
+#include "drivers/listener.h"
 #include "drivers/memory_budget.h"
 #include "drivers/request_reader.h"
 
@@ -101,16 +102,15 @@
   static void OnRequestAborted(SoupServer* server, SoupServerMessage* message,
                                gpointer self);
   static void OnWroteBody(SoupServerMessage* message, gpointer self);
-  /// Closes a kept connection once its caller has closed it. libsoup 3.2 leaves
-  /// its descriptor open.
-  void WatchIdle(GSocket* socket);
-  void CloseIdle();
-  /// Charges a new connection to the budget until its socket is gone.
-  void ChargeConnection(GSocket* socket);
-  /// Accepts the connections of `socket`, at the first time and whenever
-  /// libsoup has stopped to.
-  bool AcceptFrom(GSocket* socket, GError** error);
-  void WatchListener(GSocket* socket);
+  /// A listening socket at the address of the options; null with an error.
+  GObjectPtr<GSocket> OpenSocket(GError** error) const;
+  void OnConnection(GObjectPtr<GSocket> socket);
+  /// Encrypts the connection if the options say so.
+  GObjectPtr<GIOStream> NewTransport(GSocket* socket) const;
+  std::shared_ptr<ClientConnection> NewConnection(GObjectPtr<GSocket> socket);
+  /// Charges a new connection to the budget. If it doesn't fit, one is ended.
+  void ChargeConnection(ClientConnection* connection);
+  void OnConnectionClosed(ClientConnection* connection);
   void OnExhausted(Time now);
   /// Takes the connection over from libsoup, to close it without a reset.
   void CloseLingering(SoupServerMessage* message);
@@ -125,11 +125,10 @@
   std::unique_ptr<LingeringCloser> closer_;
   std::unique_ptr<RequestReader> reader_;
   std::unique_ptr<ConnectionLimiter> limiter_;
-  std::unique_ptr<ListenerWatch> listener_watch_;
+  std::unique_ptr<Listener> listener_;
+  /// Null for plain HTTP.
+  GObjectPtr<GTlsCertificate> certificate_;
   GMainContext* context_ = nullptr;
-  /// Kept connections that their callers have closed.
-  std::vector<GObjectPtr<GSocket>> closed_by_callers_;
-  GSourcePtr close_timer_;
   GSourcePtr stall_timer_;
   std::uint16_t port_ = 0;
   Time next_exhausted_line_{};
--- a/drivers/lingering_closer.cc
+++ b/drivers/lingering_closer.cc
@@ -40,16 +40,14 @@
 
 // Over TLS, closing the output stream sends the close_notify alert first.
 void ShutDownSending(const EndedConnection& connection) {
-  GIOStream* base = nullptr;
-  g_object_get(connection.stream.get(), "base-iostream", &base, nullptr);
-  const GObjectPtr<GIOStream> owned(base);
-  if (base == nullptr || !G_IS_TLS_CONNECTION(base)) {
+  GIOStream* transport = connection.transport.get();
+  if (!G_IS_TLS_CONNECTION(transport)) {
     shutdown(g_socket_get_fd(connection.socket.get()), SHUT_WR);
     return;
   }
   GSocket* socket = connection.socket.get();
   g_output_stream_close_async(
-      g_io_stream_get_output_stream(base), G_PRIORITY_DEFAULT, nullptr,
+      g_io_stream_get_output_stream(transport), G_PRIORITY_DEFAULT, nullptr,
       [](GObject* source, GAsyncResult* result, gpointer data) {
         const GObjectPtr<GSocket> ended(static_cast<GSocket*>(data));
         g_output_stream_close_finish(G_OUTPUT_STREAM(source), result, nullptr);
--- a/drivers/lingering_closer.h
+++ b/drivers/lingering_closer.h
@@ -20,6 +20,9 @@
 /// A connection whose last answer was passed to the kernel.
 struct EndedConnection {
   GObjectPtr<GIOStream> stream;
+  /// What carries the bytes of `stream`: a TLS connection, or one to the
+  /// socket.
+  GObjectPtr<GIOStream> transport;
   GObjectPtr<GSocket> socket;
   std::string label;  ///< Of the last answer.
 };
--- a/drivers/read_guard.cc
+++ b/drivers/read_guard.cc
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
-#include "drivers/bytes_read.h"
 #include "drivers/clock.h"
 #include "drivers/task.h"
 
@@ -20,16 +20,12 @@
 
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
-constexpr int kServiceUnavailable = 503;
 
 }  // namespace
 
 ReadGuard::ReadGuard(GMainContext* context, const ReadGuardOptions& options,
-                     EndFunction end, HeadFunction on_head)
-    : context_(context),
-      options_(options),
-      end_(std::move(end)),
-      on_head_(std::move(on_head)) {}
+                     EndFunction end)
+    : context_(context), options_(options), end_(std::move(end)) {}
 
 ReadGuard::~ReadGuard() {
   for (const auto& [message, reading] : reading_) {
@@ -61,42 +57,40 @@
 }
 
 int ReadGuard::Begun() const {
-  const auto begun = [](const auto& item) {
-    return item.second.since.has_value() && !item.second.refusal.has_value();
+  const auto is_read = [](const auto& item) {
+    return !item.second.refusal.has_value();
+  };
+  const auto in_head = [](const ClientConnection* connection) {
+    return connection->in_head();
   };
   return static_cast<int>(
-      std::count_if(reading_.begin(), reading_.end(), begun));
+      std::count_if(reading_.begin(), reading_.end(), is_read) +
+      std::count_if(heads_.begin(), heads_.end(), in_head));
 }
 
-bool ReadGuard::HasBegun(SoupServerMessage* message) const {
-  const auto found = reading_.find(message);
-  if (found == reading_.end()) return true;
-  return found->second.since.has_value() || BytesOf(found->second) > 0;
+void ReadGuard::StartTimer() {
+  if (timer_) return;
+  timer_ = AddTimer(context_, kPollPeriod, [this] { Poll(BootTimeNow()); });
 }
 
-std::int64_t ReadGuard::BytesOf(const Reading& reading) {
-  return BytesRead(g_socket_get_fd(reading.socket.get()))
-             .value_or(reading.earlier_bytes) -
-         reading.earlier_bytes;
+void ReadGuard::AddHead(ClientConnection* connection) {
+  heads_.insert(connection);
+  StartTimer();
 }
 
-void ReadGuard::Add(SoupServerMessage* message) {
-  GSocket* socket = soup_server_message_get_socket(message);
-  if (socket == nullptr) return;
+void ReadGuard::OnClosed(ClientConnection* connection) {
+  heads_.erase(connection);
+}
+
+void ReadGuard::Add(SoupServerMessage* message, Time now) {
+  const ClientConnection* connection = ConnectionOf(message);
+  if (connection == nullptr) return;
   const auto [entry, added] = reading_.try_emplace(message);
   if (!added) return;
   g_object_weak_ref(G_OBJECT(message), &OnMessageFinalized, this);
-  entry->second.socket = ShareGObject(socket);
-  entry->second.earlier_bytes = BytesRead(g_socket_get_fd(socket)).value_or(0);
-  if (timer_) return;
-  timer_ = AddTimer(context_, kPollPeriod, [this] { Poll(BootTimeNow()); });
-}
-
-void ReadGuard::OnHeaders(SoupServerMessage* message, Time now) {
-  const auto found = reading_.find(message);
-  if (found == reading_.end()) return;
-  if (!found->second.since.has_value()) found->second.since = now;
-  found->second.head_at = now;
+  entry->second.begun_at = connection->begun_at();
+  entry->second.head_at = now;
+  StartTimer();
 }
 
 void ReadGuard::OnBody(SoupServerMessage* message, std::int64_t bytes) {
@@ -120,40 +114,45 @@
 }
 
 bool ReadGuard::IsTooSlow(const Reading& reading, Time now) const {
-  if (!reading.head_at.has_value()) {
-    return now - *reading.since >= options_.head_timeout;
-  }
   if (options_.min_body_bytes_per_second == 0) return false;
-  const double seconds =
-      ToSeconds(now - *reading.head_at - options_.body_grace);
+  const double seconds = ToSeconds(now - reading.head_at - options_.body_grace);
   return static_cast<double>(reading.body_bytes) <
          seconds * static_cast<double>(options_.min_body_bytes_per_second);
 }
 
 std::optional<ReadRefusal> ReadGuard::Judge(SoupServerMessage* message,
-                                            Reading& reading, Time now) const {
+                                            const Reading& reading,
+                                            Time now) const {
   if (reading.refusal.has_value()) return reading.refusal;
-  const std::int64_t read = BytesOf(reading);
-  if (read > 0 && !reading.since.has_value()) reading.since = now;
-  if (!reading.since.has_value()) return std::nullopt;
-  if (now - *reading.since >= options_.timeout) {
+  if (now - reading.begun_at >= options_.timeout) {
     return ReadRefusal{kRequestTimeout, "the request isn't complete in time"};
   }
   if (IsTooSlow(reading, now)) {
     return ReadRefusal{kRequestTimeout, "the request arrives too slowly"};
   }
-  if (!reading.head_at.has_value() && !on_head_(message, read)) {
-    return ReadRefusal{kServiceUnavailable, kNoMemoryText};
-  }
+  const std::int64_t framing =
+      ConnectionOf(message)->request_bytes() - reading.body_bytes;
   const std::int64_t limit =
       kMaxFramingBytes + kMaxFramingPerBodyByte * reading.body_bytes;
-  if (read - reading.body_bytes > limit) {
+  if (framing > limit) {
     return ReadRefusal{kBadRequest, "the request has too much framing"};
   }
   return std::nullopt;
 }
 
+void ReadGuard::PollHeads(Time now) {
+  std::erase_if(heads_, [&](ClientConnection* connection) {
+    if (!connection->in_head()) return true;
+    const Duration limit = std::min(options_.head_timeout, options_.timeout);
+    if (now - connection->begun_at() < limit) return false;
+    connection->RefuseHead(
+        {.status = kRequestTimeout, .text = "the head isn't complete in time"});
+    return true;
+  });
+}
+
 void ReadGuard::Poll(Time now) {
+  PollHeads(now);
   std::vector<std::pair<GObjectPtr<SoupServerMessage>, ReadRefusal>> ended;
   for (auto& [message, reading] : reading_) {
     auto refusal = Judge(message, reading, now);
@@ -164,7 +163,7 @@
     Remove(message.get());
     end_(message.get(), refusal);
   }
-  if (reading_.empty()) timer_.reset();
+  if (reading_.empty() && heads_.empty()) timer_.reset();
 }
 
 }  // namespace cassiausher
--- a/drivers/read_guard.h
+++ b/drivers/read_guard.h
@@ -8,24 +8,16 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <string>
 #include <unordered_map>
-#include <vector>
+#include <unordered_set>
 
 #include "core/time.h"
+#include "drivers/client_connection.h"
 #include "drivers/gobject_ptr.h"
+#include "drivers/read_refusal.h"
 
 namespace cassiausher {
 
-/// Reason of refusals for want of memory.
-constexpr const char* kNoMemoryText = "too many requests are being read";
-
-/// Why a request isn't read any further.
-struct ReadRefusal {
-  int status = 0;
-  std::string text;
-};
-
 struct ReadGuardOptions {
   /// From the first byte of a request to its last.
   Duration timeout{};
@@ -43,19 +35,17 @@
   using EndFunction =
       std::function<void(SoupServerMessage*, const ReadRefusal&)>;
 
-  /// Told what has arrived of a head that isn't complete. Returns whether it
-  /// may be read on.
-  using HeadFunction = std::function<bool(SoupServerMessage*, std::int64_t)>;
-
   ReadGuard(GMainContext* context, const ReadGuardOptions& options,
-            EndFunction end, HeadFunction on_head);
+            EndFunction end);
   ~ReadGuard();
   ReadGuard(const ReadGuard&) = delete;
   ReadGuard& operator=(const ReadGuard&) = delete;
 
-  /// The server waits for this request; none of it may have arrived.
-  void Add(SoupServerMessage* message);
-  void OnHeaders(SoupServerMessage* message, Time now);
+  /// A request has begun, and its head isn't complete.
+  void AddHead(ClientConnection* connection);
+  void OnClosed(ClientConnection* connection);
+  /// The head of a request is complete.
+  void Add(SoupServerMessage* message, Time now);
   void OnBody(SoupServerMessage* message, std::int64_t bytes);
   /// Of all requests that are being read.
   std::int64_t body_bytes() const { return body_bytes_; }
@@ -66,8 +56,6 @@
   }
   /// Requests of which a part was read and that aren't refused.
   int Begun() const;
-  /// Whether a part of this request has been read, or it isn't awaited.
-  bool HasBegun(SoupServerMessage* message) const;
   /// The answer is known before the request was read in full.
   void OnRefused(SoupServerMessage* message, ReadRefusal refusal);
   /// The request was read in full, or its connection has ended.
@@ -75,31 +63,30 @@
 
  private:
   struct Reading {
-    GObjectPtr<GSocket> socket;
-    /// Bytes that the connection had carried before this request.
-    std::int64_t earlier_bytes = 0;
     std::int64_t body_bytes = 0;
-    /// When the request was first seen to have begun.
-    std::optional<Time> since;
+    /// When the first byte of the request was seen.
+    Time begun_at{};
     /// When its head was complete.
-    std::optional<Time> head_at;
+    Time head_at{};
     std::optional<ReadRefusal> refusal;
   };
 
   void Forget(SoupServerMessage* message);
   static void OnMessageFinalized(gpointer self, GObject* message);
-  /// Bytes that the connection has carried of this request.
-  static std::int64_t BytesOf(const Reading& reading);
   /// Why the message is ended; null while it isn't.
-  std::optional<ReadRefusal> Judge(SoupServerMessage* message, Reading& reading,
-                                   Time now) const;
+  std::optional<ReadRefusal> Judge(SoupServerMessage* message,
+                                   const Reading& reading, Time now) const;
   bool IsTooSlow(const Reading& reading, Time now) const;
+  void StartTimer();
+  void PollHeads(Time now);
   void Poll(Time now);
 
   GMainContext* context_;
   ReadGuardOptions options_;
   EndFunction end_;
-  HeadFunction on_head_;
+  /// Connections of requests whose head isn't complete; some may have become
+  /// complete since.
+  std::unordered_set<ClientConnection*> heads_;
   /// Holds weak references to the messages.
   std::unordered_map<SoupServerMessage*, Reading> reading_;
   /// Sum over the requests in `reading_` that aren't refused.
--- a/drivers/received_body.h
+++ b/drivers/received_body.h
@@ -1,6 +1,6 @@
-// Body of a request as it is received. libsoup would keep each piece in a
-// buffer of its own, which takes much more memory than its bytes if chunks are
-// short.
+// Target and body of a request as they are received. libsoup would keep each
+// piece in a buffer of its own, which takes much more memory than its bytes if
+// chunks are short.
 #ifndef DRIVERS_RECEIVED_BODY_H_
 #define DRIVERS_RECEIVED_BODY_H_
 
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "drivers/memory_budget.h"
+#include "drivers/request_target.h"
 
 namespace cassiausher {
 
@@ -23,6 +24,7 @@
   /// Charges to the budget, if there is one.
   bool Grow(std::int64_t more, Time now);
 
+  RequestTarget target;
   /// Released when the request is refused.
   std::string bytes;
   /// Counts on after a refusal.
--- a/drivers/request_reader.cc
+++ b/drivers/request_reader.cc
@@ -36,7 +36,7 @@
 }
 
 std::string ClientOf(SoupServerMessage* message) {
-  return ClientAddress(soup_server_message_get_socket(message));
+  return ClientAddress(SocketOf(message));
 }
 
 // What libsoup takes for each field beyond its bytes: two blocks of the heap
@@ -67,18 +67,14 @@
       options_(options),
       limit_handler_(std::move(limit_handler)),
       end_(std::move(end)),
-      guard_(
-          context,
-          {.timeout = options.read_timeout,
-           .head_timeout = options.head_timeout,
-           .min_body_bytes_per_second = options.min_body_bytes_per_second,
-           .body_grace = options.body_grace},
-          [this](SoupServerMessage* message, const ReadRefusal& refusal) {
-            EndReading(message, refusal);
-          },
-          [this](SoupServerMessage* message, std::int64_t bytes) {
-            return ChargePartOfHead(message, bytes);
-          }) {}
+      guard_(context,
+             {.timeout = options.read_timeout,
+              .head_timeout = options.head_timeout,
+              .min_body_bytes_per_second = options.min_body_bytes_per_second,
+              .body_grace = options.body_grace},
+             [this](SoupServerMessage* message, const ReadRefusal& refusal) {
+               EndReading(message, refusal);
+             }) {}
 
 ReceivedBody& RequestReader::ChargedBody(SoupServerMessage* message) {
   ReceivedBody& body = BodyOf(message);
@@ -92,16 +88,25 @@
   return body;
 }
 
-bool RequestReader::ChargePartOfHead(SoupServerMessage* message,
-                                     std::int64_t bytes) {
+bool RequestReader::ChargeHead(SoupServerMessage* message, std::int64_t bytes) {
   ReceivedBody& body = ChargedBody(message);
-  const std::int64_t more = bytes - body.head_charge;
-  if (more <= 0) return true;
-  if (!body.Grow(more, BootTimeNow())) return false;
-  body.head_charge += more;
+  if (!body.Grow(bytes, BootTimeNow())) return false;
+  body.head_charge = bytes;
   return true;
 }
 
+void RequestReader::OnBodyRefused(const ClientConnection& connection) {
+  // The library may not have told of its head yet.
+  if (connection.message() == nullptr) return;
+  RefuseUnsound(connection.message(), *connection.body_refusal());
+}
+
+void RequestReader::RefuseUnsound(SoupServerMessage* message,
+                                  const ReadRefusal& refusal) {
+  CountRefusal(message, refusal);
+  RefuseEarly(message, refusal.status, refusal.text);
+}
+
 bool RequestReader::Reserve(SoupServerMessage* message, std::int64_t size,
                             Time now) {
   ReceivedBody& body = ChargedBody(message);
@@ -161,7 +166,6 @@
   g_signal_connect(message, "got-headers", G_CALLBACK(&OnGotHeaders), this);
   g_signal_connect(message, "got-chunk", G_CALLBACK(&OnGotChunk), this);
   g_signal_connect(message, "got-body", G_CALLBACK(&OnGotBody), this);
-  guard_.Add(message);
 }
 
 void RequestReader::Remove(SoupServerMessage* message) {
@@ -170,9 +174,24 @@
 
 void RequestReader::OnGotHeaders(SoupServerMessage* message, gpointer data) {
   auto* self = static_cast<RequestReader*>(data);
-  self->guard_.OnHeaders(message, BootTimeNow());
   soup_message_body_set_accumulate(
       soup_server_message_get_request_body(message), FALSE);
+  self->guard_.Add(message, BootTimeNow());
+  RequestHead head = ConnectionOf(message)->TakeHead(message);
+  if (!head.refusal) head.refusal = ConnectionOf(message)->body_refusal();
+  if (head.ends_connection) {
+    self->Remove(message);
+    // Closed when it is released. At the end of its input, libsoup would hold
+    // a connection for ever.
+    const GObjectPtr<GIOStream> stream(
+        soup_server_message_steal_connection(message));
+    return;
+  }
+  if (head.refusal) {
+    self->RefuseUnsound(message, *head.refusal);
+    return;
+  }
+  BodyOf(message).target = std::move(head.target);
   SoupMessageHeaders* headers =
       soup_server_message_get_request_headers(message);
   const HeaderSize size = SizeOf(headers);
@@ -180,8 +199,7 @@
     self->RefuseEarly(message, 431, "the headers are too large");
     return;
   }
-  if (!self->ChargePartOfHead(message,
-                              size.bytes + kFieldBytes * size.fields)) {
+  if (!self->ChargeHead(message, size.bytes + kFieldBytes * size.fields)) {
     self->RefuseNow(message, kServiceUnavailable, kNoMemoryText);
     return;
   }
@@ -265,8 +283,8 @@
   static_cast<RequestReader*>(self)->guard_.Remove(message);
 }
 
-void RequestReader::EndReading(SoupServerMessage* message,
-                               const ReadRefusal& refusal) {
+void RequestReader::CountRefusal(SoupServerMessage* message,
+                                 const ReadRefusal& refusal) {
   Log(LogLevel::kInfo, "request_not_read",
       {{"status", refusal.status},
        {"reason", refusal.text},
@@ -274,6 +292,11 @@
   if (options_.metrics != nullptr) {
     options_.metrics->counter("requests_not_read_total").Add();
   }
+}
+
+void RequestReader::EndReading(SoupServerMessage* message,
+                               const ReadRefusal& refusal) {
+  CountRefusal(message, refusal);
   SendRefusal(message, refusal.status, refusal.text);
   end_(message);
 }
@@ -284,13 +307,13 @@
   RefuseEarly(message, status, text);
   soup_message_headers_clear(soup_server_message_get_request_headers(message));
   SendRefusal(message, status, text);
-  GSocket* socket = soup_server_message_get_socket(message);
+  GSocket* socket = SocketOf(message);
   if (socket != nullptr) g_socket_shutdown(socket, TRUE, TRUE, nullptr);
 }
 
 void RequestReader::SendRefusal(SoupServerMessage* message, int status,
                                 std::string_view text) {
-  GSocket* socket = soup_server_message_get_socket(message);
+  GSocket* socket = SocketOf(message);
   if (socket == nullptr) return;
   if (!options_.tls) {
     const std::string body = limit_handler_(status, text);
@@ -299,8 +322,10 @@
         "Content-Length: {}\r\nConnection: close\r\n\r\n{}",
         status, soup_status_get_phrase(static_cast<guint>(status)), body.size(),
         body);
-    // The socket has room: nothing was sent for this request.
-    g_socket_send(socket, answer.data(), answer.size(), nullptr, nullptr);
+    // Earlier answers that the client hasn't read may have left no room. It
+    // then gets no refusal; waiting would stop the whole task.
+    g_socket_send_with_blocking(socket, answer.data(), answer.size(), FALSE,
+                                nullptr, nullptr);
   }
 }
 
--- a/drivers/request_reader.h
+++ b/drivers/request_reader.h
@@ -14,6 +14,7 @@
 
 #include "core/metrics.h"
 #include "core/time.h"
+#include "drivers/client_connection.h"
 #include "drivers/gobject_ptr.h"
 #include "drivers/memory_budget.h"
 #include "drivers/read_guard.h"
@@ -53,17 +54,18 @@
   RequestReader(const RequestReader&) = delete;
   RequestReader& operator=(const RequestReader&) = delete;
 
-  /// The server waits for this request; none of it may have arrived. The reader
-  /// must outlive the signals of the message.
+  /// A request has begun, and its head isn't complete.
+  void AddHead(ClientConnection* connection) { guard_.AddHead(connection); }
+  /// The request that is being read isn't sound.
+  void OnBodyRefused(const ClientConnection& connection);
+  void OnClosed(ClientConnection* connection) { guard_.OnClosed(connection); }
+  /// The library waits for this request. The reader must outlive the signals of
+  /// the message.
   void Add(SoupServerMessage* message);
   /// The request is answered, or its connection has ended.
   void Remove(SoupServerMessage* message);
   /// Requests of which a part was read and that aren't refused.
   int Begun() const { return guard_.Begun(); }
-  /// Whether a part of this request has been read, or it isn't awaited.
-  bool HasBegun(SoupServerMessage* message) const {
-    return guard_.HasBegun(message);
-  }
 
   /// Charges what a request that was read in full takes while it runs. If it
   /// doesn't fit, the request is answered, and false is returned.
@@ -72,7 +74,10 @@
  private:
   /// The body of a message, with its holder in the budget.
   ReceivedBody& ChargedBody(SoupServerMessage* message);
-  bool ChargePartOfHead(SoupServerMessage* message, std::int64_t bytes);
+  bool ChargeHead(SoupServerMessage* message, std::int64_t bytes);
+  /// Refuses a request for what was found before the library read it.
+  void RefuseUnsound(SoupServerMessage* message, const ReadRefusal& refusal);
+  void CountRefusal(SoupServerMessage* message, const ReadRefusal& refusal);
   /// Makes room for `size` more bytes of the body, if the budget allows.
   bool Reserve(SoupServerMessage* message, std::int64_t size, Time now);
   /// Ends the reading of a request in favour of another one.
--- a/tests/drivers/http_server_fixture.h
+++ b/tests/drivers/http_server_fixture.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cerrno>
 #include <cstdint>
+#include <filesystem>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -35,6 +36,15 @@
   return true;
 }
 
+inline int OpenDescriptors() {
+  int count = 0;
+  for ([[maybe_unused]] const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd")) {
+    ++count;
+  }
+  return count;
+}
+
 /// Makes the kernel accept little for a caller that doesn't read. Must be
 /// called before the socket is connected.
 inline void SetSmallWindow(int descriptor) {
@@ -93,6 +103,13 @@
   }
 
   bool ended() const { return closed || reset; }
+  /// Of this side.
+  std::uint16_t port() const {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size);
+    return ntohs(address.sin_port);
+  }
 
   /// Bytes that SendWhatFits() has sent.
   std::size_t sent = 0;
