Read endpoints' chunked answers by the RFC, and lengths as a whole

Cause: libcurl decides where an answer ends. It takes the first digits of a length, an unknown coding for none, and whatever follows a chunk's size for an extension. What it takes for whole is passed on as whole.

Change: AnswerHead checks lengths and codings; libcurl passes chunks on as they are (CURLOPT_HTTP_TRANSFER_DECODING off) and ChunkedBody reads them with Boost.Beast. libcurl still looks for the end, so that both must agree. Checks that requests need as well are in framing_checks.

--- a/drivers/answer_head.cc
+++ b/drivers/answer_head.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "drivers/framing_checks.h"
+
 namespace cassiausher {
 namespace {
 
@@ -36,21 +38,18 @@
   return soup_message_headers_get_one(headers.get(), name) != nullptr;
 }
 
-// Whether the head names two lengths, so that the body's end is open.
-bool HasAmbiguousLength(const SoupHeadersPtr& headers) {
-  const char* lengths =
-      soup_message_headers_get_list(headers.get(), "Content-Length");
-  if (lengths == nullptr) return false;
-  if (Has(headers, "Transfer-Encoding")) return true;
-  std::string_view rest = lengths;
-  const std::string_view first = Trimmed(rest.substr(0, rest.find(',')));
-  while (!rest.empty()) {
-    const std::size_t comma = rest.find(',');
-    if (Trimmed(rest.substr(0, comma)) != first) return true;
-    if (comma == std::string_view::npos) break;
-    rest.remove_prefix(comma + 1);
+// Whether the values of a list of lengths are valid and the same, which a
+// recipient may take for one (RFC 9110, 8.6).
+bool IsOneLength(std::string_view list) {
+  const auto first =
+      ParseContentLength(Trimmed(list.substr(0, list.find(','))));
+  for (;;) {
+    const std::size_t comma = list.find(',');
+    const auto length = ParseContentLength(Trimmed(list.substr(0, comma)));
+    if (!length || length != first) return false;
+    if (comma == std::string_view::npos) return true;
+    list.remove_prefix(comma + 1);
   }
-  return false;
 }
 
 }  // namespace
@@ -77,6 +76,7 @@
                               IsDigit(line[kHttp1.size()]) &&
                               line[kStatusAt - 1] == ' ';
   if (!is_status_line) return Fail("the answer has no status line");
+  minor_version_ = line[kHttp1.size()];
   const std::string_view digits = line.substr(kStatusAt, kStatusDigits);
   const char next = line[kStatusAt + kStatusDigits];
   const bool has_status = std::all_of(digits.begin(), digits.end(), IsDigit) &&
@@ -113,9 +113,7 @@
 
 bool AnswerHead::EndHead() {
   if (status_ >= kFirstFinalStatus) {
-    if (HasAmbiguousLength(headers_)) {
-      return Fail("the answer has more than one length");
-    }
+    if (!CheckFraming()) return false;
     stage_ = Stage::kComplete;
     return true;
   }
@@ -129,6 +127,26 @@
   return true;
 }
 
+bool AnswerHead::CheckFraming() {
+  const char* lengths =
+      soup_message_headers_get_list(headers_.get(), "Content-Length");
+  const char* codings =
+      soup_message_headers_get_list(headers_.get(), "Transfer-Encoding");
+  if (lengths != nullptr && codings != nullptr) {
+    return Fail("the answer has more than one length");
+  }
+  if (lengths != nullptr && !IsOneLength(lengths)) {
+    return Fail("the answer has no sound length");
+  }
+  if (codings == nullptr) return true;
+  // No call asks for another coding.
+  if (g_ascii_strcasecmp(codings, "chunked") != 0 || minor_version_ == '0') {
+    return Fail("the answer has an unknown transfer coding");
+  }
+  has_chunks_ = true;
+  return true;
+}
+
 bool AnswerHead::Fail(std::string_view fault) {
   fault_ = fault;
   return false;
--- a/drivers/answer_head.h
+++ b/drivers/answer_head.h
@@ -40,6 +40,8 @@
   int status() const { return complete() ? status_ : 0; }
   /// Of the final head once complete().
   const SoupHeadersPtr& headers() const { return headers_; }
+  /// Whether the body that follows has chunks.
+  bool has_chunks() const { return has_chunks_; }
   /// Informational heads so far.
   int informational() const { return informational_; }
   /// What is wrong with the bytes; empty if nothing is.
@@ -51,6 +53,8 @@
   bool AddStatusLine(std::string_view line);
   bool AddHeader(std::string_view line);
   bool EndHead();
+  /// Checks that the head tells where the body ends (RFC 9112, 6.1 to 6.3).
+  bool CheckFraming();
   bool Fail(std::string_view fault);
 
   Stage stage_ = Stage::kStatusLine;
@@ -58,6 +62,9 @@
   int status_ = 0;
   SoupHeadersPtr headers_;
   int informational_ = 0;
+  /// Of the HTTP version of the head that is being read.
+  char minor_version_ = '1';
+  bool has_chunks_ = false;
   std::string_view fault_;
 };
 
--- a/drivers/http_client.cc
+++ b/drivers/http_client.cc
@@ -6,9 +6,11 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <optional>
 
 #include "drivers/answer_head.h"
 #include "drivers/bytes_read.h"
+#include "drivers/chunked_body.h"
 
 namespace cassiausher {
 namespace {
@@ -59,6 +61,9 @@
   // Received but not yet delivered. Sinks may start or cancel calls, which
   // isn't allowed in libcurl's callbacks, so they are called afterwards.
   AnswerHead head;
+  /// The body's chunks, once there are any.
+  std::optional<ChunkedBody> chunks;
+  bool is_chunking_unsound = false;
   bool headers_delivered = false;
   std::string body;
   bool done = false;
@@ -79,6 +84,8 @@
   /// The limit that the answer exceeds; empty if none.
   std::string_view excess;
   bool connect_only = false;
+  /// Answers to HEAD have none.
+  bool has_body = true;
 
   ~Pending() {
     if (easy == nullptr) return;
@@ -152,6 +159,13 @@
     return written >= static_cast<curl_off_t>(request_body.size());
   }
 
+  bool ExpectsChunks() const {
+    constexpr int kNoContent = 204;
+    constexpr int kNotModified = 304;
+    return has_body && head.has_chunks() && head.status() != kNoContent &&
+           head.status() != kNotModified;
+  }
+
   /// What is wrong with a transfer that libcurl takes for complete; empty if
   /// nothing is.
   std::string_view FaultOfCompleteTransfer() const {
@@ -159,6 +173,9 @@
     // libcurl takes a connection that ends inside the head for the end of an
     // empty body.
     if (!head.complete()) return "the answer has no head";
+    if (ExpectsChunks() && !(chunks && chunks->complete())) {
+      return "the chunked body isn't complete";
+    }
     // A write to a connection that was reset consumes the error, so that the
     // next read sees an ordinary end.
     if (EndsWithConnection() && !RequestIsWritten()) {
@@ -176,6 +193,7 @@
     }
     error = curl_easy_strerror(result);
     if (!head.fault().empty()) error = head.fault();
+    if (is_chunking_unsound) error = "the chunked body isn't sound";
     // libcurl ends a header line of 100 KiB so.
     if (result == CURLE_OUT_OF_MEMORY) excess = "a header line is too long";
     if (result == CURLE_RECV_ERROR && FramingBytes() > kMaxTrailerLineBytes) {
@@ -272,8 +290,22 @@
 }
 
 std::size_t HttpClient::Pending::OnContent(std::string_view bytes) {
-  if (!head.complete() || !CountContent(bytes.size())) return 0;
-  body.append(bytes);
+  if (!head.complete()) return 0;
+  const std::size_t before = body.size();
+  if (!head.has_chunks()) {
+    body.append(bytes);
+  } else {
+    if (!chunks) chunks.emplace();
+    if (!chunks->Read(bytes, &body)) {
+      body.resize(before);
+      is_chunking_unsound = true;
+      return 0;
+    }
+  }
+  if (!CountContent(body.size() - before)) {
+    body.resize(before);
+    return 0;
+  }
   loop->ready.push_back(id);
   return bytes.size();
 }
@@ -330,7 +362,10 @@
                      static_cast<curl_off_t>(pending->request_body.size()));
     curl_easy_setopt(easy, CURLOPT_POSTFIELDS, pending->request_body.data());
   }
-  if (call.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  pending->has_body = call.method != "HEAD";
+  if (!pending->has_body) curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
+  // Chunks are read by ChunkedBody; libcurl only looks for the last one.
+  curl_easy_setopt(easy, CURLOPT_HTTP_TRANSFER_DECODING, 0L);
   curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
 
   // A header line without a value stops libcurl from adding its default header.
--- a/drivers/request_framing.cc
+++ b/drivers/request_framing.cc
@@ -2,10 +2,11 @@
 
 #include <fmt/format.h>
 
-#include <algorithm>
 #include <boost/beast/http/basic_parser.hpp>
 #include <utility>
 
+#include "drivers/framing_checks.h"
+
 namespace cassiausher {
 namespace {
 
@@ -31,30 +32,6 @@
   return {text.data(), text.size()};
 }
 
-bool IsDigit(char c) { return c >= '0' && c <= '9'; }
-
-bool IsDecimal(std::string_view text) {
-  return !text.empty() && std::all_of(text.begin(), text.end(), IsDigit);
-}
-
-// Whether a field continues on the next line (RFC 9112, 5.2).
-bool HasFoldedLine(std::string_view fields) {
-  for (std::size_t at = fields.find(kLineEnd); at != std::string_view::npos;
-       at = fields.find(kLineEnd, at + kLineEnd.size())) {
-    const std::string_view next = fields.substr(at + kLineEnd.size(), 1);
-    if (next == " " || next == "\t") return true;
-  }
-  return false;
-}
-
-// Of a quoted string in a chunk extension, Beast accepts any byte.
-bool HasControls(std::string_view text) {
-  return std::any_of(text.begin(), text.end(), [](char c) {
-    const auto byte = static_cast<unsigned char>(c);
-    return (byte < ' ' && c != '\t') || byte == 0x7f;
-  });
-}
-
 }  // namespace
 
 // Collects what Beast finds in one request, written as the library is to read
@@ -151,7 +128,7 @@
 
   // Beast has read the value; it accepts lists of equal lengths.
   void CheckLength(std::string_view value, Error& error) {
-    if (has_length_ || !IsDecimal(value)) {
+    if (has_length_ || !ParseContentLength(value)) {
       return Refuse(kBadRequest, "the content length isn't valid", error);
     }
     has_length_ = true;
--- a/tests/drivers/http_client_test.cc
+++ b/tests/drivers/http_client_test.cc
@@ -6,7 +6,9 @@
 
 #include <string>
 
+#include "drivers/chunked_body.h"
 #include "tests/drivers/canned_server.h"
+#include "tests/drivers/odd_requests.h"
 
 using namespace cassiausher;  // NOLINT: test file
 
@@ -92,6 +94,55 @@
   STRCMP_EQUAL("ok", sink.body.c_str());
 }
 
+// libcurl took a length by its first digits, an unknown coding for none, and
+// any byte after a chunk's size for an extension.
+TEST(HttpClient, AnswersWithoutSoundFramingAreErrors) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string& rest :
+       {std::string("Content-Length: 4x\r\n\r\nabcd"),
+        std::string("Content-Length: +4\r\n\r\nabcd"),
+        std::string("Content-Length: -4\r\n\r\nabcd"),
+        std::string("Content-Length:\r\n\r\nabcd"),
+        std::string("Content-Length: 4 4\r\n\r\nabcd"),
+        std::string("Content-Length: 99999999999999999999\r\n\r\nabcd"),
+        std::string(
+            "Transfer-Encoding: xchunked\r\n\r\n4\r\nabcd\r\n0\r\n\r\n"),
+        std::string("Transfer-Encoding: chunked, chunked\r\n\r\n0\r\n\r\n"),
+        std::string("Transfer-Encoding: identity\r\n\r\nabcd"),
+        chunked + "4x\r\nabcd\r\n0\r\n\r\n",
+        chunked + "4 \r\nabcd\r\n0\r\n\r\n",
+        chunked + "4\nabcd\r\n0\r\n\r\n",
+        chunked + "0x4\r\nabcd\r\n0\r\n\r\n",
+        chunked + "4\r\nabcd\n0\r\n\r\n",
+        chunked + "4\r\nabcd0\r\n\r\n",
+        chunked + "10000000000000004\r\nabcd\r\n0\r\n\r\n",
+        chunked + "4\r\nabcd\r\n0\r\n",
+        chunked + "4\r\nabcd\r\n0\n\n",
+        chunked + "4\r\nabcd\r\n0\r\nno trailer\r\n\r\n",
+        chunked + "4\r\nabcd\r\n0\r\nX: a\r\n b\r\n\r\n"}) {
+    CannedServer server("HTTP/1.1 200 OK\r\n" + rest);
+    sink = {};
+    Call(server.url());
+    CHECK_FALSE_TEXT(sink.error.empty(), rest.c_str());
+  }
+}
+
+TEST(HttpClient, SoundChunksArriveWholeWhereverTheyAreCut) {
+  constexpr std::uint64_t kSeeds = 500;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RequestMaker maker(seed);
+    const MadeRequest made = maker.Chunks();
+    ChunkedBody body;
+    std::string content;
+    for (const std::string& piece : maker.Split(made.bytes)) {
+      CHECK_FALSE(body.complete());
+      CHECK(body.Read(piece, &content));
+    }
+    CHECK(body.complete());
+    CHECK(made.body == content);
+  }
+}
+
 TEST(HttpClient, MalformedResponseIsAnError) {
   CannedServer server("\x01\x02 nonsense\r\n\r\n");
   Call(server.url());
--- a/tests/drivers/odd_requests.h
+++ b/tests/drivers/odd_requests.h
@@ -4,6 +4,7 @@
 #define TESTS_DRIVERS_ODD_REQUESTS_H_
 
 #include <cstdint>
+#include <cstdio>
 #include <random>
 #include <string>
 #include <string_view>
@@ -180,6 +181,13 @@
     }
   }
 
+  /// A chunked body alone.
+  MadeRequest Chunks() {
+    MadeRequest made;
+    AddChunks(&made);
+    return made;
+  }
+
   /// Cuts the bytes into pieces of random length.
   std::vector<std::string> Split(const std::string& bytes) {
     std::vector<std::string> pieces;
