--- a/servers/control/serving_configuration.cc
+++ b/servers/control/serving_configuration.cc
@@ -1,6 +1,7 @@
 #include "servers/control/serving_configuration.h"
 
 #include <algorithm>
+#include <cctype>
 #include <cstdint>
 #include <limits>
 #include <set>
@@ -103,6 +104,15 @@
   }
 }
 
+bool RouteTable::HostLess::operator()(std::string_view a,
+                                      std::string_view b) const {
+  const auto is_less = [](unsigned char x, unsigned char y) {
+    return std::tolower(x) < std::tolower(y);
+  };
+  return std::lexicographical_compare(a.begin(), a.end(), b.begin(), b.end(),
+                                      is_less);
+}
+
 const Route* RouteTable::Find(std::string_view host,
                               std::string_view path) const {
   const auto found = by_host_.find(host);
--- a/servers/control/serving_configuration.h
+++ b/servers/control/serving_configuration.h
@@ -122,11 +122,17 @@
   const Route* Find(std::string_view host, std::string_view path) const;
 
  private:
+  /// Hosts differ by more than the case of their letters (RFC 3986, 3.2.2).
+  struct HostLess {
+    using is_transparent = void;
+    bool operator()(std::string_view a, std::string_view b) const;
+  };
+
   ServingConfiguration configuration_;
   AccountDirectory accounts_;
   PriorityRanks priority_ranks_;
   /// Indices of the routes by host, longest prefix first.
-  std::map<std::string, std::vector<std::size_t>, std::less<>> by_host_;
+  std::map<std::string, std::vector<std::size_t>, HostLess> by_host_;
 };
 
 /// Chooses a target at random by weight. `draw` is a random number, uniform in
--- a/tests/control/serving_configuration_test.cc
+++ b/tests/control/serving_configuration_test.cc
@@ -38,6 +38,13 @@
   POINTERS_EQUAL(nullptr, table.Find("b.example", "/a/"));
 }
 
+// A caller that wrote the host in capitals got 404.
+TEST(ServingConfiguration, HostsAreTheSameInAnyCase) {
+  const RouteTable table(MakeConfiguration());
+  STRCMP_EQUAL("short", table.Find("A.Example", "/a/c")->name.c_str());
+  POINTERS_EQUAL(nullptr, table.Find("A.Exampl", "/a/c"));
+}
+
 TEST(ServingConfiguration, ValidConfigurationHasNoFindings) {
   CHECK_TRUE(Validate(MakeConfiguration()).empty());
 }
--- a/tests/platform/request_headers_test.cc
+++ b/tests/platform/request_headers_test.cc
@@ -274,6 +274,22 @@
   soup_message_headers_unref(headers);
 }
 
+// Answers with such a type were not taken for streams.
+TEST(RequestHeaders, MediaTypesAreTheSameInAnyCase) {
+  for (const auto& [type, is_stream] :
+       {std::pair("Text/Event-Stream", true),
+        std::pair("text/event-stream ; charset=utf-8", true),
+        std::pair("text/event-streams", false)}) {
+    SoupMessageHeaders* headers =
+        soup_message_headers_new(SOUP_MESSAGE_HEADERS_RESPONSE);
+    soup_message_headers_append(headers, "Content-Type", type);
+    const EndpointAnswer answer =
+        ReadAnswer(200, headers, RequestId("r1"), EndpointId("i-1"));
+    CHECK_EQUAL(is_stream, answer.event_stream);
+    soup_message_headers_unref(headers);
+  }
+}
+
 TEST(RequestHeaders, ARateLimitIsReadIfItIsADecimalNumber) {
   const auto limit_of = [](const char* text) {
     SoupMessageHeaders* headers =
