Close connections that their clients reset between two requests

Cause: a reset reaches the library as an error of a read, and it drops the request that it waits for without closing the connection; the end of a connection was handled, a reset not.

Change: an error outside a body ends the connection as its end does.

--- a/drivers/client_connection.cc
+++ b/drivers/client_connection.cc
@@ -98,13 +98,23 @@
 
 gssize ClientConnection::Receive(GError** error) {
   std::array<char, kReadBytes> bytes;
+  GError* failure = nullptr;
   const gssize received = g_pollable_input_stream_read_nonblocking(
       G_POLLABLE_INPUT_STREAM(g_io_stream_get_input_stream(transport_.get())),
-      bytes.data(), bytes.size(), nullptr, error);
-  if (received > 0) {
+      bytes.data(), bytes.size(), nullptr, &failure);
+  if (received >= 0) {
     input_.append(bytes.data(), static_cast<std::size_t>(received));
+    return received;
   }
-  return received;
+  const bool waits =
+      g_error_matches(failure, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) != FALSE;
+  if (waits || framing_.in_body()) {
+    g_propagate_error(error, failure);
+    return -1;
+  }
+  // A reset between two requests ends the connection like any other end.
+  g_error_free(failure);
+  return 0;
 }
 
 void ClientConnection::Parse(Time now) {
--- a/drivers/client_connection.h
+++ b/drivers/client_connection.h
@@ -90,7 +90,8 @@
   }
 
  private:
-  /// Reads what has arrived from the transport. Returns 0 at its end.
+  /// Reads what has arrived from the transport. Returns 0 at its end, which an
+  /// error outside a body counts as.
   gssize Receive(GError** error);
   void OnInputEnd();
   void Parse(Time now);
--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -432,6 +432,21 @@
   CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
 }
 
+// A caller that closes with its answer unread resets the connection.
+TEST(HttpDrain, KeptConnectionsThatCallersResetAreClosed) {
+  constexpr int kCallers = 20;
+  const int before = OpenDescriptors();
+  for (int i = 0; i < kCallers; ++i) {
+    const SlowCaller caller(server->port());
+    caller.Send(kRequest);
+    Receive(1);
+    held[0]->Respond(200, "text/plain", "small");
+    held.clear();
+    RunFor(5);
+  }
+  CHECK(RunUntil([&] { return OpenDescriptors() == before; }));
+}
+
 // The next request on a connection whose answer didn't announce its end was
 // read and dropped.
 TEST(HttpDrain, RequestBehindAnAnswerThatBeganBeforeTheDrainIsAnswered) {
