Release what a refused head held, and charge connections what they take

Cause, by reading: a head that was evicted from the memory budget stayed charged until its answer was read, so that eviction gained nothing at once; and a kept connection's head counted as waiting since the first one.

Change: refusing a head gives its bytes back to the budget; each request is progress; the heads that wait are in a vector; a connection is charged 9 KiB.

--- a/drivers/client_connection.cc
+++ b/drivers/client_connection.cc
@@ -12,7 +12,7 @@
 constexpr int kServiceUnavailable = 503;
 // What GLib and libsoup hold for an open connection and the message that waits
 // on it.
-constexpr std::int64_t kConnectionBytes = 8 << 10;
+constexpr std::int64_t kConnectionBytes = 9 << 10;
 constexpr std::size_t kReadBytes = 8 << 10;
 // Limits what one call reads while nothing comes of it.
 constexpr int kReadsPerCall = 8;
@@ -123,6 +123,7 @@
   if (was_between) {
     begun_at_ = now;
     request_bytes_ = 0;
+    if (held_holder_ != 0) memory_->OnProgress(held_holder_, now);
   }
   const RequestFraming::Progress progress = framing_.Read(input_, &output_);
   request_bytes_ += static_cast<std::int64_t>(progress.taken);
@@ -175,8 +176,13 @@
 
 void ClientConnection::RefuseHead(ReadRefusal refusal) {
   framing_.Refuse(std::move(refusal), &output_);
+  DropInput();
+}
+
+void ClientConnection::DropInput() {
   std::string().swap(input_);
-  // Not charged anew here: the budget may be looking for room.
+  // What the library is given instead is short, so that this releases memory.
+  ChargeHeld(BootTimeNow());
   if (output_source_ != nullptr) g_source_set_ready_time(output_source_, 0);
 }
 
@@ -195,8 +201,7 @@
 void ClientConnection::EndInput() {
   framing_.End(&output_);
   output_begin_ = 0;
-  std::string().swap(input_);
-  if (output_source_ != nullptr) g_source_set_ready_time(output_source_, 0);
+  DropInput();
 }
 
 void ClientConnection::OnClosed() {
--- a/drivers/client_connection.h
+++ b/drivers/client_connection.h
@@ -99,6 +99,8 @@
   /// Charges what the connection holds now. Returns whether it fits.
   bool ChargeHeld(Time now);
   void RefuseForMemory();
+  /// Releases what waits to be read, and makes the library read.
+  void DropInput();
 
   GObjectPtr<GSocket> socket_;
   GObjectPtr<GIOStream> transport_;
--- a/drivers/request_framing.cc
+++ b/drivers/request_framing.cc
@@ -334,7 +334,7 @@
 
 RequestHead RequestFraming::TakeHead() {
   RequestHead head = std::move(heads_.front());
-  heads_.pop_front();
+  heads_.erase(heads_.begin());
   return head;
 }
 
--- a/drivers/request_framing.h
+++ b/drivers/request_framing.h
@@ -9,11 +9,11 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "drivers/read_refusal.h"
 #include "drivers/request_target.h"
@@ -98,7 +98,8 @@
   Stage stage_ = Stage::kBetween;
   /// Of the request that is being read; null between requests.
   std::unique_ptr<Parser> parser_;
-  std::deque<RequestHead> heads_;
+  /// Of requests that the library hasn't told of, in their order.
+  std::vector<RequestHead> heads_;
   std::optional<ReadRefusal> body_refusal_;
   int empty_lines_ = 0;
 };
--- a/tests/drivers/http_framing_test.cc
+++ b/tests/drivers/http_framing_test.cc
@@ -153,6 +153,32 @@
   CHECK(caller.received.starts_with("HTTP/1.1 408"));
 }
 
+// Heads that aren't complete make room for others, and what they held is free.
+TEST(HttpFraming, HeadsThatDoNotFitAreRefused) {
+  constexpr std::int64_t kLimitBytes = 256 << 10;
+  constexpr int kCallers = 40;
+  const auto memory = std::make_shared<MemoryBudget>(
+      MemoryBudgetOptions{.limit_bytes = kLimitBytes});
+  Listen({.memory = memory});
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(server->port()));
+    callers.back()->Send("GET /" + std::string(12 << 10, 'x'));
+  }
+  std::size_t refused = 0;
+  CHECK(Serve(*callers[0], [&] {
+    refused = 0;
+    for (const auto& caller : callers) {
+      caller->Read();
+      if (caller->received.starts_with("HTTP/1.1 503")) ++refused;
+    }
+    return refused >= kCallers / 2;
+  }));
+  CHECK(memory->held() <= kLimitBytes);
+  callers.clear();
+  CHECK(RunUntil(context, [&] { return memory->held() == 0; }));
+}
+
 // review/6: the refusal of a client whose earlier answers filled the socket's
 // buffer waited for that client, and the whole task with it.
 TEST(HttpFraming, RefusalOfAClientThatDoesNotReadDoesNotWait) {
