--- a/tests/drivers/odd_requests.h
+++ b/tests/drivers/odd_requests.h
@@ -157,10 +157,10 @@
 
   /// With a length, chunks or no body; chunks may have extensions and trailers.
   MadeRequest Sound() {
-    static const std::vector<std::string> kTargets = {
+    static const std::vector<std::string> targets = {
         "/x", "/a%2fb/%7Ec", "/a/./b/../c", "//x", "/?", "/x?q=%2f&r=a/b?c"};
     MadeRequest made;
-    made.target = kTargets[Below(kTargets.size())];
+    made.target = targets[Below(targets.size())];
     std::string& bytes = made.bytes;
     if (Below(8) == 0) bytes = "\r\n";
     bytes += "POST " + made.target + " HTTP/1.1\r\nHost: a\r\n" + Fields();
@@ -214,10 +214,10 @@
   }
   /// May look like a request, or like the end of one.
   std::string Body(std::size_t limit) {
-    static const std::string kText = HiddenRequest() + "0\r\n\r\n\r\n";
+    static const std::string text = HiddenRequest() + "0\r\n\r\n\r\n";
     std::string body;
     for (std::size_t i = Below(limit); i > 0; --i) {
-      body += kText[(body.size() + Below(2)) % kText.size()];
+      body += text[(body.size() + Below(2)) % text.size()];
     }
     return body;
   }
@@ -239,9 +239,9 @@
     made->bytes += "\r\n";
   }
   std::string Extension() {
-    static const std::vector<std::string> kExtensions = {
+    static const std::vector<std::string> extensions = {
         "", "", "", ";a", ";a=b", ";a=\"b;c\"", " ; a = b"};
-    return kExtensions[Below(kExtensions.size())];
+    return extensions[Below(extensions.size())];
   }
 
   std::mt19937_64 random_;
