--- a/tests/drivers/http_drain_test.cc
+++ b/tests/drivers/http_drain_test.cc
@@ -56,8 +56,9 @@
 // everything.
 class SlowTlsCaller {
  public:
-  explicit SlowTlsCaller(std::uint16_t port)
-      : thread_([this, port] { Run(port); }) {}
+  explicit SlowTlsCaller(std::uint16_t port,
+                         std::string_view request = kRequest)
+      : request_(request), thread_([this, port] { Run(port); }) {}
   ~SlowTlsCaller() { thread_.join(); }
   SlowTlsCaller(const SlowTlsCaller&) = delete;
   SlowTlsCaller& operator=(const SlowTlsCaller&) = delete;
@@ -100,18 +101,19 @@
         G_CALLBACK(+[](GTlsConnection*, GTlsCertificate*, GTlsCertificateFlags,
                        gpointer) -> gboolean { return TRUE; }),
         nullptr);
-    if (!Send(stream.get(), failure)) return;
+    if (!Send(stream.get(), request_, failure)) return;
     // The first answer is on its way; nothing further is read of the caller.
     g_usleep(100'000);
     for (int i = 0; i < kUnreadRequests; ++i) {
-      if (!Send(stream.get(), failure)) return;
+      if (!Send(stream.get(), kRequest, failure)) return;
     }
     ReadAll(stream.get(), failure);
   }
 
-  static bool Send(GIOStream* stream, GError** failure) {
+  static bool Send(GIOStream* stream, std::string_view request,
+                   GError** failure) {
     return g_output_stream_write_all(g_io_stream_get_output_stream(stream),
-                                     kRequest.data(), kRequest.size(), nullptr,
+                                     request.data(), request.size(), nullptr,
                                      nullptr, failure);
   }
 
@@ -127,6 +129,7 @@
   }
 
   std::atomic<bool> done_{false};
+  std::string_view request_;
   std::thread thread_;
 };
 
@@ -136,6 +139,19 @@
     Listen({.max_body_bytes = 1000});
   }
 
+  // The server has read the files when this returns.
+  void ListenWithTls() {
+    const std::filesystem::path folder =
+        std::filesystem::temp_directory_path() /
+        ("http-drain-" + std::to_string(getpid()));
+    std::filesystem::create_directory(folder);
+    std::ofstream(folder / "key.pem") << kTestKey;
+    std::ofstream(folder / "certificate.pem") << kTestCertificate;
+    Listen({.tls_certificate_file = folder / "certificate.pem",
+            .tls_key_file = folder / "key.pem"});
+    std::filesystem::remove_all(folder);
+  }
+
   bool RunUntil(const std::function<bool()>& done) const {
     return cassiausher::RunUntil(context, done, Seconds(8));
   }
@@ -554,14 +570,7 @@
 // Over TLS the connection must not only stay open until the answer has arrived:
 // without the close_notify alert the caller can't tell it from a cut one.
 TEST(HttpDrain, AnswerOverTlsArrivesInFullAndEndsWithAnAlert) {
-  const std::filesystem::path folder =
-      std::filesystem::temp_directory_path() /
-      ("http-drain-" + std::to_string(getpid()));
-  std::filesystem::create_directory(folder);
-  std::ofstream(folder / "key.pem") << kTestKey;
-  std::ofstream(folder / "certificate.pem") << kTestCertificate;
-  Listen({.tls_certificate_file = folder / "certificate.pem",
-          .tls_key_file = folder / "key.pem"});
+  ListenWithTls();
   SlowTlsCaller caller(server->port());
   Receive(1);
   server->BeginDrain();
@@ -578,5 +587,18 @@
   LONGS_EQUAL(kLargeBytes, caller.received.size() - head);
   CHECK(RunUntil([&] { return server->Drained(); }));
   CHECK(held.empty());
-  std::filesystem::remove_all(folder);
+}
+
+// A refusal of a head that isn't sound needs no way past the HTTP library, and
+// so reaches callers over TLS as well.
+TEST(HttpDrain, RefusalOverTlsArrivesAndEndsWithAnAlert) {
+  ListenWithTls();
+  SlowTlsCaller caller(server->port(),
+                       "GET /a HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n");
+  const bool ended = RunUntil([&] { return caller.done(); });
+  if (!ended) server.reset();
+  CHECK(ended);
+  STRCMP_EQUAL("", caller.error.c_str());
+  CHECK(caller.received.starts_with("HTTP/1.1 400"));
+  CHECK(held.empty());
 }
