--- a/review/common-3/core.py
+++ b/review/common-3/core.py
@@ -20,6 +20,8 @@
 PEER_PORT = 7660
 CONTROL_PORT = 8146
 METRICS_PORT = 9464
+# Of the entry instance and the runners of small.py.
+OTHER_PORTS = (7675, 8140, 8144, 8400)
 GRACE_S = 8
 CALL_TIMEOUT_S = 1.0
 
@@ -30,7 +32,7 @@
         block = 60 + (os.getpid() + offset) % 100
         try:
             for last in range(1, 10):
-                for port in (PEER_PORT, CONTROL_PORT, METRICS_PORT):
+                for port in (PEER_PORT, CONTROL_PORT, METRICS_PORT) + OTHER_PORTS:
                     with socket.socket() as probe:
                         probe.bind((f"127.{block}.0.{last}", port))
             return block
