Hand the vote of a control instance that stops over before it ends

Cause, by the logs of the case: no membership change between the successor's start and the loss of the quorum 1.75 s after SIGTERM. A single spare got neither data nor vote while the group had three voters, and SIGTERM handed over the leadership only.

Change: each spare becomes a learner at once. A process that stops tells the others every 100 ms, and remains within its grace period until the leader has given its vote to a learner with the data, or has answered that there is none. A group of more voters than the tolerated losses need shrinks by those that can't be replaced. A learner takes the vote of an older voter in its data centre over, so that a removal without a warning costs no vote either. Votes are spread over the data centres. A voter whose instance is back with other storage counts as lost after 0.6 s. The setting tolerated_losses, from the platform's fault tolerance, sizes the group.

--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -60,7 +60,8 @@
     : settings_(settings),
       metrics_(metrics),
       context_(context),
-      delegate_(delegate) {}
+      delegate_(delegate),
+      voter_changes_(settings) {}
 
 ConfigurationLog::~ConfigurationLog() = default;
 
@@ -171,12 +172,26 @@
   OpenReplica(now);
 }
 
-void ConfigurationLog::TransferLeadership(Time now) {
+void ConfigurationLog::Stop(Incarnation process, Time now) {
+  if (host_ == nullptr) return;
+  voter_changes_.OnStopping(host_->raft().replica(), process, now);
   if (!leading()) return;
-  host_->raft().TransferLeadership(std::nullopt, now);
+  const std::optional<ReplicaId> next = ChooseNextLeader(
+      host_->raft(), voter_changes_.stopping(), kElectionTimeoutMin);
+  if (!next.has_value()) return;
+  host_->raft().TransferLeadership(next, now);
   host_->Drain();
 }
 
+GroupRole ConfigurationLog::role() const {
+  if (host_ == nullptr) return {};
+  return RoleOf(host_->raft(), voter_changes_.stopping(), kElectionTimeoutMin);
+}
+
+ReplicaId ConfigurationLog::replica() const {
+  return host_ == nullptr ? ReplicaId() : host_->raft().replica();
+}
+
 bool ConfigurationLog::leading() const {
   return host_ != nullptr && host_->raft().role() == RaftRole::kLeader;
 }
@@ -366,42 +381,20 @@
 }
 
 void ConfigurationLog::AdvanceVoters(Time now) {
-  Raft& raft = host_->raft();
-  if (!raft.configuration_committed()) return;
-  VoterView view{.configuration = raft.configuration(),
-                 .silence = raft.TimeSinceLastReply()};
-  for (const auto& [replica, heard_at] : raft.unconfigured_replicas()) {
-    view.unconfigured[replica] = now - heard_at;
-  }
-  const VoterStep step = PlanVoters({}, view);
-  if (std::holds_alternative<NoStep>(step)) return;
-  ProposeResult result;
-  ReplicaId subject;
-  if (const auto* add = std::get_if<AddLearnerStep>(&step)) {
-    subject = add->learner;
-    result = raft.AddLearner(subject, now);
-  } else if (const auto* promote = std::get_if<PromoteStep>(&step)) {
-    subject = promote->learner;
-    result = raft.Promote(subject, now);
-  } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
-    subject = replace->replacement;
-    result = raft.ReplaceVoter(replace->lost, subject, now);
-  } else if (const auto* abandon = std::get_if<AbandonReplacementStep>(&step)) {
-    subject = abandon->replacement;
-    result = raft.Remove(subject, now);
-  } else {
-    subject = std::get<RemoveLearnerStep>(step).learner;
-    result = raft.Remove(subject, now);
-  }
-  if (result.accepted()) {
-    Log(LogLevel::kInfo, "voters_changed",
-        {{"subject", ToString(subject)},
-         {"step", step.index()},
-         {"voters", view.configuration.voters.size()}});
-  }
+  voter_changes_.Advance(host_->raft(), now);
   host_->Drain();
 }
 
+void ConfigurationLog::OnSync(const InstanceId& from, Incarnation process,
+                              const proto::Sync& sync, Time now) {
+  voter_changes_.OnSync(from, process, sync, now);
+  if (sync.has_stopping() && leading()) AdvanceVoters(now);
+}
+
+bool ConfigurationLog::KeepsVote(const ReplicaId& voter, Time now) {
+  return voter_changes_.KeepsVote(host_->raft(), voter, now);
+}
+
 std::unique_ptr<proto::Members> ConfigurationLog::Members() const {
   if (!leading()) return nullptr;
   const Raft& raft = host_->raft();
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -15,12 +15,13 @@
 #include "core/metrics.h"
 #include "core/time.h"
 #include "main/node/node_settings.h"
+#include "main/node/voter_changes.h"
 #include "main/raft_host.h"
 #include "proto/gen/node.pb.h"
 #include "servers/control/configuration_register.h"
 #include "servers/control/leaving_endpoints.h"
 #include "servers/control/log_command.h"
-#include "servers/control/voter_planner.h"
+#include "servers/control/vote_handover.h"
 
 namespace cassiausher {
 
@@ -67,7 +68,12 @@
   bool is_new() const { return is_new_; }
   void OnRaft(const std::string& bytes);
   void Tick(Time now);
-  void TransferLeadership(Time now);
+  /// This process stops. Transfers the leadership to a voter that doesn't.
+  void Stop(Incarnation process, Time now);
+  /// This replica's part in the group.
+  GroupRole role() const;
+  /// Of this replica; empty without one.
+  ReplicaId replica() const;
 
   bool leading() const;
   /// Leader only.
@@ -101,6 +107,11 @@
   /// The group's members, which the leader sends to the other instances. Null
   /// if this instance doesn't lead or the membership isn't committed.
   std::unique_ptr<proto::Members> Members() const;
+  /// What another control instance says of its process.
+  void OnSync(const InstanceId& from, Incarnation process,
+              const proto::Sync& sync, Time now);
+  /// Leader only. Whether the voter, which stops, keeps its vote.
+  bool KeepsVote(const ReplicaId& voter, Time now);
   /// A replica that was replaced while it was unreachable restarts with an
   /// empty log, as a spare.
   void OnMembers(const InstanceId& from, const proto::Members& members,
@@ -148,6 +159,7 @@
   std::unique_ptr<RaftHost> host_;
   ConfigurationRegister register_;
   LeavingEndpoints leaving_{LeavingEndpointsOptions{}};
+  VoterChanges voter_changes_;
   bool is_new_ = false;
   /// An empty log may be the beginning of a new group.
   bool may_bootstrap_ = false;
--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -34,6 +34,7 @@
 // Time to send the last messages after a shutdown begins.
 constexpr Duration kLeavePeriod = Milliseconds(400);
 constexpr Duration kShutdownPollPeriod = Milliseconds(20);
+constexpr Duration kStopAnnouncementPeriod = Milliseconds(100);
 // Part of the shutdown grace period in which the process exits before it is
 // killed: after the last answers it still waits for readers of the metrics, for
 // peers and for the reader of the log, up to 200 ms each.
@@ -140,7 +141,8 @@
   if (on_done_) return;
   on_done_ = std::move(on_done);
   shutdown_started_ = BootTimeNow();
-  if (log_.leading()) log_.TransferLeadership(shutdown_started_);
+  handover_.Begin(shutdown_started_);
+  AnnounceStop(shutdown_started_);
   server_->BeginDrain();
   leader_calls_.Stop();
   server_->StopListening();
@@ -151,12 +153,40 @@
 void ControlNode::AdvanceShutdown(Time now) {
   const Duration elapsed = now - shutdown_started_;
   const Duration limit = ServingPart(settings_.shutdown_grace, kExitMargin);
+  if (now >= next_announcement_) AnnounceStop(now);
   if (elapsed < std::min(kLeavePeriod, limit)) return;
-  if (!Drained() && elapsed < limit) return;
+  const bool handed_over = handover_.Finished(log_.role(), now);
+  if (!(Drained() && handed_over) && elapsed < limit) return;
+  Log(handed_over ? LogLevel::kInfo : LogLevel::kWarning, "vote_at_stop",
+      {{"replica", ToString(log_.replica())},
+       {"votes", log_.role().votes ? "true" : "false"},
+       {"handed_over", handed_over ? "true" : "false"},
+       {"elapsed_ms", ToMilliseconds(elapsed)}});
   shutdown_timer_.reset();
   on_done_();
 }
 
+void ControlNode::AnnounceStop(Time now) {
+  next_announcement_ = now + kStopAnnouncementPeriod;
+  log_.Stop(Incarnation(incarnation_), now);
+  // Learners too: none that stops may take a vote over.
+  if (log_.replica().empty()) return;
+  proto::Sync sync;
+  *sync.mutable_stopping() = cassiausher::ToProto(log_.replica());
+  for (const InstanceId& control : KnownControls()) SendSync(control, sync);
+}
+
+void ControlNode::OnPeerProcess(const InstanceId& from, Incarnation process,
+                                const proto::Sync& sync, Time now) {
+  log_.OnSync(from, process, sync, now);
+  if (sync.has_keeps_vote()) handover_.OnAnswer(sync.keeps_vote(), now);
+  if (!sync.has_stopping() || !log_.leading()) return;
+  proto::Sync answer;
+  const ReplicaId replica = cassiausher::FromProto(sync.stopping());
+  answer.set_keeps_vote(log_.KeepsVote(replica, now));
+  SendSync(from, answer);
+}
+
 bool ControlNode::Drained() const { return server_->Drained(); }
 
 void ControlNode::LogCut() const {
@@ -398,6 +428,7 @@
       known = message.incarnation();
       if (message.sync().shares_crashes()) crashes_.OnPeer(from, process, now);
       OnSync(from, message.sync());
+      OnPeerProcess(from, process, message.sync(), now);
       break;
     }
     case proto::NodeMessage::kSubmitDocument:
@@ -589,6 +620,7 @@
   }
   WriteNotice(newest_, log_.current().version, now, sync.mutable_notice());
   sync.set_shares_crashes(true);
+  sync.set_data_centre(settings_.data_centre.value());
   for (const InstanceId& control : KnownControls()) {
     // Asked for here only: with each change, the whole registry would be sent
     // again and again while the answer is on its way.
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -32,6 +32,7 @@
 #include "servers/control/newest_version.h"
 #include "servers/control/serving_configuration.h"
 #include "servers/control/stream_origins.h"
+#include "servers/control/vote_handover.h"
 
 namespace cassiausher {
 
@@ -47,9 +48,9 @@
   std::string Start();
   /// Applies new seeds; other settings need a restart.
   void Reload(const NodeSettings& settings);
-  /// Transfers leadership and stops listening. Calls `on_done` once the last
-  /// messages had time to be sent and callers have their answers, or the grace
-  /// period nearly ends.
+  /// Stops listening, and hands leadership and vote over. Calls `on_done` once
+  /// that is done, the last messages had time to be sent and callers have their
+  /// answers, or the grace period nearly ends.
   void Shutdown(std::function<void()> on_done);
   /// Whether every caller has its answers.
   bool Drained() const;
@@ -97,6 +98,11 @@
   std::vector<InstanceId> LiveControls() const;
 
   void AdvanceShutdown(Time now);
+  /// Tells the other control instances that this one stops.
+  void AnnounceStop(Time now);
+  /// Learns of the sender's process, and answers if it stops.
+  void OnPeerProcess(const InstanceId& from, Incarnation process,
+                     const proto::Sync& sync, Time now);
   /// Adds the record with the age of what it says.
   void AddRecord(const EndpointRecord& record, Time now,
                  proto::Sync* sync) const;
@@ -164,6 +170,8 @@
   GSourcePtr shutdown_timer_;
   Time started_at_{};
   Time shutdown_started_{};
+  VoteHandover handover_;
+  Time next_announcement_{};
 };
 
 }  // namespace cassiausher
--- a/main/node/node_settings.cc
+++ b/main/node/node_settings.cc
@@ -16,6 +16,9 @@
 // largest legal size 13 MB.
 constexpr std::int64_t kLeastMemoryMb = 64;
 constexpr std::int64_t kMostMemoryMb = 1 << 20;
+// Every change waits for a majority of 2n + 1 disks.
+constexpr std::int64_t kLeastToleratedLosses = 1;
+constexpr std::int64_t kMostToleratedLosses = 3;
 
 bool ParseAddress(const std::string& text, SocketAddress* address) {
   const std::size_t colon = text.rfind(':');
@@ -114,6 +117,12 @@
   double grace_s = ToSeconds(settings.shutdown_grace);
   reader.Read("shutdown_grace_s", &grace_s, 0, 3600);
   settings.shutdown_grace = FromSeconds(grace_s);
+  if (reader.Has("tolerated_losses")) {
+    std::int64_t losses = 0;
+    reader.Read("tolerated_losses", &losses, kLeastToleratedLosses,
+                kMostToleratedLosses);
+    settings.tolerated_losses = static_cast<int>(losses);
+  }
   reader.ReadObject("retry_budget", [&](JsonReader& budget) {
     budget.Read("ratio", &settings.retry_ratio, 0, 10);
     budget.Read("allowance", &settings.retry_allowance, 0, 1e6);
--- a/main/node/node_settings.h
+++ b/main/node/node_settings.h
@@ -49,6 +49,10 @@
   double retry_ratio = 0.2;
   double retry_allowance = 50;
   QuotaTolerance quota_tolerance;
+  /// Control instances whose loss at the same time, disks included, the
+  /// deployment must bear. Without it the group of voters takes all the
+  /// instances that it can use.
+  std::optional<int> tolerated_losses;
   /// Memory of the machine for this process, from which the limits of what
   /// clients may make it hold follow. Each role has its own default.
   std::optional<std::int64_t> memory_mb;
--- /dev/null
+++ b/main/node/voter_changes.cc
@@ -0,0 +1,65 @@
+#include "main/node/voter_changes.h"
+
+#include "core/log.h"
+
+namespace cassiausher {
+namespace {
+
+VoterPlannerOptions PlannerOptions(const NodeSettings& settings) {
+  VoterPlannerOptions options;
+  if (!settings.tolerated_losses.has_value()) return options;
+  options.tolerated_losses = *settings.tolerated_losses;
+  options.max_voters = 2 * options.tolerated_losses + 1;
+  return options;
+}
+
+}  // namespace
+
+VoterChanges::VoterChanges(const NodeSettings& settings)
+    : options_(PlannerOptions(settings)) {
+  data_centres_[InstanceId(settings.ip)] = settings.data_centre;
+}
+
+void VoterChanges::OnSync(const InstanceId& from, Incarnation process,
+                          const proto::Sync& sync, Time now) {
+  if (!sync.data_centre().empty()) {
+    data_centres_[from] = DataCentreId(sync.data_centre());
+  }
+  stopping_.OnProcess(from, process);
+  if (!sync.has_stopping()) return;
+  const ReplicaId replica = FromProto(sync.stopping());
+  if (replica.instance == from) OnStopping(replica, process, now);
+}
+
+void VoterChanges::OnStopping(const ReplicaId& replica, Incarnation process,
+                              Time now) {
+  stopping_.OnStopping(replica, process, now);
+}
+
+void VoterChanges::Advance(Raft& raft, Time now) {
+  if (!raft.configuration_committed()) return;
+  const VoterView view = View(raft, now);
+  const VoterStep step = PlanVoters(options_, view);
+  if (!ProposeStep(step, raft, now).accepted()) return;
+  const VoterStepText text = Describe(step);
+  Log(LogLevel::kInfo, "voters_changed",
+      {{"step", text.name},
+       {"subject", text.subject},
+       {"voters", view.configuration.voters.size()},
+       {"learners", view.configuration.learners.size()}});
+}
+
+bool VoterChanges::KeepsVote(const Raft& raft, const ReplicaId& voter,
+                             Time now) {
+  return cassiausher::KeepsVote(options_, View(raft, now), voter);
+}
+
+VoterView VoterChanges::View(const Raft& raft, Time now) {
+  stopping_.Expire(now);
+  VoterView view = ViewOf(raft, now);
+  view.stopping = stopping_.replicas();
+  view.data_centres = data_centres_;
+  return view;
+}
+
+}  // namespace cassiausher
--- /dev/null
+++ b/servers/control/vote_handover.cc
@@ -0,0 +1,57 @@
+#include "servers/control/vote_handover.h"
+
+namespace cassiausher {
+namespace {
+
+// Two elections, of which one fails, take less. A group without a leader can't
+// change its members, and a leader of an earlier build gives no answer.
+constexpr Duration kAnswerTimeout = Milliseconds(3400);
+
+}  // namespace
+
+std::optional<ReplicaId> ChooseNextLeader(const Raft& raft,
+                                          const std::set<ReplicaId>& stopping,
+                                          Duration within) {
+  std::optional<ReplicaId> best;
+  for (const auto& [replica, silence] : raft.TimeSinceLastReply()) {
+    if (!raft.configuration().IsVoter(replica)) continue;
+    if (silence >= within || stopping.contains(replica)) continue;
+    if (best && raft.MatchIndex(replica) <= raft.MatchIndex(*best)) continue;
+    best = replica;
+  }
+  return best;
+}
+
+GroupRole RoleOf(const Raft& raft, const std::set<ReplicaId>& stopping,
+                 Duration within) {
+  const bool leads = raft.role() == RaftRole::kLeader;
+  // A configuration that isn't committed may still be taken back.
+  const bool may_vote = raft.configuration().IsVoter(raft.replica()) ||
+                        !raft.configuration_committed();
+  return {.votes = raft.configuration().group != 0 && may_vote,
+          .leads = leads,
+          .has_successor =
+              leads && ChooseNextLeader(raft, stopping, within).has_value()};
+}
+
+void VoteHandover::Begin(Time now) {
+  if (!begun()) answered_at_ = now;
+}
+
+void VoteHandover::OnAnswer(bool keeps_vote, Time now) {
+  if (!begun()) return;
+  keeps_vote_ = keeps_vote;
+  if (!keeps_vote) relief_at_ = now;
+  answered_at_ = now;
+}
+
+bool VoteHandover::Finished(const GroupRole& role, Time now) const {
+  if (!begun()) return false;
+  if (role.leads) return !role.has_successor;
+  if (!role.votes) return true;
+  if (!keeps_vote_) return now - *answered_at_ >= kAnswerTimeout;
+  // A replica that is away for a moment may still take it over.
+  return !relief_at_.has_value() || now - *relief_at_ >= kAnswerTimeout;
+}
+
+}  // namespace cassiausher
--- a/servers/control/voter_planner.h
+++ b/servers/control/voter_planner.h
@@ -1,12 +1,19 @@
-// Plans membership changes of the Raft group: growth to its target size, and
-// the replacement of a lost voter by an instance that has no configuration yet.
+// Plans membership changes of the Raft group. Every replica without a vote
+// becomes a learner, so that the data is there before a vote is needed. A
+// learner takes over the vote of a voter that is lost, that stops, or that is
+// in the same data centre and older: whoever removes a machine adds its
+// successor first, and may remove it without a warning.
 #ifndef SERVERS_CONTROL_VOTER_PLANNER_H_
 #define SERVERS_CONTROL_VOTER_PLANNER_H_
 
+#include <cstddef>
 #include <map>
+#include <set>
 #include <variant>
 
+#include "core/ids.h"
 #include "core/time.h"
+#include "servers/consensus/raft.h"
 #include "servers/consensus/raft_types.h"
 
 namespace cassiausher {
@@ -14,10 +21,19 @@
 struct VoterPlannerOptions {
   /// Each further pair of voters makes every commit wait for one more disk.
   int max_voters = 7;
+  /// Enough for all voters to stop at once.
+  int max_learners = 7;
+  /// Disks that may be lost at the same time. A group shrinks only as long as
+  /// the voters that are left tolerate that.
+  int tolerated_losses = 1;
   /// A voter that hasn't answered for this long is replaced if a spare instance
   /// is available. Short, because a group of three tolerates the loss of no
   /// other voter until then.
   Duration replace_after = Seconds(2);
+  /// The same for a voter whose instance has been heard from with other
+  /// storage, which means that the voter's disk is lost, and for a replacement
+  /// that has no vote yet.
+  Duration wiped_after = Milliseconds(600);
   /// A spare is available while it was last seen less than this ago.
   Duration spare_expiry = Seconds(2);
 };
@@ -29,6 +45,12 @@
   std::map<ReplicaId, Duration> silence;
   /// Replicas without a configuration, and the time since each was last seen.
   std::map<ReplicaId, Duration> unconfigured;
+  /// Members that answer and have nearly the whole log.
+  std::set<ReplicaId> caught_up;
+  /// Members whose processes have announced that they stop.
+  std::set<ReplicaId> stopping;
+  /// Where instances run, as far as it is known.
+  std::map<InstanceId, DataCentreId> data_centres;
 };
 
 struct AddLearnerStep {
@@ -49,9 +71,23 @@
 struct AbandonReplacementStep {
   ReplicaId replacement;
 };
+/// A learner takes over the vote of a voter, which remains as a learner.
+struct HandOverStep {
+  ReplicaId from;
+  ReplicaId to;
+};
+/// Removes a lost voter for which there is no replacement.
+struct RemoveVoterStep {
+  ReplicaId lost;
+};
+/// A voter that stops becomes a learner, as none can take its vote over.
+struct DemoteStep {
+  ReplicaId voter;
+};
 struct NoStep {};
 using VoterStep = std::variant<NoStep, AddLearnerStep, PromoteStep, ReplaceStep,
-                               RemoveLearnerStep, AbandonReplacementStep>;
+                               RemoveLearnerStep, AbandonReplacementStep,
+                               HandOverStep, RemoveVoterStep, DemoteStep>;
 
 /// Returns the next membership change, which the leader proposes while no
 /// earlier one is pending. The group grows by two voters at a time to keep
@@ -59,6 +95,25 @@
 /// number below it.
 VoterStep PlanVoters(const VoterPlannerOptions& options, const VoterView& view);
 
+/// Whether a voter that stops keeps its vote for good: no replica is there that
+/// could take it over, now or once it has caught up, and the group is too small
+/// to shrink.
+bool KeepsVote(const VoterPlannerOptions& options, const VoterView& view,
+               const ReplicaId& voter);
+
+/// What the leader's Raft knows; the rest of the view is left empty.
+VoterView ViewOf(const Raft& raft, Time now);
+
+/// Proposes a step at the leader. Refused for NoStep.
+ProposeResult ProposeStep(const VoterStep& step, Raft& raft, Time now);
+
+/// The step's name and its replicas, for logs.
+struct VoterStepText {
+  std::string name;
+  std::string subject;
+};
+VoterStepText Describe(const VoterStep& step);
+
 }  // namespace cassiausher
 
 #endif  // SERVERS_CONTROL_VOTER_PLANNER_H_
--- /dev/null
+++ b/tests/control/vote_handover_test.cc
@@ -0,0 +1,80 @@
+// Guards against a control instance that ends while the group still counts on
+// its vote, and against one that waits for a hand-over which nobody makes.
+#include "servers/control/vote_handover.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include "servers/control/stopping_members.h"
+
+namespace cassiausher {
+namespace {
+
+constexpr Time kStart{Seconds(100)};
+const ReplicaId kReplica{InstanceId("a"), 1};
+
+}  // namespace
+
+TEST_GROUP(VoteHandover) {
+  VoteHandover handover;
+  void setup() override { handover.Begin(kStart); }
+};
+
+// Issue 62: a voter ended 0.4 s after SIGTERM, with its vote.
+TEST(VoteHandover, AVoterRemainsUntilAnotherOneHasItsVote) {
+  handover.OnAnswer(false, kStart + Milliseconds(10));
+  const GroupRole voter{.votes = true};
+  CHECK_FALSE(handover.Finished(voter, kStart + Seconds(3)));
+  handover.OnAnswer(false, kStart + Seconds(3));
+  CHECK_FALSE(handover.Finished(voter, kStart + Seconds(6)));
+  CHECK_TRUE(handover.Finished({.votes = false}, kStart + Seconds(6)));
+}
+
+TEST(VoteHandover, AVoterThatNobodyCanRelieveEndsAtOnce) {
+  handover.OnAnswer(true, kStart + Milliseconds(10));
+  CHECK_TRUE(handover.Finished({.votes = true}, kStart + Milliseconds(10)));
+  // A spare has come.
+  handover.OnAnswer(false, kStart + Milliseconds(100));
+  CHECK_FALSE(handover.Finished({.votes = true}, kStart + Milliseconds(100)));
+  // It is frozen, or was abandoned and joins again.
+  handover.OnAnswer(true, kStart + Seconds(1));
+  CHECK_FALSE(handover.Finished({.votes = true}, kStart + Seconds(1)));
+  handover.OnAnswer(true, kStart + Seconds(4));
+  CHECK_TRUE(handover.Finished({.votes = true}, kStart + Seconds(4)));
+}
+
+// Without a leader the group can't change its members.
+TEST(VoteHandover, WithoutALeaderItEndsAfterAWhile) {
+  CHECK_FALSE(handover.Finished({.votes = true}, kStart + Seconds(3)));
+  CHECK_TRUE(handover.Finished({.votes = true}, kStart + Seconds(4)));
+}
+
+TEST(VoteHandover, ALeaderRemainsWhileAnotherVoterCouldLead) {
+  const GroupRole leader{.votes = true, .leads = true, .has_successor = true};
+  CHECK_FALSE(handover.Finished(leader, kStart + Seconds(10)));
+  const GroupRole last{.votes = true, .leads = true};
+  CHECK_TRUE(handover.Finished(last, kStart));
+}
+
+TEST_GROUP(StoppingMembers) { StoppingMembers stopping; };
+
+// A process that was restarted in place could otherwise never vote again.
+TEST(StoppingMembers, ALaterProcessTakesThePlaceOfTheOneThatStopped) {
+  stopping.OnStopping(kReplica, Incarnation(5), kStart);
+  stopping.OnProcess(kReplica.instance, Incarnation(5));
+  CHECK_TRUE(stopping.replicas().contains(kReplica));
+  // A message that was held up.
+  stopping.OnProcess(kReplica.instance, Incarnation(4));
+  CHECK_TRUE(stopping.replicas().contains(kReplica));
+  stopping.OnProcess(kReplica.instance, Incarnation(6));
+  CHECK_FALSE(stopping.replicas().contains(kReplica));
+}
+
+TEST(StoppingMembers, AProcessThatEndedLongAgoIsForgotten) {
+  stopping.OnStopping(kReplica, Incarnation(5), kStart);
+  stopping.Expire(kStart + Seconds(9));
+  CHECK_TRUE(stopping.replicas().contains(kReplica));
+  stopping.Expire(kStart + Seconds(10));
+  CHECK_TRUE(stopping.replicas().empty());
+}
+
+}  // namespace cassiausher
--- a/tests/platform/node_settings_test.cc
+++ b/tests/platform/node_settings_test.cc
@@ -57,6 +57,21 @@
   CHECK_TRUE(ServingPart(Milliseconds(600), Seconds(1)) == Milliseconds(300));
 }
 
+// The size of the group of voters follows from it.
+TEST(NodeSettings, ToleratedLossesAreReadAndBounded) {
+  CHECK_FALSE(ReadNodeSettings(kSettings, "node.json", &findings)
+                  .tolerated_losses.has_value());
+  std::string settings = kSettings;
+  settings.insert(1, R"("tolerated_losses":2,)");
+  LONGS_EQUAL(
+      2, *ReadNodeSettings(settings, "node.json", &findings).tolerated_losses);
+  CHECK_TRUE(findings.empty());
+  settings = kSettings;
+  settings.insert(1, R"("tolerated_losses":0,)");
+  ReadNodeSettings(settings, "node.json", &findings);
+  CHECK_FALSE(findings.empty());
+}
+
 // The limits of what clients may make a process hold follow from it.
 TEST(NodeSettings, TheMemoryIsReadAndHasALowestValue) {
   const auto read = [this](const std::string& limits) {
