--- a/tests/consensus/raft_random_test.cc
+++ b/tests/consensus/raft_random_test.cc
@@ -25,6 +25,7 @@
 constexpr std::uint64_t kSeeds = 4000;
 constexpr std::uint64_t kPowerLossSeeds = 2000;
 constexpr std::uint64_t kEightInstancesSeeds = 500;
+constexpr std::uint64_t kDepartureSeeds = 500;
 constexpr int kThreads = 4;
 
 std::uint64_t FromEnvironment(const char* name, std::uint64_t default_value) {
@@ -46,6 +47,11 @@
   to.lost_disks += from.lost_disks;
   to.losses_after_write += from.losses_after_write;
   to.losses_during_change += from.losses_during_change;
+  to.planned_departures += from.planned_departures;
+  to.unannounced_departures += from.unannounced_departures;
+  to.restarts_in_place += from.restarts_in_place;
+  to.disturbed_departures += from.disturbed_departures;
+  to.ended_with_vote += from.ended_with_vote;
 }
 
 struct Outcome {
@@ -114,6 +120,37 @@
   CHECK(total.replacements > seeds && total.writes > 10 * seeds);
 }
 
+void CheckDepartures(std::uint64_t default_seeds, int instances,
+                     int tolerated_disks) {
+  const Outcome outcome =
+      RunSeeds(default_seeds, {.instances = instances,
+                               .days = 2,
+                               .tolerated_disks = tolerated_disks,
+                               .departures = true});
+  const SimulationCounts& total = outcome.total;
+  std::printf(
+      "%d instances, %lu seeds: %lu planned departures, %lu unannounced, %lu "
+      "restarts in place, %lu disturbed, %lu ended with a vote, %lu disks "
+      "lost, %lu writes, %zu violations\n",
+      instances, outcome.seeds, total.planned_departures,
+      total.unannounced_departures, total.restarts_in_place,
+      total.disturbed_departures, total.ended_with_vote, total.lost_disks,
+      total.writes, outcome.violations.size());
+  PrintViolations(outcome);
+  CHECK(outcome.violations.empty());
+  // Ensures that the departures occurred and that operations completed.
+  if (outcome.seeds < default_seeds) return;
+  const std::uint64_t seeds = outcome.seeds;
+  CHECK(total.planned_departures > seeds / 2);
+  CHECK(total.unannounced_departures > seeds / 2);
+  CHECK(total.restarts_in_place > seeds / 2);
+  CHECK(total.disturbed_departures > seeds / 4);
+  CHECK(total.lost_disks > seeds && total.writes > 10 * seeds);
+  // No disk is lost beside a machine that ended with its vote.
+  CHECK(total.ended_with_vote * 20 <
+        total.planned_departures + total.restarts_in_place);
+}
+
 }  // namespace
 
 TEST_GROUP(RaftRandom){};
@@ -153,6 +190,24 @@
                    {.instances = 8, .days = 2, .tolerated_disks = 2});
 }
 
+// Issue 62: guards against the loss of the group, and of what it acknowledged,
+// when a disk is lost right after machines have left or restarted.
+TEST(RaftRandom, ADiskLostAfterDeparturesCostsThreeNothing) {
+  CheckDepartures(kDepartureSeeds, 3, 1);
+}
+
+TEST(RaftRandom, ADiskLostAfterDeparturesCostsFourNothing) {
+  CheckDepartures(kDepartureSeeds, 4, 1);
+}
+
+TEST(RaftRandom, ADiskLostAfterDeparturesCostsFiveNothing) {
+  CheckDepartures(kDepartureSeeds, 5, 1);
+}
+
+TEST(RaftRandom, ADiskLostAfterDeparturesCostsSixNothing) {
+  CheckDepartures(kDepartureSeeds, 6, 2);
+}
+
 TEST_GROUP(Linearizability){};
 
 TEST(Linearizability, StaleReadIsNotLinearizable) {
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -21,6 +21,7 @@
 constexpr std::uint64_t kUnlimited = 100'000'000;
 /// The intervals of the control instances, shortened like those of Raft.
 constexpr VoterPlannerOptions kVoterPlanner{.replace_after = Milliseconds(450),
+                                            .wiped_after = Milliseconds(150),
                                             .spare_expiry = Milliseconds(450)};
 
 const std::set<InstanceId>& InitialVoters() {
@@ -139,6 +140,7 @@
   Deliver();
   for (auto& [name, machine] : machines_) {
     if (!machine->process || power_fails_) continue;
+    if (now_ < machine->frozen_until) continue;
     machine->process->raft->Tick(LocalTime(*machine));
     Write(*machine);
     if (machine->disk.operations_left == 0) {
@@ -165,6 +167,19 @@
     InjectFaults();
     Step();
   }
+  RunUntilTolerant();
+  faults_ = faults;
+  faults_.lose_disk = 0;
+  if (options_.departures) {
+    EndDayWithDepartures();
+  } else {
+    EndDayWithLossOfPower();
+  }
+  faults_ = faults;
+  if (violation_.empty()) Recover();
+}
+
+void Simulation::RunUntilTolerant() {
   Heal();
   for (int i = 0; violation_.empty() && !IsTolerant(); ++i) {
     if (i == kPowerLossRecoverySteps) {
@@ -172,15 +187,14 @@
     }
     Step();
   }
-  faults_ = faults;
-  faults_.lose_disk = 0;
   lost_since_tolerant_ = 0;
+}
+
+void Simulation::EndDayWithLossOfPower() {
   // A membership change may be in progress when the power fails.
   if (random_.Chance(0.4)) LoseDisk(RandomMachine());
   if (violation_.empty()) RunUntilPowerFails();
   if (violation_.empty()) LosePower();
-  faults_ = faults;
-  if (violation_.empty()) Recover();
 }
 
 void Simulation::RunUntilPowerFails() {
@@ -295,9 +309,11 @@
   const bool same_address = random_.Chance(0.5);
   const std::string address =
       same_address ? name : fmt::format("n{}", next_address_++);
+  const std::string data_centre = machines_[name]->data_centre;
   machines_.erase(name);
   machines_[address] = std::make_unique<Machine>();
   machines_[address]->may_bootstrap = false;
+  machines_[address]->data_centre = data_centre;
   if (!power_fails_) Start(address);
 }
 
@@ -311,34 +327,39 @@
   if (name.empty()) return;
   Machine& machine = *machines_[name];
   Raft& raft = *machine.process->raft;
+  if (now_ < machine.frozen_until) return;
   if (!raft.configuration_committed()) return;
   const Time now = LocalTime(machine);
-  VoterView view{.configuration = raft.configuration(),
-                 .silence = raft.TimeSinceLastReply()};
-  for (const auto& [replica, heard_at] : raft.unconfigured_replicas()) {
-    view.unconfigured[replica] = now - heard_at;
-  }
-  const VoterStep step = PlanVoters(kVoterPlanner, view);
-  if (const auto* add = std::get_if<AddLearnerStep>(&step)) {
-    raft.AddLearner(add->learner, now);
-  } else if (const auto* promote = std::get_if<PromoteStep>(&step)) {
-    raft.Promote(promote->learner, now);
-  } else if (const auto* replace = std::get_if<ReplaceStep>(&step)) {
-    if (raft.ReplaceVoter(replace->lost, replace->replacement, now)
-            .accepted()) {
-      ++counts_.replacements;
-    }
-  } else if (const auto* remove = std::get_if<RemoveLearnerStep>(&step)) {
-    raft.Remove(remove->learner, now);
-  } else if (const auto* abandon = std::get_if<AbandonReplacementStep>(&step)) {
-    raft.Remove(abandon->replacement, now);
+  const VoterStep step = PlanVoters(PlannerOptions(), PlannerView(name));
+  const bool accepted = ProposeStep(step, raft, now).accepted();
+  if (accepted && std::holds_alternative<ReplaceStep>(step)) {
+    ++counts_.replacements;
   }
   ResetReplaced(raft);
 }
 
+VoterPlannerOptions Simulation::PlannerOptions() const {
+  VoterPlannerOptions options = kVoterPlanner;
+  options.tolerated_losses = options_.tolerated_disks;
+  if (options_.departures) {
+    options.max_voters = 2 * options_.tolerated_disks + 1;
+  }
+  return options;
+}
+
+VoterView Simulation::PlannerView(const std::string& leader) {
+  Machine& machine = *machines_[leader];
+  VoterView view = ViewOf(*machine.process->raft, LocalTime(machine));
+  view.stopping = StoppingReplicas();
+  for (const auto& [name, other] : machines_) {
+    view.data_centres[InstanceId(name)] = DataCentreId(other->data_centre);
+  }
+  return view;
+}
+
 void Simulation::ResetReplaced(const Raft& leader) {
   for (auto& [name, machine] : machines_) {
-    if (!machine->process) continue;
+    if (!machine->process || now_ < machine->frozen_until) continue;
     Raft& raft = *machine->process->raft;
     raft.LearnVoters(leader.configuration());
     const bool own_group =
@@ -346,8 +367,10 @@
     if (!own_group || leader.commit_index() < raft.commit_index()) continue;
     if (!leader.configuration_committed()) continue;
     if (leader.configuration().IsMember(raft.replica())) continue;
+    const std::string data_centre = machine->data_centre;
     machine = std::make_unique<Machine>();
     machine->may_bootstrap = false;
+    machine->data_centre = data_centre;
     Start(name);
   }
 }
@@ -436,6 +459,7 @@
 void Simulation::AddMachine(const std::string& name) {
   machines_[name] = std::make_unique<Machine>();
   machines_[name]->new_storage_id = next_storage_++;
+  machines_[name]->data_centre = std::to_string(machines_.size() % 3);
   Start(name);
 }
 
@@ -597,6 +621,7 @@
         std::move(network_.extract(network_.begin()).mapped());
     const auto to = machines_.find(message.to().instance());
     if (to == machines_.end() || !to->second->process) continue;
+    if (now_ < to->second->frozen_until) continue;
     to->second->process->raft->Step(message, LocalTime(*to->second));
     Collect(to->first);
   }
@@ -768,7 +793,7 @@
   // Any instance that considers itself the leader, including a deposed one.
   std::vector<std::string> leaders;
   for (const auto& [name, machine] : machines_) {
-    if (machine->process &&
+    if (machine->process && now_ >= machine->frozen_until &&
         machine->process->raft->role() == RaftRole::kLeader) {
       leaders.push_back(name);
     }
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -20,6 +20,7 @@
 #include "core/random.h"
 #include "modules/file_log/file_log.h"
 #include "servers/consensus/raft.h"
+#include "servers/control/vote_handover.h"
 #include "servers/control/voter_planner.h"
 #include "tests/consensus/linearizability.h"
 #include "tests/modules/fault_file_system.h"
@@ -43,6 +44,15 @@
   /// being replaced or added.
   std::uint64_t losses_after_write = 0;
   std::uint64_t losses_during_change = 0;
+  /// Departures of a machine, by how it leaves, each followed by the loss of a
+  /// disk.
+  std::uint64_t planned_departures = 0;
+  std::uint64_t unannounced_departures = 0;
+  std::uint64_t restarts_in_place = 0;
+  /// Departures in the midst of which another process was killed or frozen.
+  std::uint64_t disturbed_departures = 0;
+  /// Machines that were ended after the grace period, with their vote.
+  std::uint64_t ended_with_vote = 0;
 };
 
 struct SimulationOptions {
@@ -53,6 +63,8 @@
   int days = 0;
   /// Disks that may be lost at the same time.
   int tolerated_disks = 1;
+  /// Days end with departures in place of a loss of power.
+  bool departures = false;
 };
 
 class Simulation {
@@ -108,6 +120,13 @@
     Term highest_sent_term = 0;
     /// False for a machine that took the place of a lost one.
     bool may_bootstrap = true;
+    std::string data_centre;
+    /// Begun while its process stops.
+    VoteHandover handover;
+    /// The leader has heard that the process stops.
+    bool stop_announced = false;
+    /// The process stands still until then.
+    Time frozen_until{};
   };
   /// When the power fails.
   enum class Moment { kAny, kAfterAcknowledgement, kAfterProposal };
@@ -123,8 +142,31 @@
     Time deadline;
   };
 
-  /// One day: faults, then the loss of power, then recovery.
+  /// One day: faults, then the loss of power, or departures, then recovery.
   void RunDay();
+  void RunUntilTolerant();
+  void EndDayWithLossOfPower();
+
+  /// How a machine leaves.
+  enum class Departure {
+    kPlanned,      ///< After its successor has come, with a grace period.
+    kUnannounced,  ///< After its successor has come, without a warning.
+    kRestart,      ///< With a grace period; it returns with its disk.
+  };
+  /// One machine leaves, or several in turn. Then another one loses its disk.
+  void EndDayWithDepartures();
+  std::vector<std::string> ShuffledMachines();
+  void Depart(const std::string& name, Departure how);
+  void AddSuccessor(const std::string& predecessor);
+  /// Runs until the process may end, or its grace period has passed.
+  void RunGracePeriod(const std::string& name);
+  void DriveStopping(const std::string& name);
+  /// Sometimes another process is killed, or frozen for a while.
+  void DisturbDeparture(const std::string& leaving);
+  void RunSteps(std::uint64_t steps);
+  std::set<ReplicaId> StoppingReplicas();
+  VoterPlannerOptions PlannerOptions() const;
+  VoterView PlannerView(const std::string& leader);
   void RunUntilPowerFails();
   void LosePower();
   /// Runs until the group has recovered and each register was read.
@@ -188,6 +230,8 @@
 
   std::optional<std::pair<ReplicaId, std::string>> pending_replacement_;
   int losses_left_ = 0;
+  /// Replicas that announced their end and were removed for good.
+  std::set<ReplicaId> departed_;
   int next_address_ = 1;
   /// Disks lost since the group last had all its voters.
   std::uint64_t lost_since_tolerant_ = 0;
