Raft: a stored commit index covers nothing that its batch replaces

What it could do: a replica that was killed within a write came back with the commit index of the batch and with the entries that the batch replaces, applied them although they were never committed, and kept their state for good.

Change: the index that is stored covers only entries that were durable before the batch.

--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -91,6 +91,7 @@
   durable_index_ = log_.LastIndex();
   batched_index_ = log_.LastIndex();
   batched_state_ = stored.hard_state;
+  batched_commit_ = hard_state_.commit;
   ResetElectionTimer();
 }
 
@@ -693,7 +694,8 @@
     output.entries =
         log_.Slice(batched_index_ + 1, std::numeric_limits<std::size_t>::max());
   }
-  if (hard_state_ != batched_state_) output.hard_state = hard_state_;
+  const HardState storable = StorableState();
+  if (storable != batched_state_) output.hard_state = storable;
   const HardState& old = batched_state_;
   const bool state_must_sync = hard_state_.term != old.term ||
                                hard_state_.vote != old.vote ||
@@ -716,7 +718,17 @@
   batches_.push_back(
       {output.batch, log_.LastIndex(), hard_state_.term, hard_state_.vote});
   batched_index_ = log_.LastIndex();
-  batched_state_ = hard_state_;
+  batched_state_ = storable;
+  batched_commit_ = storable.commit;
+}
+
+// A crash can persist a batch's hard state without its truncation, entries or
+// snapshot. Its commit index must then not cover entries that they replace.
+HardState Raft::StorableState() const {
+  HardState state = hard_state_;
+  state.commit =
+      std::max(batched_commit_, std::min(hard_state_.commit, durable_index_));
+  return state;
 }
 
 void Raft::DeliverCommitted(RaftOutput& output) {
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -379,6 +379,7 @@
   void SyncProgressWithConfiguration();
   void DeliverCommitted(RaftOutput& output);
   void FillBatch(RaftOutput& output);
+  HardState StorableState() const;
 
   proto::RaftMessage NewMessage(const ReplicaId& to) const;
 
@@ -429,6 +430,9 @@
   /// one, in the snapshot or were loaded from the storage.
   LogIndex batched_index_ = 0;
   HardState batched_state_;
+  /// Highest commit index in a batch or loaded from the storage. Never above
+  /// the entries that were durable when it was written.
+  LogIndex batched_commit_ = 0;
   std::uint64_t next_batch_ = 1;
   /// Batches before this one precede a truncation or an installed snapshot, so
   /// their completion does not make current entries durable.
--- a/tests/consensus/raft_rules_test.cc
+++ b/tests/consensus/raft_rules_test.cc
@@ -1,6 +1,7 @@
 // Guards the rules of Raft that random faults rarely exercise, by sending
 // single messages to replica `a` of the voters `a`, `b` and `c`.
 #include <CppUTest/TestHarness.h>
+#include <xxhash.h>
 
 #include <memory>
 #include <string>
@@ -199,6 +200,41 @@
   LONGS_EQUAL(3, output.committed[0].term);
 }
 
+// Guards against a replica that applies an entry which was never committed: a
+// crash within a batch had kept its commit index, and the entry that the batch
+// replaces.
+TEST(RaftRules, ACrashWithinABatchKeepsNoCommitIndexOfReplacedEntries) {
+  StoredState stored = Stored({2, 2});
+  Start({2, 2});
+  const RaftOutput batch = StepAndTake(AppendFrom(replica_c, 3, 2, 1, 2));
+  LONGS_EQUAL(2, batch.truncate_from);
+  LONGS_EQUAL(2, raft->commit_index());
+  stored.hard_state = *batch.hard_state;
+  raft = std::make_unique<Raft>(RaftOptions{.self = replica_a.instance}, stored,
+                                now);
+  LONGS_EQUAL(1, raft->TakeOutput().committed.size());
+  LONGS_EQUAL(1, raft->commit_index());
+}
+
+// The same with a snapshot that replaces the log.
+TEST(RaftRules, ACrashWithinABatchKeepsNoCommitIndexOfASnapshot) {
+  StoredState stored = Stored({2, 2, 2});
+  Start({2, 2, 2});
+  proto::RaftMessage message = From(replica_c, 3);
+  auto* chunk = message.mutable_snapshot_chunk();
+  chunk->set_index(3);
+  chunk->set_term(3);
+  *chunk->mutable_configuration() = ToProto(ThreeVoters());
+  chunk->set_checksum(XXH3_64bits("", 0));
+  const RaftOutput batch = StepAndTake(message);
+  CHECK(batch.snapshot_replaces_log);
+  stored.hard_state = *batch.hard_state;
+  raft = std::make_unique<Raft>(RaftOptions{.self = replica_a.instance}, stored,
+                                now);
+  CHECK(raft->TakeOutput().committed.empty());
+  LONGS_EQUAL(0, raft->commit_index());
+}
+
 // Guards against acknowledging entries of an earlier batch before it is
 // durable.
 TEST(RaftRules, ReplyToADuplicateAppendWaitsForTheEarlierBatch) {
