Raft: a voter whose vote is being taken can still be elected

What it could do: the entry that takes a voter's vote had reached that voter only when the leader lost its disk. The others couldn't be elected, as its log was newer, and it didn't stand, as it was no voter by that entry: no leader for good.

Cause: votes used to be taken from lost voters only, which answer nobody.

--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -143,7 +143,7 @@
   // If this replica announced its term before the first configuration is
   // durable, a crash in between would prevent it from bootstrapping again.
   if (durable_index_ == 0) return;
-  if (!IsVoter() || storage_failed_) {
+  if (!MayStand() || storage_failed_) {
     ResetElectionTimer();
     return;
   }
--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -294,6 +294,9 @@
 
   void AdvanceClock(Time now);
   bool IsVoter() const { return configuration().IsVoter(replica_); }
+  /// Whether this replica may stand for election: it is a voter, or its vote is
+  /// taken by a configuration that may not be committed.
+  bool MayStand() const;
   bool InLeaderLease() const;
   bool HasActiveQuorum() const;
   bool CommittedInOwnTerm() const;
--- a/servers/consensus/raft_election.cc
+++ b/servers/consensus/raft_election.cc
@@ -1,5 +1,6 @@
 // Raft: terms, elections with pre-vote, leadership transfer.
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "core/check_invariant.h"
@@ -42,6 +43,14 @@
   return last_index >= log_.LastIndex();
 }
 
+// The entry that takes its vote may have reached this replica only. Its log is
+// then newer than those of the voters, so that none of them can be elected.
+bool Raft::MayStand() const {
+  if (IsVoter()) return true;
+  if (configuration_committed() || configurations_.size() < 2) return false;
+  return std::prev(configurations_.end(), 2)->second.IsVoter(replica_);
+}
+
 bool Raft::InLeaderLease() const {
   if (role_ == RaftRole::kLeader) return HasActiveQuorum();
   if (leader_.empty() || !last_leader_contact_) return false;
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -166,6 +166,38 @@
   CHECK(group.Applied("d", "after"));
 }
 
+// Guards against a group that elects nobody: the entry that takes a voter's
+// vote had reached that voter only, when the leader lost its disk.
+TEST(Raft, AVoterWhoseVoteIsBeingTakenCanStillBeElected) {
+  group.Run(Seconds(3));
+  const std::string leader = group.Leader();
+  const std::string demoted = Follower();
+  group.Start("d", 9);
+  group.Run(Seconds(3));
+  const ReplicaId added{InstanceId("d"), 9};
+  CHECK(group.LeaderRaft().AddLearner(added, group.now).accepted());
+  group.Run(Seconds(1));
+  CHECK(group.LeaderRaft().Promote(added, group.now).accepted());
+  group.Run(Seconds(1));
+  LONGS_EQUAL(4, group.LeaderRaft().configuration().voters.size());
+  for (const auto& [name, node] : group.nodes) {
+    if (name != leader && name != demoted) group.disconnected.insert(name);
+  }
+  CHECK(group.LeaderRaft()
+            .Demote(group.At(demoted).replica(), group.now)
+            .accepted());
+  group.Settle();
+  CHECK(
+      !group.At(demoted).configuration().IsVoter(group.At(demoted).replica()));
+  group.nodes.erase(leader);
+  group.disconnected.clear();
+  group.Run(Seconds(10));
+  CHECK(group.Leader() != "" && group.Leader() != demoted);
+  CHECK(group.LeaderRaft().Propose("after", group.now).accepted());
+  group.Settle();
+  CHECK(group.Applied("d", "after"));
+}
+
 // Guards against a group without a leader until an election timeout has passed.
 TEST(Raft, ALeaderThatHandsItsVoteOverTransfersItsLeadershipFirst) {
   group.Run(Seconds(3));
