Hand-over: what stops or begins anew in its midst

Four faults that the simulation of departures found in the hand-over: - A learner that stops was ended while it was the replacement in a plan, and then got its vote: it now waits, and its plan is abandoned at once. - A voter was told to keep its vote while the only spare's replica began anew: the leader now goes by the control instances that it hears as well. - A replica that knew the group, but wasn't a member, told nobody that it was there: added by a configuration that was lost, it never joined. It now sends hellos. - The simulation: successors in any data centre, a stop takes its least time, and a process counts as stopping until the next one has started.

--- a/main/node/voter_changes.cc
+++ b/main/node/voter_changes.cc
@@ -25,6 +25,7 @@
   if (!sync.data_centre().empty()) {
     data_centres_[from] = DataCentreId(sync.data_centre());
   }
+  heard_at_[from] = now;
   stopping_.OnProcess(from, process);
   if (!sync.has_stopping()) return;
   const ReplicaId replica = FromProto(sync.stopping());
@@ -59,6 +60,12 @@
   VoterView view = ViewOf(raft, now);
   view.stopping = stopping_.replicas();
   view.data_centres = data_centres_;
+  std::erase_if(heard_at_, [&](const auto& item) {
+    return now - item.second >= options_.spare_expiry;
+  });
+  for (const auto& [instance, heard_at] : heard_at_) {
+    view.live_instances.insert(instance);
+  }
   return view;
 }
 
--- a/main/node/voter_changes.h
+++ b/main/node/voter_changes.h
@@ -38,6 +38,7 @@
 
   VoterPlannerOptions options_;
   std::map<InstanceId, DataCentreId> data_centres_;
+  std::map<InstanceId, Time> heard_at_;
   StoppingMembers stopping_;
 };
 
--- a/servers/consensus/raft.cc
+++ b/servers/consensus/raft.cc
@@ -123,10 +123,10 @@
 
 void Raft::Tick(Time now) {
   AdvanceClock(now);
-  if (configurations_.empty()) {
-    if (now_ >= next_hello_) SendHellos();
-    return;
-  }
+  // A replica that was added by a configuration that was never committed, or
+  // that was removed, joins as one without a configuration does.
+  if (!configuration().IsMember(replica_) && now_ >= next_hello_) SendHellos();
+  if (configurations_.empty()) return;
   if (role_ == RaftRole::kLeader) {
     if (!HasActiveQuorum()) {
       BecomeFollower(term(), ReplicaId{});
@@ -317,9 +317,14 @@
 }
 
 void Raft::SendHellos() {
-  next_hello_ = now_ + (bootstrap_forbidden_ ? options_.election_timeout_min
-                                             : options_.heartbeat);
-  for (const InstanceId& target : hello_targets_) {
+  const bool joins = bootstrap_forbidden_ || !configurations_.empty();
+  next_hello_ =
+      now_ + (joins ? options_.election_timeout_min : options_.heartbeat);
+  std::set<InstanceId> targets = hello_targets_;
+  for (const ReplicaId& voter : configuration().voters) {
+    targets.insert(voter.instance);
+  }
+  for (const InstanceId& target : targets) {
     if (target == options_.self) continue;
     proto::RaftMessage message = NewMessage(ReplicaId{target, 0});
     for (const InstanceId& name : options_.initial_voters) {
--- a/servers/control/vote_handover.cc
+++ b/servers/control/vote_handover.cc
@@ -25,9 +25,12 @@
 GroupRole RoleOf(const Raft& raft, const std::set<ReplicaId>& stopping,
                  Duration within) {
   const bool leads = raft.role() == RaftRole::kLeader;
-  // A configuration that isn't committed may still be taken back.
+  // A configuration that isn't committed may still be taken back. A replacement
+  // gets its vote without being asked.
+  const auto& plan = raft.configuration().replacement;
   const bool may_vote = raft.configuration().IsVoter(raft.replica()) ||
-                        !raft.configuration_committed();
+                        !raft.configuration_committed() ||
+                        (plan && plan->replacement == raft.replica());
   return {.votes = raft.configuration().group != 0 && may_vote,
           .leads = leads,
           .has_successor =
--- a/servers/control/vote_handover.h
+++ b/servers/control/vote_handover.h
@@ -14,7 +14,8 @@
 
 /// The instance's part in the Raft group.
 struct GroupRole {
-  /// By the latest configuration that it knows of, committed or not.
+  /// By the latest configuration that it knows of, committed or not; or it is
+  /// about to get a vote.
   bool votes = false;
   bool leads = false;
   /// Another voter could lead in its place. Known to a leader only.
--- a/servers/control/voter_planner.cc
+++ b/servers/control/voter_planner.cc
@@ -64,6 +64,8 @@
   std::optional<VoterStep> Spread() const;
   std::optional<VoterStep> HandToSuccessor() const;
   bool IsHealthy() const;
+  /// An instance answers that has no vote and doesn't stop.
+  bool HasOtherInstance() const;
 
   const VoterPlannerOptions& options_;
   const VoterView& view_;
@@ -297,10 +299,11 @@
 VoterStep Planner::Next() const {
   if (const auto& plan = members_.replacement; plan.has_value()) {
     // Otherwise no lost voter could be replaced any more.
-    const Duration limit = members_.IsVoter(plan->replacement)
-                               ? options_.replace_after
-                               : options_.wiped_after;
-    if (!IsSilent(plan->replacement, limit)) return NoStep{};
+    const bool ends = members_.learners.contains(plan->replacement) &&
+                      IsStopping(plan->replacement);
+    if (!ends && !IsSilent(plan->replacement, options_.replace_after)) {
+      return NoStep{};
+    }
     return AbandonReplacementStep{plan->replacement};
   }
   if (auto step = ReplaceLostVoter()) return *step;
@@ -317,8 +320,21 @@
 
 bool Planner::KeepsVote(const ReplicaId& voter) const {
   if (members_.replacement.has_value()) return false;
-  return LaterCandidates(voter).empty() &&
-         !Tolerates(members_.voters.size() - 1);
+  if (!LaterCandidates(voter).empty() || HasOtherInstance()) return false;
+  return !Tolerates(members_.voters.size() - 1);
+}
+
+// Its replica will join; it may have begun anew a moment ago.
+bool Planner::HasOtherInstance() const {
+  const auto of_instance = [](const InstanceId& instance) {
+    return
+        [&](const ReplicaId& replica) { return replica.instance == instance; };
+  };
+  return std::ranges::any_of(
+      view_.live_instances, [&](const InstanceId& instance) {
+        return std::ranges::none_of(members_.voters, of_instance(instance)) &&
+               std::ranges::none_of(view_.stopping, of_instance(instance));
+      });
 }
 
 }  // namespace
--- a/servers/control/voter_planner.h
+++ b/servers/control/voter_planner.h
@@ -31,8 +31,7 @@
   /// other voter until then.
   Duration replace_after = Seconds(2);
   /// The same for a voter whose instance has been heard from with other
-  /// storage, which means that the voter's disk is lost, and for a replacement
-  /// that has no vote yet.
+  /// storage, which means that the voter's disk is lost.
   Duration wiped_after = Milliseconds(600);
   /// A spare is available while it was last seen less than this ago.
   Duration spare_expiry = Seconds(2);
@@ -49,6 +48,9 @@
   std::set<ReplicaId> caught_up;
   /// Members whose processes have announced that they stop.
   std::set<ReplicaId> stopping;
+  /// Control instances that were heard from lately, whether their replicas are
+  /// members or not.
+  std::set<InstanceId> live_instances;
   /// Where instances run, as far as it is known.
   std::map<InstanceId, DataCentreId> data_centres;
 };
@@ -95,7 +97,7 @@
 /// number below it.
 VoterStep PlanVoters(const VoterPlannerOptions& options, const VoterView& view);
 
-/// Whether a voter that stops keeps its vote for good: no replica is there that
+/// Whether a voter that stops keeps its vote for good: no instance is there that
 /// could take it over, now or once it has caught up, and the group is too small
 /// to shrink.
 bool KeepsVote(const VoterPlannerOptions& options, const VoterView& view,
--- a/tests/consensus/simulation.cc
+++ b/tests/consensus/simulation.cc
@@ -95,6 +95,7 @@
     faults_.automatic_replacement = true;
     losses_left_ = 0;
   }
+  successors_elsewhere_ = options_.departures && random_.Chance(0.4);
   for (int i = 0; i < options_.instances; ++i) {
     AddMachine(std::string(1, static_cast<char>('a' + i)));
   }
@@ -352,6 +353,8 @@
   VoterView view = ViewOf(*machine.process->raft, LocalTime(machine));
   view.stopping = StoppingReplicas();
   for (const auto& [name, other] : machines_) {
+    const bool heard = other->process && now_ >= other->frozen_until;
+    if (heard) view.live_instances.insert(InstanceId(name));
     view.data_centres[InstanceId(name)] = DataCentreId(other->data_centre);
   }
   return view;
--- a/tests/consensus/simulation.h
+++ b/tests/consensus/simulation.h
@@ -157,7 +157,7 @@
   void EndDayWithDepartures();
   std::vector<std::string> ShuffledMachines();
   void Depart(const std::string& name, Departure how);
-  void AddSuccessor(const std::string& predecessor);
+  void AddSuccessor(const std::string& data_centre);
   /// Runs until the process may end, or its grace period has passed.
   void RunGracePeriod(const std::string& name);
   void DriveStopping(const std::string& name);
@@ -230,6 +230,8 @@
 
   std::optional<std::pair<ReplicaId, std::string>> pending_replacement_;
   int losses_left_ = 0;
+  /// Successors start in any data centre, not in that of their predecessor.
+  bool successors_elsewhere_ = false;
   /// Replicas that announced their end and were removed for good.
   std::set<ReplicaId> departed_;
   int next_address_ = 1;
--- a/tests/consensus/simulation_departures.cc
+++ b/tests/consensus/simulation_departures.cc
@@ -17,6 +17,7 @@
 // The delays of messages aren't shortened.
 constexpr std::uint64_t kHandOverSteps = 30;
 constexpr std::uint64_t kGraceSteps = 146;
+constexpr std::uint64_t kLeastStopSteps = 8;
 constexpr std::uint64_t kAnnouncementSteps = 2;
 constexpr std::uint64_t kMaxGapSteps = 30;
 constexpr std::uint64_t kMaxLossDelaySteps = 40;
@@ -31,7 +32,11 @@
   // The last faults of the day are over.
   faults_ = {.automatic_replacement = true};
   RunSteps(kCatchUpSteps);
-  const auto how = static_cast<Departure>(random_.Below(3));
+  // Whose successor an instance is can't be told where it starts elsewhere: in
+  // such a run no machine leaves without a warning.
+  constexpr Departure kKinds[] = {Departure::kPlanned, Departure::kRestart,
+                                  Departure::kUnannounced};
+  const Departure how = kKinds[random_.Below(successors_elsewhere_ ? 2 : 3)];
   // Messages are lost and disks are slow, but no machine beside those that
   // leave and what DisturbDeparture() chooses. A machine that leaves without a
   // warning can't wait for a successor that is held up by this.
@@ -49,7 +54,10 @@
   const std::size_t counts[] = {1, 1, part, leaving.size()};
   leaving.resize(std::min(leaving.size(), counts[random_.Below(4)]));
   if (how != Departure::kRestart) {
-    for (const std::string& name : leaving) AddSuccessor(name);
+    for (const std::string& name : leaving) {
+      const std::string beside = successors_elsewhere_ ? RandomMachine() : name;
+      AddSuccessor(machines_[beside]->data_centre);
+    }
     RunSteps(kCatchUpSteps + leaving.size() * kHandOverSteps);
   }
   const std::uint64_t ended_with_vote = counts_.ended_with_vote;
@@ -83,11 +91,11 @@
   return names;
 }
 
-void Simulation::AddSuccessor(const std::string& predecessor) {
+void Simulation::AddSuccessor(const std::string& data_centre) {
   const std::string address = "n" + std::to_string(next_address_++);
   auto machine = std::make_unique<Machine>();
   machine->may_bootstrap = false;
-  machine->data_centre = machines_[predecessor]->data_centre;
+  machine->data_centre = data_centre;
   machines_[address] = std::move(machine);
   Start(address);
 }
@@ -109,10 +117,10 @@
   Machine& machine = *machines_[name];
   machine.process.reset();
   machine.handover = {};
-  machine.stop_announced = false;
   machine.frozen_until = {};
   RunSteps(random_.Below(kMaxAbsenceSteps));
   Start(name);
+  machine.stop_announced = false;
 }
 
 void Simulation::RunGracePeriod(const std::string& name) {
@@ -127,6 +135,7 @@
     const Machine& machine = *machines_[name];
     // A replica that isn't a member any more began anew, without a vote.
     if (!machine.process || !machine.handover.begun()) return;
+    if (i < kLeastStopSteps) continue;
     const GroupRole role =
         RoleOf(*machine.process->raft, StoppingReplicas(), kAnswersWithin);
     if (machine.handover.Finished(role, LocalTime(machine))) return;
--- a/tests/control/voter_planner_test.cc
+++ b/tests/control/voter_planner_test.cc
@@ -133,6 +133,21 @@
   AddReadyLearner(Replica("d"), &view);
   CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
   CHECK_TRUE(KeepsVote(options, view, Replica("c")));
+  view.live_instances = {InstanceId("b"), InstanceId("d")};
+  CHECK_TRUE(KeepsVote(options, view, Replica("c")));
+  // The replica of this one isn't known yet.
+  view.live_instances.insert(InstanceId("e"));
+  CHECK_FALSE(KeepsVote(options, view, Replica("c")));
+}
+
+// Guards against a vote that is given to an instance which has ended by then.
+TEST(VoterPlanner, AReplacementThatStopsIsAbandonedAtOnce) {
+  VoterView view = ThreeVoters();
+  AddReadyLearner(Replica("d"), &view);
+  view.configuration.replacement = {Replica("c"), Replica("d"), true};
+  CHECK_TRUE(Is<NoStep>(PlanVoters(options, view)));
+  view.stopping.insert(Replica("d"));
+  CHECK_TRUE(Is<AbandonReplacementStep>(PlanVoters(options, view)));
 }
 
 // With 3 of 5 voters left, the next loss would end the group.
