--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -67,13 +67,15 @@
         self.entries = [self._instance("entry", i, 0) for i in range(entries)]
         self.controls = [self._instance("control", i, 100) for i in range(controls)]
         self.controls_ever = controls
+        # Control instances that were removed for good.
+        self.removed = []
         # Added to the settings of each instance.
         self.more_settings = {}
 
-    def _instance(self, role, index, offset):
+    def _instance(self, role, index, offset, data_centre=None):
         ip = f"127.{self.block}.{offset + index // 200}.{1 + index % 200}"
         name = f"{role}-{index}"
-        data_centre = DATA_CENTRES[index % len(DATA_CENTRES)]
+        data_centre = data_centre or DATA_CENTRES[index % len(DATA_CENTRES)]
         return Instance(role, name, ip, data_centre, self.folder / name)
 
     def replace_control(self, lost):
@@ -84,6 +86,14 @@
         self.controls[self.controls.index(lost)] = replacement
         return replacement
 
+    def add_control(self, predecessor):
+        """Adds a control instance at a new address in the data centre of another; the caller starts it."""
+        added = self._instance("control", self.controls_ever, 100, predecessor.data_centre)
+        self.controls_ever += 1
+        added.first_start = False
+        self.controls.append(added)
+        return added
+
     def control_urls(self):
         return [f"http://{control.ip}:{CONTROL_PORT}" for control in self.controls]
 
@@ -147,6 +157,21 @@
         await asyncio.sleep(RESTART_DELAY_S)
         await self.start_instance(instance)
 
+    async def remove_control(self, control, planned):
+        """Ends the process for good, with SIGTERM if it is planned; SIGKILL follows after the grace period."""
+        control.trouble()
+        began = time.monotonic()
+        if planned:
+            control.process.terminate()
+            with contextlib.suppress(asyncio.TimeoutError):
+                await asyncio.wait_for(control.process.wait(), SHUTDOWN_GRACE_S)
+        if control.running():
+            control.process.kill()
+        await control.process.wait()
+        control.stops.append((began, time.monotonic(), control.process.returncode))
+        self.controls.remove(control)
+        self.removed.append(control)
+
     async def freeze(self, instance, for_s):
         instance.trouble()
         process = instance.process
