--- a/main/node/configuration_log.cc
+++ b/main/node/configuration_log.cc
@@ -347,11 +347,8 @@
 void ConfigurationLog::OnDispatched() { CompactIfDue(BootTimeNow()); }
 
 void ConfigurationLog::CompactIfDue(Time now) {
-  if (entries_since_compaction_ == 0) return;
-  const bool forgets = has_forgotten_ && now >= next_forgetting_;
-  const bool due = entries_since_compaction_ >= kEntriesPerSnapshot ||
-                   bytes_since_compaction_ >= kBytesPerSnapshot || forgets;
-  if (!due) return;
+  if (!IsCompactionDue(now)) return;
+  has_new_member_ = false;
   entries_since_compaction_ = 0;
   bytes_since_compaction_ = 0;
   has_forgotten_ = false;
@@ -361,6 +358,14 @@
                                           .leaving = leaving_.All(now)}));
 }
 
+bool ConfigurationLog::IsCompactionDue(Time now) const {
+  if (entries_since_compaction_ == 0) return false;
+  const bool forgets = has_forgotten_ && now >= next_forgetting_;
+  return entries_since_compaction_ >= kEntriesPerSnapshot ||
+         bytes_since_compaction_ >= kBytesPerSnapshot || forgets ||
+         has_new_member_;
+}
+
 void ConfigurationLog::OnRead(const ReadResult& read) {
   const auto found = reads_.find(read.id);
   if (found == reads_.end()) return;
@@ -381,7 +386,7 @@
 }
 
 void ConfigurationLog::AdvanceVoters(Time now) {
-  voter_changes_.Advance(host_->raft(), now);
+  has_new_member_ |= voter_changes_.Advance(host_->raft(), now);
   host_->Drain();
 }
 
--- a/main/node/configuration_log.h
+++ b/main/node/configuration_log.h
@@ -150,6 +150,7 @@
   void ApplyDocument(VersionedDocument document);
   void AdvanceVoters(Time now);
   void CompactIfDue(Time now);
+  bool IsCompactionDue(Time now) const;
 
   const NodeSettings& settings_;
   Metrics& metrics_;
@@ -173,6 +174,9 @@
   std::uint64_t next_read_ = 1;
   int entries_since_compaction_ = 0;
   std::size_t bytes_since_compaction_ = 0;
+  /// A replica with an empty log was added, which a snapshot spares the
+  /// documents of the past.
+  bool has_new_member_ = false;
   /// Sent the members last, as the leader; empty once that is too long ago.
   InstanceId members_sender_;
   Time members_received_{};
--- a/main/node/voter_changes.cc
+++ b/main/node/voter_changes.cc
@@ -37,17 +37,19 @@
   stopping_.OnStopping(replica, process, now);
 }
 
-void VoterChanges::Advance(Raft& raft, Time now) {
-  if (!raft.configuration_committed()) return;
+bool VoterChanges::Advance(Raft& raft, Time now) {
+  if (!raft.configuration_committed()) return false;
   const VoterView view = View(raft, now);
   const VoterStep step = PlanVoters(options_, view);
-  if (!ProposeStep(step, raft, now).accepted()) return;
+  if (!ProposeStep(step, raft, now).accepted()) return false;
   const VoterStepText text = Describe(step);
   Log(LogLevel::kInfo, "voters_changed",
       {{"step", text.name},
        {"subject", text.subject},
        {"voters", view.configuration.voters.size()},
        {"learners", view.configuration.learners.size()}});
+  return raft.configuration().learners.size() >
+         view.configuration.learners.size();
 }
 
 bool VoterChanges::KeepsVote(const Raft& raft, const ReplicaId& voter,
--- a/main/node/voter_changes.h
+++ b/main/node/voter_changes.h
@@ -27,8 +27,9 @@
   void OnStopping(const ReplicaId& replica, Incarnation process, Time now);
   std::set<ReplicaId> stopping() const { return stopping_.replicas(); }
 
-  /// Leader only. Proposes the next step, if one is due.
-  void Advance(Raft& raft, Time now);
+  /// Leader only. Proposes the next step, if one is due. Returns whether it
+  /// adds a replica, whose log is empty.
+  bool Advance(Raft& raft, Time now);
   /// Leader only. Whether a voter that stops keeps its vote, as no replica
   /// could take it over.
   bool KeepsVote(const Raft& raft, const ReplicaId& voter, Time now);
--- a/servers/consensus/raft_replication.cc
+++ b/servers/consensus/raft_replication.cc
@@ -147,6 +147,9 @@
   progress.awaiting_reply = false;
   progress.inflight.Clear();
   progress.next = std::max(progress.match, agreed) + 1;
+  // An empty log gets the state instead of the entries that led to it, also if
+  // these are still in memory.
+  if (progress.next == 1 && snapshot_) BeginSnapshot(progress);
 }
 
 void Raft::OnMatch(const ReplicaId& from, Progress& progress, LogIndex match) {
--- a/tests/consensus/raft_test.cc
+++ b/tests/consensus/raft_test.cc
@@ -104,6 +104,32 @@
   CHECK(group.Applied(behind, "after"));
 }
 
+// Review case 12: a replica with an empty disk was sent megabytes of entries
+// that a snapshot covers, and wasn't complete when the next disk was lost.
+TEST(Raft, AnEmptyReplicaGetsASnapshotWhileTheEntriesAreStillKept) {
+  group.entries_kept_after_compaction = 1000;
+  for (const char* name : {"a", "b", "c"}) group.Start(name, 1);
+  group.Run(Seconds(3));
+  for (int i = 0; i < 20; ++i) {
+    CHECK(group.LeaderRaft().Propose("past", group.now).accepted());
+    group.Settle();
+  }
+  CHECK(group.LeaderRaft().Compact(group.LeaderRaft().applied_index(),
+                                   "state of twenty entries"));
+  LONGS_EQUAL(1, group.LeaderRaft().first_kept_index());
+  group.Start("d", 9);
+  group.Run(Seconds(3));
+  CHECK(group.LeaderRaft()
+            .AddLearner({InstanceId("d"), 9}, group.now)
+            .accepted());
+  group.Run(Seconds(1));
+  CHECK(group.nodes["d"].installed.has_value());
+  CHECK_FALSE(group.Applied("d", "past"));
+  CHECK(group.LeaderRaft().Propose("after", group.now).accepted());
+  group.Settle();
+  CHECK(group.Applied("d", "after"));
+}
+
 TEST(Raft, TransferMakesTheChosenVoterLeader) {
   group.Run(Seconds(3));
   const std::string to = Follower();
