--- a/main/node/control_node.cc
+++ b/main/node/control_node.cc
@@ -155,17 +155,28 @@
   const Duration limit = ServingPart(settings_.shutdown_grace, kExitMargin);
   if (now >= next_announcement_) AnnounceStop(now);
   if (elapsed < std::min(kLeavePeriod, limit)) return;
-  const bool handed_over = handover_.Finished(log_.role(), now);
-  if (!(Drained() && handed_over) && elapsed < limit) return;
-  Log(handed_over ? LogLevel::kInfo : LogLevel::kWarning, "vote_at_stop",
-      {{"replica", ToString(log_.replica())},
-       {"votes", log_.role().votes ? "true" : "false"},
-       {"handed_over", handed_over ? "true" : "false"},
-       {"elapsed_ms", ToMilliseconds(elapsed)}});
+  const GroupRole role = log_.role();
+  const bool may_end = handover_.Finished(role, now);
+  if (!(Drained() && may_end) && elapsed < limit) return;
+  LogVoteAtStop(role, may_end, elapsed);
   shutdown_timer_.reset();
   on_done_();
 }
 
+void ControlNode::LogVoteAtStop(const GroupRole& role, bool may_end,
+                                Duration elapsed) const {
+  const std::string replica = ToString(log_.replica());
+  if (may_end) {
+    Log(LogLevel::kInfo, "vote_at_stop",
+        {{"replica", replica},
+         {"votes", role.votes ? "true" : "false"},
+         {"elapsed_ms", ToMilliseconds(elapsed)}});
+    return;
+  }
+  Log(LogLevel::kWarning, "vote_not_handed_over",
+      {{"replica", replica}, {"elapsed_ms", ToMilliseconds(elapsed)}});
+}
+
 void ControlNode::AnnounceStop(Time now) {
   next_announcement_ = now + kStopAnnouncementPeriod;
   log_.Stop(Incarnation(incarnation_), now);
--- a/main/node/control_node.h
+++ b/main/node/control_node.h
@@ -98,6 +98,9 @@
   std::vector<InstanceId> LiveControls() const;
 
   void AdvanceShutdown(Time now);
+  /// `may_end`: the vote was handed over, or nobody could take it.
+  void LogVoteAtStop(const GroupRole& role, bool may_end,
+                     Duration elapsed) const;
   /// Tells the other control instances that this one stops.
   void AnnounceStop(Time now);
   /// Learns of the sender's process, and answers if it stops.
