--- a/scripts/mutations/consensus.sh
+++ b/scripts/mutations/consensus.sh
@@ -70,6 +70,8 @@
 election=servers/consensus/raft_election.cc
 replication=servers/consensus/raft_replication.cc
 raft=servers/consensus/raft.cc
+bootstrap=servers/consensus/raft_bootstrap.cc
+membership=servers/consensus/raft_membership.cc
 file_log=modules/file_log/file_log.cc
 
 # A replica votes for two candidates in one term.
@@ -134,7 +136,7 @@
   'return now_ - *last_leader_contact_ < options_.election_timeout_min;' \
   'return false;'
 # A membership change starts before the previous one is committed.
-mutate overlapping_member_changes $raft \
+mutate overlapping_member_changes $membership \
   'if (!configuration_committed() || !CommittedInOwnTerm()) {
     return Refuse' \
   'if (false) {
@@ -144,7 +146,7 @@
   'replica_ = {options_.self, hard_state_.storage};' \
   'replica_ = {options_.self, 1};'
 # A new instance bootstraps a log although other instances have one.
-mutate founding_beside_a_log $raft \
+mutate founding_beside_a_log $bootstrap \
   'if (reply.configured()) {' 'if (false) {'
 # A snapshot that conflicts with the log doesn't replace the log on disk.
 mutate snapshot_keeps_conflicting_log $replication \
@@ -160,17 +162,22 @@
   'if (done.last_index <= log_.LastIndex()) {
       CheckInvariant'
 # A responsive voter is replaced by another process with the same name.
-mutate answering_voter_replaced $raft \
+mutate answering_voter_replaced $membership \
   'if (!unresponsive || !configuration().IsVoter(id)) continue;' \
   'if (!configuration().IsVoter(id)) continue;'
 # The lost voter is removed before its replacement has the entry that promotes it.
-mutate remove_before_copy $raft \
+mutate remove_before_copy $membership \
   '  if (MatchIndex(plan.replacement) < configurations_.rbegin()->first) return;
 ' ''
 # A learner becomes a voter without a copy of the log.
-mutate promote_without_copy $raft \
-  '!next.learners.contains(learner) || !caught_up' \
+mutate promote_without_copy $membership \
+  '!next.learners.contains(learner) || !IsCaughtUp(learner)' \
   '!next.learners.contains(learner)'
+# The commit index on disk covers entries that the same batch replaces.
+mutate commit_of_replaced_entries $raft \
+  'std::min(hard_state_.commit, durable_index_));' 'hard_state_.commit);'
+# A voter whose vote is being taken doesn't stand for election.
+mutate demoted_never_stands $raft 'if (!MayStand() ||' 'if (!IsVoter() ||'
 # Pending answers are unbounded while the disk makes no progress.
 mutate answers_pile_up $raft \
   'if (storage_failed_ || batches_.size() >= kMaxPendingBatches) {' 'if (false) {'
