--- a/servers/control/voter_planner.h
+++ b/servers/control/voter_planner.h
@@ -97,9 +97,9 @@
 /// number below it.
 VoterStep PlanVoters(const VoterPlannerOptions& options, const VoterView& view);
 
-/// Whether a voter that stops keeps its vote for good: no instance is there that
-/// could take it over, now or once it has caught up, and the group is too small
-/// to shrink.
+/// Whether a voter that stops keeps its vote for good: no instance is there
+/// that could take it over, now or once it has caught up, and the group is too
+/// small to shrink.
 bool KeepsVote(const VoterPlannerOptions& options, const VoterView& view,
                const ReplicaId& voter);
 
