--- a/tests/consensus/simulation_departures.cc
+++ b/tests/consensus/simulation_departures.cc
@@ -86,8 +86,9 @@
     std::swap(names[i - 1], names[random_.Below(i)]);
   }
   if (random_.Chance(0.5)) {
-    std::ranges::stable_partition(
-        names, [&](const std::string& name) { return name == Leader(); });
+    std::stable_partition(
+        names.begin(), names.end(),
+        [&](const std::string& name) { return name == Leader(); });
   }
   return names;
 }
--- a/tests/control/vote_handover_test.cc
+++ b/tests/control/vote_handover_test.cc
@@ -10,7 +10,7 @@
 namespace {
 
 constexpr Time kStart{Seconds(100)};
-const ReplicaId kReplica{InstanceId("a"), 1};
+const ReplicaId replica_a{InstanceId("a"), 1};
 
 }  // namespace
 
@@ -59,20 +59,20 @@
 
 // A process that was restarted in place could otherwise never vote again.
 TEST(StoppingMembers, ALaterProcessTakesThePlaceOfTheOneThatStopped) {
-  stopping.OnStopping(kReplica, Incarnation(5), kStart);
-  stopping.OnProcess(kReplica.instance, Incarnation(5));
-  CHECK_TRUE(stopping.replicas().contains(kReplica));
+  stopping.OnStopping(replica_a, Incarnation(5), kStart);
+  stopping.OnProcess(replica_a.instance, Incarnation(5));
+  CHECK_TRUE(stopping.replicas().contains(replica_a));
   // A message that was held up.
-  stopping.OnProcess(kReplica.instance, Incarnation(4));
-  CHECK_TRUE(stopping.replicas().contains(kReplica));
-  stopping.OnProcess(kReplica.instance, Incarnation(6));
-  CHECK_FALSE(stopping.replicas().contains(kReplica));
+  stopping.OnProcess(replica_a.instance, Incarnation(4));
+  CHECK_TRUE(stopping.replicas().contains(replica_a));
+  stopping.OnProcess(replica_a.instance, Incarnation(6));
+  CHECK_FALSE(stopping.replicas().contains(replica_a));
 }
 
 TEST(StoppingMembers, AProcessThatEndedLongAgoIsForgotten) {
-  stopping.OnStopping(kReplica, Incarnation(5), kStart);
+  stopping.OnStopping(replica_a, Incarnation(5), kStart);
   stopping.Expire(kStart + Seconds(9));
-  CHECK_TRUE(stopping.replicas().contains(kReplica));
+  CHECK_TRUE(stopping.replicas().contains(replica_a));
   stopping.Expire(kStart + Seconds(10));
   CHECK_TRUE(stopping.replicas().empty());
 }
