--- a/servers/consensus/raft.h
+++ b/servers/consensus/raft.h
@@ -225,8 +225,9 @@
   bool configuration_committed() const;
   const RaftCounters& counters() const { return counters_; }
   bool storage_failed() const { return storage_failed_; }
-  /// Replicas without a configuration that sent a hello to this one, with the
-  /// time of the last; candidates for a replacement.
+  /// Replicas that sent a hello to this one, with the time of the last: they
+  /// have no configuration, or aren't members by the one that they have.
+  /// Candidates for a replacement.
   const std::map<ReplicaId, Time>& unconfigured_replicas() const {
     return unconfigured_replicas_;
   }
--- a/servers/control/voter_planner.h
+++ b/servers/control/voter_planner.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <map>
 #include <set>
+#include <string>
 #include <variant>
 
 #include "core/ids.h"
@@ -42,7 +43,7 @@
   RaftConfiguration configuration;
   /// Time since the last response of every other member.
   std::map<ReplicaId, Duration> silence;
-  /// Replicas without a configuration, and the time since each was last seen.
+  /// Replicas that asked to join, and the time since each was last seen.
   std::map<ReplicaId, Duration> unconfigured;
   /// Members that answer and have nearly the whole log.
   std::set<ReplicaId> caught_up;
